--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Fixtures of the behave scenarios."""
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent process, one beside each target."""
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/__init__.py
@@ -0,0 +1,1 @@
+"""Balancer process and operator commands."""
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, the demo and the measurements."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared slices of the balancer and the agent."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""The queue before a target's slots."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Service files, publishing and version order."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/flows/__init__.py
@@ -0,0 +1,1 @@
+"""The flow table of an agent."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/flows/messages.py
@@ -0,0 +1,41 @@
+"""Messages of the flows slice."""
+
+from enum import IntFlag
+from typing import NamedTuple
+
+
+class FlowMark(IntFlag):
+    """Marks of a flow packet."""
+
+    none = 0
+    first = 1
+    last = 2
+    reset = 4
+    answer = 8
+    placed = 16
+
+
+class FlowKey(NamedTuple):
+    """Five-tuple of a flow as the fabric saw it."""
+
+    protocol: int
+    source_host: str
+    source_port: int
+    destination_host: str
+    destination_port: int
+
+
+class FlowPacket(NamedTuple):
+    """One datagram of a flow on its way through the system.
+
+    ``service`` is empty on the way from the fabric to a balancer, which
+    fills it in from the destination address. ``incarnation`` is that of
+    the holder on a packet with the ``placed`` mark, otherwise 0.
+    """
+
+    service: str
+    flow: FlowKey
+    marks: FlowMark
+    hops: int
+    incarnation: int
+    payload: bytes
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members of a service, their liveness and their leases."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Exclusive ownership of buckets among the agents of a service."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the operator's object service."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Request records, outcomes and answer assembly."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Bucket tables and the choice among targets."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Defaults, settings types and the settings loader."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of all processes in causal order."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Datagram codec and the generated gRPC code."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/wire/codec.py
@@ -0,0 +1,88 @@
+"""Codec of the datagrams between the system's processes.
+
+A datagram is a msgpack array of the message's kind, the sender's hybrid
+logical clock and the message itself, for example
+``[3, 112589990684262400, ["classroom-desk", ...]]``. The kind numbers are
+part of the protocol and never reused.
+"""
+
+from typing import Final, NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+
+from trefoilhaven_core.flows.messages import FlowPacket
+from trefoilhaven_core.membership import messages as membership
+from trefoilhaven_core.ownership import messages as ownership
+
+# The largest payload of a UDP datagram over IPv4, in bytes.
+MAX_DATAGRAM_BYTES: Final = 65_507
+
+KindTable = dict[int, type[NamedTuple]]
+
+_KINDS: Final[KindTable] = {
+    1: FlowPacket,
+    2: membership.Heartbeat,
+    3: membership.HeartbeatAck,
+    4: membership.HeartbeatRefused,
+    5: membership.FenceRequest,
+    6: membership.FenceVote,
+    7: membership.Changes,
+    8: membership.Digest,
+    9: ownership.ClaimBuckets,
+    10: ownership.ClaimReply,
+}
+
+
+class Decoded(NamedTuple):
+    """A message with the hybrid logical clock of its sender."""
+
+    clock: int
+    message: NamedTuple
+
+
+class DecodeError(NamedTuple):
+    """Why a datagram could not be decoded."""
+
+    reason: str
+
+
+class Codec:
+    """Encodes and decodes the messages of a table of kinds."""
+
+    def __init__(self, kinds: KindTable) -> None:
+        """Prepare one decoder for each kind."""
+        self._numbers = {kind: number for number, kind in kinds.items()}
+        self._decoders = {
+            number: msgspec.msgpack.Decoder(kind)
+            for number, kind in kinds.items()
+        }
+        self._envelope = msgspec.msgpack.Decoder(tuple[int, int, msgspec.Raw])
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def encode(self, message: NamedTuple, clock: int = 0) -> bytes:
+        """Return the datagram of a message.
+
+        Raises ``KeyError`` for a type that is not in the table.
+        """
+        number = self._numbers[type(message)]
+        return self._encoder.encode((number, clock, message))
+
+    def decode(self, datagram: bytes) -> Result[Decoded, DecodeError]:
+        """Return the message of a datagram, or why it is malformed."""
+        try:
+            number, clock, content = self._envelope.decode(datagram)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            return Error(DecodeError(f'not an envelope: {exc}'))
+        decoder = self._decoders.get(number)
+        if decoder is None:
+            return Error(DecodeError(f'unknown message kind {number}'))
+        try:
+            return Ok(Decoded(clock, decoder.decode(content)))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            return Error(DecodeError(f'kind {number}: {exc}'))
+
+
+def make_codec() -> Codec:
+    """Return the codec of all messages of the system."""
+    return Codec(_KINDS)
