--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flow traffic between balancers, siblings, the target and the fabric."""
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Heartbeats, leases and the view of the agent's service."""
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of buckets from sibling agents."""
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that this agent decides about or runs."""
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/requests/answers.py
@@ -0,0 +1,69 @@
+"""Answers in progress, which any number of askers can follow."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from trefoilhaven_core.wire.proto.calls_pb2 import AnswerPart, Closing, Outcome
+
+
+class AnswerBuffer:
+    """Parts of one answer, kept from the start so that askers can join.
+
+    An asker that comes late or asks again gets all parts from the first.
+    """
+
+    def __init__(self, service: str, key: str) -> None:
+        """Start an empty answer."""
+        self.service = service
+        self.key = key
+        self._parts: list[AnswerPart] = []
+        self._changed = asyncio.Event()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the closing part is there."""
+        return self._closed
+
+    def append(self, part: AnswerPart) -> None:
+        """Add a part; the closing part ends the answer."""
+        if self._closed:
+            return
+        self._parts.append(part)
+        self._closed = part.HasField('closing')
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def close(self, closing: Closing) -> None:
+        """Add the closing part."""
+        self.append(
+            AnswerPart(service=self.service, key=self.key, closing=closing),
+        )
+
+    def conclude(
+        self,
+        outcome: 'Outcome.ValueType',
+        reason: str,
+        retry_after_s: float = 0,
+    ) -> None:
+        """Close the answer without content."""
+        self.close(
+            Closing(
+                outcome=outcome,
+                reason=reason,
+                retry_after_s=retry_after_s,
+            ),
+        )
+
+    async def follow(self) -> AsyncIterator[AnswerPart]:
+        """Yield all parts from the first to the closing one."""
+        position = 0
+        while True:
+            changed = self._changed
+            while position < len(self._parts):
+                part = self._parts[position]
+                position += 1
+                yield part
+                if part.HasField('closing'):
+                    return
+            await changed.wait()
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/wire/endpoints.py
@@ -0,0 +1,139 @@
+"""Datagram sockets of the system's processes.
+
+A ``DatagramEndpoint`` owns one UDP socket, decodes what arrives and hands
+each message to the handler of its type. A malformed datagram is counted
+and logged with its sender; it stops nothing else.
+"""
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.wire.codec import Codec
+
+logger = logging.getLogger(__name__)
+
+# A log line about malformed datagrams is written at most this often.
+MALFORMED_LOG_INTERVAL_S: Final = 1.0
+
+# Receive buffer of a socket in bytes, enough for a burst of 4,000 packets.
+RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
+
+Handler = Callable[[Any, Address], None]
+
+
+class Clock:
+    """Clock of a process as the endpoint needs it."""
+
+    def stamp(self) -> int:
+        """Return the hybrid logical clock for an outgoing message."""
+        return 0
+
+    def observe(self, stamp: int) -> None:
+        """Take the hybrid logical clock of an incoming message."""
+
+
+class DatagramCounters:
+    """Counts of one socket."""
+
+    def __init__(self) -> None:
+        """Start all counts at zero."""
+        self.received = 0
+        self.received_bytes = 0
+        self.sent = 0
+        self.sent_bytes = 0
+        self.malformed = 0
+        self.unexpected = 0
+
+
+class DatagramEndpoint(asyncio.DatagramProtocol):
+    """One UDP socket with handlers by message type."""
+
+    def __init__(self, codec: Codec, clock: Clock) -> None:
+        """Prepare an endpoint; ``open_endpoint`` opens its socket."""
+        self.counters = DatagramCounters()
+        self._codec = codec
+        self._clock = clock
+        self._handlers: dict[type[NamedTuple], Handler] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._last_malformed_log = 0.0
+
+    def on(self, kind: type[NamedTuple], handler: Handler) -> None:
+        """Register the handler of a message type."""
+        self._handlers[kind] = handler
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport of the opened socket."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Decode one datagram and call the handler of its type."""
+        self.counters.received += 1
+        self.counters.received_bytes += len(data)
+        decoded = self._codec.decode(data)
+        if decoded.is_error():
+            self.counters.malformed += 1
+            self._log_malformed(addr, decoded.error.reason)
+            return
+        self._clock.observe(decoded.ok.clock)
+        handler = self._handlers.get(type(decoded.ok.message))
+        if handler is None:
+            self.counters.unexpected += 1
+            return
+        handler(decoded.ok.message, Address(addr[0], addr[1]))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore refused datagrams: the peer may be restarting."""
+        logger.debug('socket error', extra={'error': str(exc)})
+
+    def send(self, message: NamedTuple, address: Address) -> None:
+        """Send a message; a closed socket drops it like a lost packet."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        raw = self._codec.encode(message, self._clock.stamp())
+        self.counters.sent += 1
+        self.counters.sent_bytes += len(raw)
+        self._transport.sendto(raw, (address.host, address.port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _log_malformed(self, addr: tuple[str, int], reason: str) -> None:
+        now = asyncio.get_running_loop().time()
+        if now - self._last_malformed_log < MALFORMED_LOG_INTERVAL_S:
+            return
+        self._last_malformed_log = now
+        logger.warning(
+            'malformed datagram dropped',
+            extra={
+                'sender': f'{addr[0]}:{addr[1]}',
+                'reason': reason,
+                'count': self.counters.malformed,
+            },
+        )
+
+
+async def open_endpoint(
+    address: Address,
+    codec: Codec,
+    clock: Clock,
+) -> DatagramEndpoint:
+    """Open a UDP socket at an address and return its endpoint.
+
+    Raises ``OSError`` when the address is in use or not of this host.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    sock.bind((address.host, address.port))
+    _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: DatagramEndpoint(codec, clock),
+        sock=sock,
+    )
+    return protocol
