--- a/packages/agent/src/trefoilhaven_agent/requests/answers.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/answers.py
@@ -42,7 +42,7 @@
 
     def conclude(
         self,
-        outcome: 'Outcome.ValueType',
+        outcome: Outcome,
         reason: str,
         retry_after_s: float = 0,
     ) -> None:
