--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/requests/entries.py
@@ -0,0 +1,126 @@
+"""A single request record and its form in a bucket's directory."""
+
+from enum import IntEnum
+from typing import Final
+
+import xxhash
+
+from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
+from trefoilhaven_core.requests.decisions import Request
+
+
+class RecordState(IntEnum):
+    """State of a record; ``remote`` and ``relaying`` name a holder.
+
+    A call to the holder is in progress while the state is ``relaying``.
+    """
+
+    running = 1
+    done = 2
+    unknown = 3
+    remote = 4
+    relaying = 5
+
+
+KIND_OF_STATE: Final = {
+    RecordState.running: ItemKind.running,
+    RecordState.done: ItemKind.done,
+    RecordState.unknown: ItemKind.unknown,
+    RecordState.remote: ItemKind.running,
+    RecordState.relaying: ItemKind.running,
+}
+
+# Of entries of one attempt the one that is closer to the outcome counts.
+# A final refusal excludes that the attempt ran anywhere, so a running entry
+# beside it is out of date.
+_KIND_RANKS: Final = {
+    ItemKind.flow: 0,
+    ItemKind.unknown: 1,
+    ItemKind.running: 2,
+    ItemKind.done: 3,
+    ItemKind.refused: 4,
+}
+
+
+def digest_key(key: str) -> bytes:
+    """Return what tells apart two keys of an equal 64-bit hash.
+
+    A digest bounds the memory of a record, whatever the caller's key.
+    """
+    return xxhash.xxh3_128_digest(key.encode())
+
+
+def merge_entries(
+    first: DirectoryEntry,
+    second: DirectoryEntry,
+) -> DirectoryEntry:
+    """Return the one of two entries of an item that counts.
+
+    Every hand-over must merge the directory of the owner, the items of its
+    own table and those of the granting siblings in this way.
+    """
+
+    def rank(entry: DirectoryEntry) -> tuple[int, int]:
+        return (entry.attempt, _KIND_RANKS[entry.kind])
+
+    return second if rank(second) > rank(first) else first
+
+
+class Record:
+    """One request key."""
+
+    __slots__ = (
+        'asker',
+        'attempt',
+        'digest',
+        'holder',
+        'holder_incarnation',
+        'issued_at',
+        'keep_from',
+        'placed',
+        'state',
+    )
+
+    def __init__(self, request: Request, placed: bool) -> None:
+        """Describe a running request.
+
+        ``keep_from`` is the Unix time at which its retention starts.
+        """
+        self.digest = digest_key(request.key)
+        self.state = RecordState.running
+        self.attempt = request.attempt
+        self.issued_at = request.issued_at
+        self.keep_from = request.issued_at
+        self.asker = request.asker
+        self.placed = placed
+        self.holder = ''
+        self.holder_incarnation = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether this agent still waits for the outcome."""
+        return self.state in {RecordState.running, RecordState.relaying}
+
+    def note(self, request: Request) -> int:
+        """Make the asker the newest one and return the one before it."""
+        superseded = self.asker
+        self.asker = request.asker
+        self.raise_attempt(request.attempt, request.issued_at)
+        return 0 if superseded == request.asker else superseded
+
+    def raise_attempt(self, attempt: int, issued_at: float) -> None:
+        """Note an attempt that may be the highest so far."""
+        self.attempt = max(self.attempt, attempt)
+        self.issued_at = max(self.issued_at, issued_at)
+
+    def relay_to(self, holder: str, incarnation: int) -> None:
+        """Name the agent that a call in progress asks."""
+        self.state = RecordState.relaying
+        self.holder = holder
+        self.holder_incarnation = incarnation
+
+    def settle(self, state: RecordState, wall: float) -> None:
+        """Note the outcome, known at a Unix time."""
+        self.state = state
+        self.keep_from = max(self.issued_at, wall)
+        self.holder = ''
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -0,0 +1,233 @@
+"""Storage of an agent's request records, refusals and kept answers.
+
+The store bounds memory, applies the retention and notes outcomes. Which
+request becomes a record is decided in ``records``.
+"""
+
+from collections.abc import Collection, Iterator
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
+from trefoilhaven_core.requests.decisions import (
+    Conclude,
+    Reason,
+    Replay,
+    Request,
+    RunHere,
+    Settled,
+    no_verdict,
+    not_run,
+    unknown,
+)
+from trefoilhaven_core.requests.entries import (
+    KIND_OF_STATE,
+    Record,
+    RecordState,
+    digest_key,
+)
+from trefoilhaven_core.requests.kept import KeptAnswers
+from trefoilhaven_core.requests.refusals import MAX_REFUSALS, RefusalTable
+from trefoilhaven_core.routing.tables import bucket_of, hash_item
+
+MAX_RECORDS: Final = 10_000
+
+RETENTION_S: Final = 600.0
+
+# A hint for callers that were refused because a table is full.
+FULL_RETRY_AFTER_S: Final = 1.0
+
+
+class Agent(NamedTuple):
+    """The agent whose requests are recorded."""
+
+    service: str
+    target: str
+    incarnation: int
+
+
+class StoreLimits(NamedTuple):
+    """Limits of a store; the retention is in seconds."""
+
+    retention_s: float = RETENTION_S
+    records: int = MAX_RECORDS
+    refusals: int = MAX_REFUSALS
+
+
+class RecordStore:
+    """Records, refusals and kept answers by key hash."""
+
+    def __init__(self, agent: Agent, limits: StoreLimits) -> None:
+        """Start empty."""
+        self._agent = agent
+        self._limits = limits
+        self._records: dict[int, Record] = {}
+        self._kept = KeptAnswers()
+        self._wall = 0.0
+        self.refusals = RefusalTable(limits.refusals)
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._records)
+
+    @property
+    def wall(self) -> float:
+        """Highest Unix time seen, in seconds."""
+        return self._wall
+
+    def advance(self, wall: float) -> None:
+        """Note the wall clock; one that is set back revives no key."""
+        self._wall = max(self._wall, wall)
+
+    def item_of(self, key: str) -> int:
+        """Return the hash of a request key."""
+        return hash_item(self._agent.service, key.encode())
+
+    def find(self, item: int) -> Record | None:
+        """Return the record of a key hash, or None."""
+        return self._records.get(item)
+
+    def admit(
+        self,
+        item: int,
+        request: Request,
+        placed: bool,
+    ) -> RunHere | Conclude:
+        """Write the record of new work, or tell why there is none."""
+        if request.issued_at < self._wall - self._limits.retention_s:
+            return unknown(Reason.past_retention)
+        if self._is_full():
+            return self.refuse(item, request, Reason.table_full, placed)
+        self._records[item] = Record(request, placed)
+        return RunHere(recorded=True)
+
+    def relay(
+        self,
+        item: int,
+        request: Request,
+        entry: DirectoryEntry,
+    ) -> bool:
+        """Write the record of a relayed request; False without room."""
+        if self._is_full():
+            return False
+        record = Record(request, placed=False)
+        record.raise_attempt(entry.attempt, entry.issued_at)
+        record.relay_to(entry.holder, entry.holder_incarnation)
+        self._records[item] = record
+        return True
+
+    def refuse(
+        self,
+        item: int,
+        request: Request,
+        reason: str,
+        placed: bool,
+    ) -> Conclude:
+        """Refuse a request without a record."""
+        attempt, issued_at = request.attempt, request.issued_at
+        if self.refusals.remember(item, attempt, issued_at, placed):
+            return not_run(reason, FULL_RETRY_AFTER_S)
+        return no_verdict(Reason.refusals_full)
+
+    def answer_settled(
+        self,
+        item: int,
+        record: Record,
+        request: Request,
+    ) -> Replay | Conclude | None:
+        """Return the answer that a record already decides, or None."""
+        if record.digest != digest_key(request.key):
+            return unknown(Reason.hash_collision)
+        if record.state == RecordState.unknown:
+            return unknown(Reason.lost)
+        if record.state != RecordState.done:
+            return None
+        answer = self._kept.find(item)
+        if answer is None:
+            return unknown(Reason.not_kept)
+        return Replay(answer)
+
+    def finish(self, item: int, answer: bytes) -> Settled:
+        """Note and keep the whole answer."""
+        record = self._records.get(item)
+        if record is None or record.state == RecordState.done:
+            return Settled(0, Replay(answer))
+        record.settle(RecordState.done, self._wall)
+        self._kept.keep(item, answer)
+        return Settled(record.asker, Replay(answer))
+
+    def refuse_open(
+        self,
+        item: int,
+        attempt: int,
+        answer: Conclude,
+    ) -> Settled:
+        """Turn the record of an open request into a refusal."""
+        record = self._records.get(item)
+        if record is None or not record.is_open:
+            return Settled(0, unknown(Reason.lost))
+        if not self.refusals.remember(
+            item,
+            max(attempt, record.attempt),
+            record.issued_at,
+            record.placed,
+        ):
+            record.settle(RecordState.unknown, self._wall)
+            return Settled(record.asker, unknown(Reason.refusals_full))
+        self._records.pop(item)
+        return Settled(record.asker, answer)
+
+    def lose(self, item: int) -> Settled:
+        """Note that nobody will learn whether an open request ran."""
+        record = self._records.get(item)
+        if record is None or not record.is_open:
+            return Settled(0, unknown(Reason.lost))
+        record.settle(RecordState.unknown, self._wall)
+        return Settled(record.asker, unknown(Reason.lost))
+
+    def entries(self, buckets: Collection[int]) -> Iterator[DirectoryEntry]:
+        """Iterate over the entries of some buckets for the hand-over."""
+        for item, record in self._records.items():
+            if bucket_of(item) in buckets:
+                yield self._entry(item, record)
+        agent = self._agent
+        for item, refusal in self.refusals:
+            if refusal.final and bucket_of(item) in buckets:
+                yield DirectoryEntry(
+                    bucket_of(item),
+                    item,
+                    ItemKind.refused,
+                    agent.target,
+                    agent.incarnation,
+                    refusal.final,
+                    refusal.issued_at,
+                )
+
+    def drop_expired(self) -> None:
+        """Drop what is past the retention; nothing is dropped earlier."""
+        oldest = self._wall - self._limits.retention_s
+        expired = [
+            item
+            for item, record in self._records.items()
+            if not record.is_open and record.keep_from < oldest
+        ]
+        for item in expired:
+            self._records.pop(item)
+            self._kept.drop(item)
+        self.refusals.drop_before(oldest)
+
+    def _is_full(self) -> bool:
+        return len(self._records) >= self._limits.records
+
+    def _entry(self, item: int, record: Record) -> DirectoryEntry:
+        holder, incarnation = self._agent.target, self._agent.incarnation
+        if record.holder:
+            holder, incarnation = record.holder, record.holder_incarnation
+        return DirectoryEntry(
+            bucket_of(item),
+            item,
+            KIND_OF_STATE[record.state],
+            holder,
+            incarnation,
+            record.attempt,
+            record.issued_at,
+        )
