--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/admission/lanes.py
@@ -0,0 +1,84 @@
+"""Waiting work of one class and its ageing."""
+
+import math
+from collections import OrderedDict
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.admission.estimates import WorkClass
+
+# Long work ages after waiting for this many of its own service times.
+AGEING_SERVICE_TIMES: Final = 2.0
+
+# Age limit of long work whose service time is not known yet.
+UNKNOWN_AGEING_S: Final = 1.0
+
+
+class Work(NamedTuple):
+    """A request before it runs; the deadline is monotonic time."""
+
+    token: int
+    declared: str = ''
+    body_bytes: int = 0
+    deadline: float = math.inf
+
+
+class Entry:
+    """Work that waits or runs, with its expected service time."""
+
+    __slots__ = ('expected_s', 'kind', 'queued_at', 'work')
+
+    def __init__(
+        self,
+        work: Work,
+        kind: WorkClass,
+        expected_s: float,
+        queued_at: float,
+    ) -> None:
+        """Describe work that arrived at ``queued_at``; times in seconds."""
+        self.work = work
+        self.kind = kind
+        self.expected_s = expected_s
+        self.queued_at = queued_at
+
+    def is_late(self, now: float) -> bool:
+        """Whether the deadline can't be met any more."""
+        return now + self.expected_s >= self.work.deadline
+
+    def has_aged(self, now: float) -> bool:
+        """Whether the work has waited long for its length."""
+        limit = self.expected_s * AGEING_SERVICE_TIMES or UNKNOWN_AGEING_S
+        return now - self.queued_at >= limit
+
+
+class Lane:
+    """Entries of one class in order of arrival."""
+
+    __slots__ = ('backlog_s', 'entries')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.entries: OrderedDict[int, Entry] = OrderedDict()
+        self.backlog_s = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self.entries)
+
+    def append(self, entry: Entry) -> None:
+        """Start empty."""
+        self.entries[entry.work.token] = entry
+        self.backlog_s += entry.expected_s
+
+    def head(self) -> Entry | None:
+        """Return the oldest entry, or None."""
+        return next(iter(self.entries.values()), None)
+
+    def remove(self, token: int) -> Entry | None:
+        """Remove and return an entry, or return None."""
+        entry = self.entries.pop(token, None)
+        if entry is not None:
+            self.backlog_s -= entry.expected_s
+        if not self.entries:
+            # Rounding errors of the sum end with the backlog.
+            self.backlog_s = 0.0
+        return entry
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/admission/limits.py
@@ -0,0 +1,55 @@
+"""Limit of a queue's length by the measured time in the queue.
+
+As in the controlled-delay algorithm, the smallest sojourn of an interval
+tells a standing queue from a burst: a burst drains within the interval, a
+standing queue only adds delay.
+"""
+
+import math
+from typing import Final
+
+SOJOURN_TARGET_S: Final = 0.1
+
+# Long enough for a burst of short work to drain.
+SOJOURN_INTERVAL_S: Final = 0.5
+
+# Growth of the limit after an interval without a standing queue.
+_GROWTH: Final = 1.25
+
+# Largest cut after one interval, so that one odd interval can't close the
+# queue.
+_LARGEST_CUT: Final = 0.5
+
+
+class SojournLimit:
+    """Length limit between a lowest and a highest value."""
+
+    def __init__(self, lowest: int, highest: int) -> None:
+        """Start at the highest limit."""
+        self._lowest = min(lowest, highest)
+        self._highest = highest
+        self._limit = float(highest)
+        self._interval_end = -math.inf
+        self._shortest_s = math.inf
+
+    @property
+    def length(self) -> int:
+        """Number of entries that may wait."""
+        return int(self._limit)
+
+    def on_start(self, now: float, sojourn_s: float) -> None:
+        """Note the time in seconds that started work had waited."""
+        if now >= self._interval_end:
+            self._adjust()
+            self._interval_end = now + SOJOURN_INTERVAL_S
+            self._shortest_s = math.inf
+        self._shortest_s = min(self._shortest_s, sojourn_s)
+
+    def _adjust(self) -> None:
+        if self._shortest_s == math.inf:
+            return
+        if self._shortest_s > SOJOURN_TARGET_S:
+            cut = max(_LARGEST_CUT, SOJOURN_TARGET_S / self._shortest_s)
+            self._limit = max(self._lowest, self._limit * cut)
+        else:
+            self._limit = min(self._highest, self._limit * _GROWTH)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/admission/queues.py
@@ -0,0 +1,251 @@
+"""The queue before a target's slots.
+
+Short and long work wait in lanes of their own. Short work goes first; long
+work takes a slot when another one stays free. Long work that has aged goes
+before short work and may also take the last free slot, but never the last
+slot that is not busy with long work, unless the target has only one.
+
+Example::
+
+    queue = AdmissionQueue(QueueLimits(slots=2), started_at=now)
+    answer = queue.offer(now, Work(token=1))
+    queue.finished(later, 1, service_time_s=0.2)
+    turn = queue.next(later)
+"""
+
+import math
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.admission.estimates import (
+    LONG_BODY_BYTES,
+    ServiceEstimates,
+    WorkClass,
+)
+from trefoilhaven_core.admission.lanes import Entry, Lane, Work
+from trefoilhaven_core.admission.limits import SojournLimit
+from trefoilhaven_core.membership.messages import Load
+
+QUEUE_LIMIT: Final = 64
+
+# Callers don't come back sooner, however short the queue is.
+MIN_RETRY_AFTER_S: Final = 0.05
+
+# Share of the queue limit that long work may take. Its wait is bounded by
+# its deadline; the share keeps room for short work.
+_LONG_SHARE: Final = 0.25
+
+
+class QueueLimits(NamedTuple):
+    """Settings of a queue; times are in seconds."""
+
+    slots: int
+    queue_limit: int = QUEUE_LIMIT
+    long_body_bytes: int = LONG_BODY_BYTES
+    warm_up_s: float = 0
+
+
+class Started(NamedTuple):
+    """The work has a slot; it is to start now."""
+
+
+class Queued(NamedTuple):
+    """The work waits; ``wait_s`` is the expected time."""
+
+    wait_s: float
+
+
+class Refused(NamedTuple):
+    """The work never starts."""
+
+    token: int
+    reason: str
+    retry_after_s: float
+
+
+class Turn(NamedTuple):
+    """Work that starts now, if any, and work that became too late."""
+
+    start: Work | None
+    refused: tuple[Refused, ...]
+
+
+class AdmissionQueue:
+    """Decides which work starts, waits or is refused.
+
+    A token stays in use from ``offer`` until ``finished``, ``cancel`` or a
+    refusal.
+    """
+
+    def __init__(self, limits: QueueLimits, started_at: float) -> None:
+        """Start empty at a target that is cold since ``started_at``."""
+        self._limits = limits
+        self._started_at = started_at
+        self._estimates = ServiceEstimates(limits.long_body_bytes)
+        self._lanes = {kind: Lane() for kind in WorkClass}
+        self._busy: dict[int, Entry] = {}
+        self._busy_long = 0
+        self._sojourn = SojournLimit(max(2, limits.slots), limits.queue_limit)
+
+    def offer(self, now: float, work: Work) -> Started | Queued | Refused:
+        """Take in work or refuse it at once.
+
+        Raises ``ValueError`` for a token that is in use.
+        """
+        if work.token in self._busy or self._queued(work.token):
+            raise ValueError(f'token {work.token} is in use')
+        kind = self._estimates.classify(work.declared, work.body_bytes)
+        expected_s = self._estimates.expect(
+            now,
+            work.declared,
+            work.body_bytes,
+        )
+        entry = Entry(work, kind, expected_s, now)
+        wait_s = self._expect_wait(now, kind)
+        if now + wait_s + expected_s >= work.deadline:
+            return _refuse(work, 'the deadline can not be met', wait_s)
+        lane = self._lanes[kind]
+        if not lane.entries and self._pick(now, entry) is entry:
+            self._start(now, entry)
+            return Started()
+        if self._is_full(now, kind):
+            return _refuse(work, 'the queue is full', wait_s)
+        lane.append(entry)
+        return Queued(wait_s)
+
+    def next(self, now: float) -> Turn:
+        """Return the work that starts now; repeat until there is none."""
+        refused: list[Refused] = []
+        while True:
+            entry = self._pick(now)
+            if entry is None:
+                return Turn(None, tuple(refused))
+            self._lanes[entry.kind].remove(entry.work.token)
+            if entry.is_late(now):
+                refused.append(self._refuse_late(now, entry))
+                continue
+            self._start(now, entry)
+            return Turn(entry.work, tuple(refused))
+
+    def expire(self, now: float) -> tuple[Refused, ...]:
+        """Refuse all waiting work whose deadline can't be met any more."""
+        late = [
+            entry
+            for lane in self._lanes.values()
+            for entry in lane.entries.values()
+            if entry.is_late(now)
+        ]
+        for entry in late:
+            self._lanes[entry.kind].remove(entry.work.token)
+        return tuple(self._refuse_late(now, entry) for entry in late)
+
+    def finished(
+        self,
+        now: float,
+        token: int,
+        service_time_s: float | None,
+    ) -> None:
+        """Free the slot of started work.
+
+        ``service_time_s`` is None when the work was cut short; nothing is
+        learned from it then. Raises ``KeyError`` for work without a slot.
+        """
+        entry = self._busy.pop(token)
+        if entry.kind == WorkClass.long:
+            self._busy_long -= 1
+        if service_time_s is not None:
+            work = entry.work
+            self._estimates.learn(
+                now,
+                work.declared,
+                work.body_bytes,
+                service_time_s,
+            )
+
+    def cancel(self, token: int) -> bool:
+        """Remove waiting work; False when it does not wait."""
+        return any(lane.remove(token) for lane in self._lanes.values())
+
+    def load(self, now: float, open_flows: int = 0) -> Load:
+        """Return the load for heartbeats and answers."""
+        return Load(
+            open_flows,
+            len(self._busy),
+            sum(len(lane) for lane in self._lanes.values()),
+            self._expect_wait(now, WorkClass.short),
+            self._estimates.mean_of(now, WorkClass.short),
+        )
+
+    def _queued(self, token: int) -> bool:
+        return any(token in lane.entries for lane in self._lanes.values())
+
+    def _warmth(self, now: float) -> float:
+        warm_up_s = self._limits.warm_up_s
+        if warm_up_s <= 0:
+            return 1
+        return max(0, min(1, (now - self._started_at) / warm_up_s))
+
+    def _slots(self, now: float) -> int:
+        return max(1, math.ceil(self._limits.slots * self._warmth(now)))
+
+    def _is_full(self, now: float, kind: WorkClass) -> bool:
+        if kind == WorkClass.long:
+            limit = int(self._limits.queue_limit * _LONG_SHARE)
+        else:
+            limit = self._sojourn.length
+        limit = max(self._slots(now), int(limit * self._warmth(now)))
+        waiting = sum(len(lane) for lane in self._lanes.values())
+        return (
+            len(self._lanes[kind]) >= limit
+            or waiting >= self._limits.queue_limit
+        )
+
+    def _expect_wait(self, now: float, kind: WorkClass) -> float:
+        slots = self._slots(now)
+        short = self._lanes[WorkClass.short]
+        free = slots - len(self._busy)
+        if not short.entries and free > 0:
+            if kind == WorkClass.short or free == slots or free > 1:
+                return 0
+        mean_s = self._estimates.mean_of(now, kind)
+        backlog_s = short.backlog_s
+        if kind == WorkClass.short:
+            usable = slots - self._busy_long
+        else:
+            backlog_s += self._lanes[WorkClass.long].backlog_s
+            usable = slots - 1
+        return (backlog_s + mean_s) / max(1, usable)
+
+    def _pick(self, now: float, offered: Entry | None = None) -> Entry | None:
+        free = self._slots(now) - len(self._busy)
+        if free < 1:
+            return None
+        short = self._lanes[WorkClass.short].head()
+        long = self._lanes[WorkClass.long].head()
+        if offered is not None and offered.kind == WorkClass.short:
+            short = short or offered
+        elif offered is not None:
+            long = long or offered
+        if long is None or not self._long_may_start(now, long, free):
+            return short
+        return long if short is None or long.has_aged(now) else short
+
+    def _long_may_start(self, now: float, entry: Entry, free: int) -> bool:
+        slots = self._slots(now)
+        if slots == 1 or free > 1:
+            return True
+        return entry.has_aged(now) and self._busy_long < slots - 1
+
+    def _start(self, now: float, entry: Entry) -> None:
+        self._busy[entry.work.token] = entry
+        if entry.kind == WorkClass.long:
+            self._busy_long += 1
+        else:
+            self._sojourn.on_start(now, now - entry.queued_at)
+
+    def _refuse_late(self, now: float, entry: Entry) -> Refused:
+        wait_s = self._expect_wait(now, entry.kind)
+        return _refuse(entry.work, 'the deadline can not be met', wait_s)
+
+
+def _refuse(work: Work, reason: str, wait_s: float) -> Refused:
+    return Refused(work.token, reason, max(MIN_RETRY_AFTER_S, wait_s))
--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -28,7 +28,12 @@
     unknown,
 )
 from trefoilhaven_core.requests.entries import RecordState
-from trefoilhaven_core.requests.stores import Agent, RecordStore, StoreLimits
+from trefoilhaven_core.requests.stores import (
+    DEFAULT_LIMITS,
+    Agent,
+    RecordStore,
+    StoreLimits,
+)
 
 # Largest difference between the wall clocks of callers and agents.
 CLOCK_ERROR_S: Final = 0.25
@@ -47,7 +52,7 @@
         service: str,
         target: str,
         incarnation: int,
-        limits: StoreLimits = StoreLimits(),
+        limits: StoreLimits = DEFAULT_LIMITS,
     ) -> None:
         """Start empty for the agent beside ``target``."""
         self._agent = Agent(service, target, incarnation)
--- a/packages/core/src/trefoilhaven_core/requests/stores.py
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -53,6 +53,9 @@
     refusals: int = MAX_REFUSALS
 
 
+DEFAULT_LIMITS: Final = StoreLimits()
+
+
 class RecordStore:
     """Records, refusals and kept answers by key hash."""
 
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/routing/choices.py
@@ -0,0 +1,217 @@
+"""Choice among the targets of a service.
+
+Balancers choose targets for idempotent requests, owners choose siblings
+for hand-offs. The choice falls on the better of two random targets among
+the best ones, by expected wait. Targets of other failure domains count as
+worse by the cost of the link to them.
+"""
+
+import random
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.membership.messages import Load
+from trefoilhaven_core.routing.ejections import EJECT_SHARE, Ejector
+from trefoilhaven_core.routing.waits import Candidate, TargetWait
+
+# Share of its normal choices that a target receives when it is quite cold.
+COLDEST_SHARE: Final = 0.1
+
+# Share of the targets, by expected wait, among which two are drawn.
+BEST_SHARE: Final = 0.5
+
+
+class ChoiceSettings(NamedTuple):
+    """Settings of a chooser.
+
+    ``link_costs`` has the round-trip time in seconds to other failure
+    domains.
+    """
+
+    own_domain: str
+    link_costs: Mapping[str, float]
+    warm_up_s: float = 0
+    eject_share: float = EJECT_SHARE
+
+
+class Choice(NamedTuple):
+    """A chosen target and the wait in seconds that is expected there."""
+
+    target: str
+    expected_wait_s: float
+
+
+class _Scored(NamedTuple):
+    score_s: float
+    wait_s: float
+    candidate: Candidate
+
+
+class TargetChooser:
+    """Chooses targets of one service by load, distance and conduct."""
+
+    def __init__(self, settings: ChoiceSettings) -> None:
+        """Start without targets."""
+        self._settings = settings
+        self._ejector = Ejector(settings.eject_share)
+        self._candidates: tuple[Candidate, ...] = ()
+        self._waits: dict[str, TargetWait] = {}
+
+    def update(self, candidates: Iterable[Candidate]) -> None:
+        """Set the targets that are alive and not draining."""
+        self._candidates = tuple(candidates)
+        self._waits = {
+            candidate.target: self._waits.get(candidate.target)
+            or TargetWait(candidate.slots)
+            for candidate in self._candidates
+        }
+        self._ejector.update(frozenset(self._waits))
+
+    def on_report(
+        self,
+        now: float,
+        target: str,
+        load: Load,
+        age_s: float,
+    ) -> None:
+        """Note a load that came through a witness or a heartbeat."""
+        wait = self._waits.get(target)
+        if wait is not None:
+            wait.on_report(now - age_s, load)
+
+    def on_answer(
+        self,
+        now: float,
+        choice: Choice,
+        elapsed_s: float,
+        load: Load | None = None,
+    ) -> None:
+        """Note a whole answer and the time it took in seconds."""
+        wait = self._waits.get(choice.target)
+        if wait is None:
+            return
+        at_target_s = max(0, elapsed_s - self._cost_of(choice.target))
+        honest = wait.on_elapsed(choice.expected_wait_s, at_target_s)
+        if load is not None:
+            wait.on_answer_load(now, load)
+        if honest:
+            self._ejector.on_good(now, choice.target)
+        else:
+            self._ejector.on_misled(now, choice.target)
+
+    def on_shed(self, now: float, target: str, load: Load | None) -> None:
+        """Note that a target refused a request."""
+        wait = self._waits.get(target)
+        if wait is not None and load is not None:
+            wait.on_answer_load(now, load)
+        self._ejector.on_shed(now, target)
+
+    def on_failure(self, now: float, target: str) -> None:
+        """Note a broken connection or a missing answer."""
+        self._ejector.on_failure(now, target)
+
+    def is_ejected(self, now: float, target: str) -> bool:
+        """Return whether a target is ejected now."""
+        return self._ejector.is_ejected(now, target)
+
+    def choose(
+        self,
+        now: float,
+        generator: random.Random,
+        excluded: Collection[str] = (),
+        min_free_slots: int = 0,
+    ) -> Choice | None:
+        """Return the target for the next request, None when there is none.
+
+        The request counts as sent to it. Ejected and cold targets are
+        taken when there are no others. Owners that look for a sibling for
+        a hand-off ask for one with at least one free slot.
+        """
+        allowed = [
+            candidate
+            for candidate in self._candidates
+            if candidate.target not in excluded
+            and self._waits[candidate.target].free_slots >= min_free_slots
+        ]
+        usable = self._prefer(allowed, self._not_ejected(now))
+        usable = self._prefer(usable, self._warm_enough(now, generator))
+        if not usable:
+            return None
+        scored = self._best(self._score(now, usable))
+        drawn = generator.sample(scored, min(2, len(scored)))
+        best = min(drawn, key=_score_of)
+        self._waits[best.candidate.target].on_sent()
+        return Choice(best.candidate.target, best.wait_s)
+
+    def _prefer(
+        self,
+        candidates: list[Candidate],
+        accepts: Callable[[Candidate], bool],
+    ) -> list[Candidate]:
+        return [item for item in candidates if accepts(item)] or candidates
+
+    def _not_ejected(self, now: float) -> Callable[[Candidate], bool]:
+        return lambda candidate: (
+            not self._ejector.is_ejected(
+                now,
+                candidate.target,
+            )
+        )
+
+    def _warm_enough(
+        self,
+        now: float,
+        generator: random.Random,
+    ) -> Callable[[Candidate], bool]:
+        def accepts(candidate: Candidate) -> bool:
+            warm_up_s = self._settings.warm_up_s
+            age_s = now - candidate.alive_since
+            if age_s >= warm_up_s:
+                return True
+            return generator.random() < max(COLDEST_SHARE, age_s / warm_up_s)
+
+        return accepts
+
+    def _score(
+        self,
+        now: float,
+        candidates: list[Candidate],
+    ) -> list[_Scored]:
+        waits = self._waits.values()
+        average_s = sum(wait.reported_s for wait in waits) / len(waits)
+        scored = []
+        for candidate in candidates:
+            wait_s = self._waits[candidate.target].expect(now, average_s)
+            cost_s = self._link_cost(candidate)
+            scored.append(_Scored(wait_s + cost_s, wait_s, candidate))
+        return scored
+
+    def _cost_of(self, target: str) -> float:
+        return next(
+            self._link_cost(candidate)
+            for candidate in self._candidates
+            if candidate.target == target
+        )
+
+    def _link_cost(self, candidate: Candidate) -> float:
+        if candidate.failure_domain == self._settings.own_domain:
+            return 0
+        return self._settings.link_costs.get(candidate.failure_domain, 0)
+
+    def _best(self, scored: list[_Scored]) -> list[_Scored]:
+        own = self._settings.own_domain
+        near = [one for one in scored if one.candidate.failure_domain == own]
+        far = [one for one in scored if one.candidate.failure_domain != own]
+        pool = near or far
+        if near and far and _lowest(far) < _lowest(near):
+            pool = far
+        ranked = sorted(pool, key=_score_of)
+        return ranked[: max(2, round(len(ranked) * BEST_SHARE))]
+
+
+def _score_of(scored: _Scored) -> float:
+    return scored.score_s
+
+
+def _lowest(scored: list[_Scored]) -> float:
+    return min(one.score_s for one in scored)
