Add the decision modules of the membership slice

Cause: processes need leases, views, failure detection, dissemination and registration as pure decision code. Change: the modules of the slice, and messages for state transfer, silent domains, registry and configuration notices. A holder whose lease lapsed raises its term, and votes count for 2 s only: a restarted witness forgets its votes, so that a majority could otherwise be fenced and leased at once.

--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/detectors.py
@@ -0,0 +1,293 @@
+"""Detection of silent agents and balancers.
+
+A witness reports what it hears itself only. When all agents of a failure
+domain that it hears fall silent together, it reports the domain once and
+waits longer before it reports them dead, since a short network cut looks
+the same.
+"""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.membership.messages import (
+    BalancerRecord,
+    Member,
+    MemberState,
+    SilentDomain,
+)
+from trefoilhaven_core.membership.silence import Silence
+from trefoilhaven_core.membership.views import ViewStore
+
+SUSPECT_AFTER_S: Final = 1.5
+DEAD_AFTER_S: Final = 2.5
+DOMAIN_DEAD_AFTER_S: Final = 5.0
+
+# A member that missed a heartbeat is silent for at least this long. A
+# first suspect waits for its domain's other members while all of them are.
+DOMAIN_SILENT_AFTER_S: Final = 0.75
+
+# Members of a domain that speaks again get two heartbeats' time.
+DOMAIN_GRACE_S: Final = 1.0
+
+TICK_INTERVAL_S: Final = 0.25
+PAUSE_S: Final = 1.0
+
+PROBE_INTERVAL_S: Final = 0.5
+
+# A member that other witnesses still hear is judged again after this.
+REPEAT_AFTER_S: Final = 60.0
+
+
+class Detections(NamedTuple):
+    """What a tick found.
+
+    ``members``, ``balancers`` and ``silent_domains`` go to the
+    disseminator. ``probes`` names balancers that are due a digest.
+    """
+
+    members: tuple[Member, ...] = ()
+    balancers: tuple[BalancerRecord, ...] = ()
+    silent_domains: tuple[SilentDomain, ...] = ()
+    probes: tuple[str, ...] = ()
+
+
+def refute(own: Member, record: Member) -> Member | None:
+    """Return an agent's raised record when others report it wrongly.
+
+    The result is None when ``record`` does not contradict the agent, for
+    example because it is of another incarnation.
+    """
+    if (record.service, record.target) != (own.service, own.target):
+        return None
+    if record.incarnation != own.incarnation:
+        return None
+    if record.state < MemberState.suspect or record.state == own.state:
+        return None
+    if record.sequence < own.sequence:
+        return None
+    return own._replace(sequence=record.sequence + 1)
+
+
+def refute_balancer(
+    own: BalancerRecord, record: BalancerRecord
+) -> BalancerRecord | None:
+    """Return a balancer's raised record when others report it wrongly."""
+    if record.name != own.name or record.incarnation != own.incarnation:
+        return None
+    if record.state < MemberState.suspect or record.state == own.state:
+        return None
+    if record.sequence < own.sequence:
+        return None
+    return own._replace(sequence=record.sequence + 1)
+
+
+class FailureDetector:
+    """Times the silence of agents and peer balancers at one balancer."""
+
+    def __init__(
+        self, own: BalancerRecord, store: ViewStore, now: float
+    ) -> None:
+        """Start hearing nobody; records come from ``store``."""
+        self._own = own
+        self._store = store
+        self._last_tick = now
+        self._reports = 0
+        self._agents: dict[tuple[str, str], Silence] = {}
+        self._silent_domains: set[str] = set()
+        self._unanswered: dict[str, Silence] = {}
+
+    def on_heartbeat(self, now: float, member: Member) -> Member | None:
+        """Note a sign of life.
+
+        Returns the known record that contradicts the heartbeat, which the
+        agent has to be told so that it refutes it.
+        """
+        key = (member.service, member.target)
+        self._agents[key] = Silence(now, member.failure_domain)
+        known = self._store.member(*key)
+        if known is None or refute(member, known) is None:
+            return None
+        return known
+
+    def watch(self, now: float, members: Iterable[Member]) -> None:
+        """Expect heartbeats of members that others told about.
+
+        The caller passes the members whose witness this balancer is. It
+        matters after a restart: nobody else may know a member that fell
+        silent before it sent a heartbeat here.
+        """
+        for member in members:
+            if member.state < MemberState.dead:
+                key = (member.service, member.target)
+                silence = Silence(now, member.failure_domain)
+                self._agents.setdefault(key, silence)
+
+    def on_peer(self, now: float, peer: str) -> None:
+        """Note a digest or another message of a peer balancer."""
+        self._unanswered.pop(peer, None)
+
+    def on_probe_sent(self, now: float, peer: str) -> None:
+        """Note that a digest went to a peer, which has to answer it."""
+        if peer not in self._unanswered:
+            self._unanswered[peer] = Silence(now, '')
+        self._unanswered[peer].probed_at = now
+
+    def tick(self, now: float) -> Detections:
+        """Return the reports that are due; call it every 0.25 s.
+
+        After a pause of the process itself, all timers start again, since
+        heartbeats of that time may wait in the socket or be lost.
+        """
+        is_late = now - self._last_tick > TICK_INTERVAL_S + PAUSE_S
+        self._last_tick = now
+        if is_late:
+            self._restart(now)
+            return Detections()
+        reports = self._report_domains(now)
+        balancers, probes = self._judge_peers(now)
+        return Detections(
+            tuple(self._judge_agents(now)),
+            tuple(balancers),
+            tuple(reports),
+            tuple(probes),
+        )
+
+    def _restart(self, now: float) -> None:
+        self._silent_domains.clear()
+        for silence in self._agents.values():
+            silence.restart(now)
+        self._unanswered.clear()
+
+    def _report_domains(self, now: float) -> list[SilentDomain]:
+        domains: dict[str, list[Silence]] = {}
+        for silence in self._agents.values():
+            if not silence.dead_at:
+                domains.setdefault(silence.failure_domain, []).append(silence)
+        reports = []
+        for domain, silences in domains.items():
+            if min(now - each.since for each in silences) < SUSPECT_AFTER_S:
+                self._end_silence(now, domain, silences)
+            elif domain not in self._silent_domains and _fell_together(
+                silences
+            ):
+                self._silent_domains.add(domain)
+                reports.append(self._report(domain))
+                for silence in silences:
+                    silence.suspected = True
+        return reports
+
+    def _end_silence(
+        self, now: float, domain: str, silences: list[Silence]
+    ) -> None:
+        if domain not in self._silent_domains:
+            return
+        self._silent_domains.discard(domain)
+        for silence in silences:
+            silence.spared_until = now + DOMAIN_GRACE_S
+
+    def _report(self, domain: str) -> SilentDomain:
+        self._reports += 1
+        services = {
+            service
+            for (service, _), silence in self._agents.items()
+            if silence.failure_domain == domain
+        }
+        return SilentDomain(
+            domain,
+            tuple(sorted(services)),
+            self._own.name,
+            self._own.incarnation,
+            self._reports,
+        )
+
+    def _judge_agents(self, now: float) -> list[Member]:
+        held = self._possibly_silent_domains(now)
+        changes = []
+        for key, silence in list(self._agents.items()):
+            record = self._store.member(*key)
+            if record is None or record.state == MemberState.left:
+                self._agents.pop(key)
+                continue
+            state = self._judge(now, silence, held)
+            if state is not None and _applies(state, record.state):
+                changes.append(record._replace(state=state))
+        return changes
+
+    def _possibly_silent_domains(self, now: float) -> set[str]:
+        shortest: dict[str, float] = {}
+        counts: dict[str, int] = {}
+        for silence in self._agents.values():
+            if silence.dead_at:
+                continue
+            domain = silence.failure_domain
+            counts[domain] = counts.get(domain, 0) + 1
+            shortest[domain] = min(
+                shortest.get(domain, now), now - silence.since
+            )
+        return {
+            domain
+            for domain, silent_s in shortest.items()
+            if counts[domain] > 1
+            and DOMAIN_SILENT_AFTER_S <= silent_s < SUSPECT_AFTER_S
+        }
+
+    def _judge(
+        self, now: float, silence: Silence, held: set[str]
+    ) -> MemberState | None:
+        if silence.dead_at:
+            if now - silence.dead_at >= REPEAT_AFTER_S:
+                silence.restart(now)
+            return None
+        limit = DEAD_AFTER_S
+        if silence.failure_domain in self._silent_domains:
+            limit = DOMAIN_DEAD_AFTER_S
+        silent_s = now - silence.since
+        if silent_s >= limit and now >= silence.spared_until:
+            silence.dead_at = now
+            return MemberState.dead
+        is_suspect = silent_s >= SUSPECT_AFTER_S
+        if silence.suspected or not is_suspect:
+            return None
+        if silence.failure_domain in held:
+            return None
+        silence.suspected = True
+        return MemberState.suspect
+
+    def _judge_peers(
+        self, now: float
+    ) -> tuple[list[BalancerRecord], list[str]]:
+        changes = []
+        probes = []
+        for name, silence in list(self._unanswered.items()):
+            record = self._store.balancer(name)
+            if record is None or record.state >= MemberState.dead:
+                self._unanswered.pop(name)
+                continue
+            silent_s = now - silence.since
+            if silent_s >= DEAD_AFTER_S:
+                self._unanswered.pop(name)
+                changes.append(record._replace(state=MemberState.dead))
+            elif silent_s >= SUSPECT_AFTER_S and not silence.suspected:
+                silence.suspected = True
+                changes.append(record._replace(state=MemberState.suspect))
+            if now - silence.probed_at >= PROBE_INTERVAL_S:
+                probes.append(name)
+        return changes, probes
+
+
+def _applies(state: MemberState, known: MemberState) -> bool:
+    """Return whether a report changes a record.
+
+    A draining member stays draining until it is dead: a suspect one may
+    get new work.
+    """
+    if state == MemberState.suspect:
+        return known == MemberState.alive
+    return state > known
+
+
+def _fell_together(silences: list[Silence]) -> bool:
+    """Return whether at least two members fell silent within a period."""
+    starts = [each.since for each in silences if not each.suspected]
+    spread = SUSPECT_AFTER_S - DOMAIN_SILENT_AFTER_S
+    return len(starts) > 1 and max(starts) - min(starts) <= spread
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -0,0 +1,272 @@
+"""Spread of changes and versions among balancers.
+
+Changes go to random peers and are relayed a bounded number of times. A
+digest to one random peer each second settles what was lost. All messages
+are datagrams of less than 1,400 bytes; larger transfers are pulled.
+"""
+
+import random
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.membership.comparison import Comparison
+from trefoilhaven_core.membership.detectors import refute_balancer
+from trefoilhaven_core.membership.messages import (
+    BalancerRecord,
+    Changes,
+    ConfigurationNotice,
+    Digest,
+    MemberState,
+    RegistryNotice,
+    SilentDomain,
+    State,
+)
+from trefoilhaven_core.membership.rumours import (
+    Item,
+    Rumours,
+    Send,
+    pack,
+)
+from trefoilhaven_core.membership.views import ViewStore
+
+DIGEST_INTERVAL_S: Final = 1.0
+
+# Balancers that were cut off believe each other dead; an occasional digest
+# to a dead one joins the two sides again.
+DEAD_CONTACT_INTERVAL_S: Final = 5.0
+
+# Half of the control budget of 4 KB/s is left to digests and heartbeats.
+RUMOUR_BYTES_PER_S: Final = 2_000.0
+
+# With more differing groups, fetching everything is cheaper.
+MAX_COMPARED_GROUPS: Final = 16
+
+# More changes than these in one pulled state mean that this process joined
+# late; relaying them would tell peers what they know.
+MAX_RELAYED_PULLS: Final = 8
+
+PULL_INTERVAL_S: Final = 1.0
+
+# Reports of silent domains that are remembered against duplicates.
+REMEMBERED_REPORTS: Final = 1_024
+
+_NEVER: Final = float('-inf')
+
+
+class PullState(NamedTuple):
+    """Fetch a peer's state of some services, of everything without any."""
+
+    peer: str
+    services: tuple[str, ...] = ()
+
+
+Effect = Send | PullState
+
+
+class Disseminator:
+    """Keeps the records of one balancer in step with its peers."""
+
+    def __init__(
+        self,
+        own: BalancerRecord,
+        store: ViewStore,
+        rng: random.Random,
+        bytes_per_s: float = RUMOUR_BYTES_PER_S,
+    ) -> None:
+        """Start with the own record queued for the first peers."""
+        self.own = own
+        self._store = store
+        self._rng = rng
+        self._rumours = Rumours(own.name, rng, bytes_per_s)
+        self._comparison = Comparison(own.name, store)
+        self._digest_due = _NEVER
+        self._dead_contact_due = _NEVER
+        self._reports: dict[tuple[str, int, int], None] = {}
+        self._pulled_at: dict[PullState, float] = {}
+        self._groups_sent_at: dict[str, float] = {}
+        store.merge(balancers=[own])
+        self._rumours.add([own], 1)
+
+    @property
+    def peers(self) -> list[str]:
+        """Names of the other balancers that are not dead or left."""
+        return [
+            record.name
+            for record in self._store.balancers
+            if record.state < MemberState.dead and record.name != self.own.name
+        ]
+
+    def announce(self, now: float, state: MemberState) -> list[Effect]:
+        """Change the own state and spread it."""
+        self.own = self.own._replace(
+            state=state, sequence=self.own.sequence + 1
+        )
+        return self.on_changes(now, Changes(self.own.name, (), (self.own,), ()))
+
+    def on_changes(self, now: float, changes: Changes) -> list[Effect]:
+        """Merge records of a peer, an agent or the own detector."""
+        merged = self._store.merge(changes.members, changes.balancers)
+        items: list[Item] = [*merged.members, *merged.balancers]
+        for report in changes.silent_domains:
+            if self._note_report(report):
+                self._store.suspect_domain(report)
+                items.append(report)
+        return self._spread(now, items)
+
+    def on_configuration(
+        self, now: float, notice: ConfigurationNotice
+    ) -> list[Effect]:
+        """Take over a higher version of a configuration and relay it."""
+        if not self._store.set_configuration(*notice[1:]):
+            return []
+        item = self._comparison.notice_of_configuration(notice.service)
+        return self._spread(now, [item])
+
+    def on_registry(self, now: float, notice: RegistryNotice) -> list[Effect]:
+        """Take over a higher version of registered members and relay it."""
+        if not self._store.set_registry(*notice[1:]):
+            return []
+        item = self._comparison.notice_of_registry(notice.service)
+        return self._spread(now, [item])
+
+    def on_state(self, now: float, state: State) -> list[Effect]:
+        """Merge a state that was pulled from a peer."""
+        items: list[Item] = []
+        for registry in state.registries:
+            if self._store.set_registry(*registry):
+                name = registry.service
+                items.append(self._comparison.notice_of_registry(name))
+        for configuration in state.configurations:
+            if self._store.set_configuration(*configuration):
+                name = configuration.service
+                items.append(self._comparison.notice_of_configuration(name))
+        changed = self._store.merge(state.members, state.balancers)
+        items.extend(changed.members + changed.balancers)
+        return self._spread(
+            now, items if len(items) <= MAX_RELAYED_PULLS else []
+        )
+
+    def tick(self, now: float) -> list[Effect]:
+        """Return what is due: relays, and a digest to a random peer.
+
+        Call it about every 0.25 s.
+        """
+        peers = self.peers
+        effects: list[Effect] = []
+        effects.extend(self._rumours.send_fresh(now, peers))
+        if now >= self._digest_due:
+            self._digest_due = now + DIGEST_INTERVAL_S
+            effects.extend(self._rumours.send_again(now, peers))
+            if peers:
+                effects.append(self.probe(self._rng.choice(peers)))
+        if now >= self._dead_contact_due:
+            self._dead_contact_due = now + DEAD_CONTACT_INTERVAL_S
+            effects.extend(self._contact_dead())
+        return effects
+
+    def probe(self, peer: str) -> Send:
+        """Return a digest for a peer, which answers in any case."""
+        return Send(peer, Digest(self.own.name, self._store.root_digest()))
+
+    def on_digest(self, now: float, digest: Digest) -> list[Effect]:
+        """Compare a peer's digest and return what settles differences."""
+        root = self._store.root_digest()
+        if digest.root == root:
+            if digest.is_reply:
+                return []
+            reply = Digest(self.own.name, root, is_reply=True)
+            return [Send(digest.sender, reply)]
+        if digest.groups:
+            return self._on_groups(now, digest)
+        if digest.covered or digest.marks:
+            return self._on_marks(now, digest)
+        return [self._send_groups(now, digest.sender)]
+
+    def _on_groups(self, now: float, digest: Digest) -> list[Effect]:
+        peer = digest.sender
+        differing = self._comparison.differing_groups(digest.groups)
+        is_few = len(differing) <= MAX_COMPARED_GROUPS
+        if is_few and self._comparison.is_small(differing):
+            items = self._comparison.balancers_in(differing)
+            effects = self._push(peer, list(items))
+            for message in self._comparison.describe(differing):
+                effects.append(Send(peer, message))
+            return effects
+        effects = self._pull(now, peer, ())
+        sent_at = self._groups_sent_at.get(peer, _NEVER)
+        if now - sent_at >= PULL_INTERVAL_S:
+            effects.append(self._send_groups(now, peer))
+        return effects
+
+    def _on_marks(self, now: float, digest: Digest) -> list[Effect]:
+        peer = digest.sender
+        difference = self._comparison.compare(digest.marks, digest.covered)
+        items = [
+            *self._comparison.balancers_in(digest.covered),
+            *difference.push,
+        ]
+        effects = self._push(peer, items)
+        if digest.covered and difference.marks:
+            for message in self._comparison.reply(difference.marks):
+                effects.append(Send(peer, message))
+        if difference.pull:
+            effects.extend(self._pull(now, peer, difference.pull))
+        return effects
+
+    def _spread(self, now: float, items: list[Item]) -> list[Effect]:
+        peers = self.peers
+        self._rumours.add(items, len(peers))
+        self._refute()
+        return list(self._rumours.send_fresh(now, peers))
+
+    def _refute(self) -> None:
+        known = self._store.balancer(self.own.name)
+        raised = known and refute_balancer(self.own, known)
+        if raised:
+            self.own = raised
+            self._store.merge(balancers=[raised])
+            self._rumours.add([raised], len(self.peers))
+
+    def _note_report(self, report: SilentDomain) -> bool:
+        key = (report.reporter, report.incarnation, report.number)
+        if key in self._reports:
+            return False
+        self._reports[key] = None
+        if len(self._reports) > REMEMBERED_REPORTS:
+            self._reports.pop(next(iter(self._reports)))
+        return True
+
+    def _contact_dead(self) -> list[Effect]:
+        dead = [
+            record.name
+            for record in self._store.balancers
+            if record.state == MemberState.dead
+        ]
+        return [self.probe(self._rng.choice(dead))] if dead else []
+
+    def _push(self, peer: str, items: list[Item]) -> list[Effect]:
+        messages = pack(self.own.name, items)
+        return [Send(peer, message) for message in messages]
+
+    def _pull(
+        self, now: float, peer: str, services: tuple[str, ...]
+    ) -> list[Effect]:
+        self._pulled_at = {
+            pull: pulled_at
+            for pull, pulled_at in self._pulled_at.items()
+            if now - pulled_at < PULL_INTERVAL_S
+        }
+        pull = PullState(peer, services)
+        if pull in self._pulled_at:
+            return []
+        self._pulled_at[pull] = now
+        return [pull]
+
+    def _send_groups(self, now: float, peer: str) -> Send:
+        self._groups_sent_at[peer] = now
+        digest = Digest(
+            self.own.name,
+            self._store.root_digest(),
+            self._store.group_digests(),
+            is_reply=True,
+        )
+        return Send(peer, digest)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/fencing.py
@@ -0,0 +1,74 @@
+"""Count of the votes that fence one term of an agent.
+
+A majority proves that the term's lease is over only when its votes were
+cast close together: a witness that restarts forgets its vote and may
+acknowledge the term again after its quiet period of 2.5 s.
+"""
+
+from typing import Final
+
+from trefoilhaven_core.membership.leases import LEASE_S
+from trefoilhaven_core.membership.messages import FenceRequest, FenceVote
+
+# Votes count for this time from the send time of their request. It is
+# below the quiet period of a restarted witness by the clock-rate margin.
+VOTE_LIFE_S: Final = LEASE_S
+
+REQUEST_INTERVAL_S: Final = 0.5
+
+_NEVER: Final = float('-inf')
+
+
+class FenceTally:
+    """A claimant's attempt to fence one target.
+
+    It takes over the incarnation and term that a dissenting witness knows
+    when they are higher than the requested ones.
+    """
+
+    def __init__(
+        self, request: FenceRequest, witnesses: tuple[str, ...]
+    ) -> None:
+        """Start without votes."""
+        self.request = request
+        self.fenced = False
+        self._witnesses = witnesses
+        self._agreed_at: dict[str, float] = {}
+        self._sent_at = _NEVER
+
+    def requests(self, now: float) -> FenceRequest | None:
+        """Return the request when it is due to go to all witnesses."""
+        if self.fenced or now - self._sent_at < REQUEST_INTERVAL_S:
+            return None
+        self._sent_at = now
+        return self.request._replace(sent_at=now)
+
+    def on_vote(self, now: float, vote: FenceVote) -> bool:
+        """Count a vote; return whether the target is fenced now."""
+        identity = (self.request.service, self.request.target)
+        if (vote.service, vote.target) != identity or self.fenced:
+            return self.fenced
+        if vote.witness not in self._witnesses:
+            return False
+        pair = (vote.incarnation, vote.term)
+        wanted = (self.request.incarnation, self.request.term)
+        if not vote.agreed:
+            self._agreed_at.pop(vote.witness, None)
+            if pair > wanted:
+                self._ask_for(*pair)
+            return False
+        if pair == wanted:
+            self._agreed_at[vote.witness] = vote.sent_at
+        self.fenced = self._count(now) > len(self._witnesses) // 2
+        return self.fenced
+
+    def _ask_for(self, incarnation: int, term: int) -> None:
+        self.request = self.request._replace(incarnation=incarnation, term=term)
+        self._agreed_at.clear()
+        self._sent_at = _NEVER
+
+    def _count(self, now: float) -> int:
+        return sum(
+            now - agreed_at <= VOTE_LIFE_S
+            for agreed_at in self._agreed_at.values()
+        )
--- a/packages/core/src/trefoilhaven_core/membership/messages.py
+++ b/packages/core/src/trefoilhaven_core/membership/messages.py
@@ -118,20 +118,27 @@
 
 
 class FenceRequest(NamedTuple):
-    """Asks a witness to end the lease of a silent agent for good."""
+    """Asks a witness to end the lease of a silent agent for good.
+
+    ``sent_at`` is a time of the claimant's monotonic clock in seconds; the
+    vote returns it.
+    """
 
     service: str
     target: str
     incarnation: int
     term: int
     claimant: str
+    sent_at: float = 0
 
 
 class FenceVote(NamedTuple):
     """A witness's answer to a fence request.
 
     ``silent_s`` is the time in seconds since the witness last acknowledged
-    a heartbeat of the target, -1 when it never did.
+    a heartbeat of the target, -1 when it never did. ``sent_at`` is that of
+    the request. A vote that does not agree carries the incarnation and
+    term that the witness has seen when they are above the requested ones.
     """
 
     service: str
@@ -141,6 +148,7 @@
     witness: str
     agreed: bool
     silent_s: float
+    sent_at: float = 0
 
 
 class BalancerRecord(NamedTuple):
@@ -155,13 +163,28 @@
     rpc: Address
 
 
+class SilentDomain(NamedTuple):
+    """All members of a failure domain that a witness hears fell silent.
+
+    It covers the members of ``services`` only, those that the reporter
+    hears. ``incarnation`` and ``number`` identify the report, so that a
+    process handles each of a reporter's reports once.
+    """
+
+    failure_domain: str
+    services: tuple[str, ...]
+    reporter: str
+    incarnation: int
+    number: int
+
+
 class Changes(NamedTuple):
     """Records that changed, spread from balancer to balancer."""
 
     sender: str
     members: tuple[Member, ...]
     balancers: tuple[BalancerRecord, ...]
-    silent_domains: tuple[str, ...]
+    silent_domains: tuple[SilentDomain, ...] = ()
 
 
 class VersionMark(NamedTuple):
@@ -174,9 +197,76 @@
 
 
 class Digest(NamedTuple):
-    """Summary of all that a balancer knows, for comparison with a peer."""
+    """Summary of all that a balancer knows, for comparison with a peer.
+
+    Services and balancers fall into groups by the hash of their name.
+    ``root`` covers everything. ``groups`` holds the digest of each group
+    and is empty unless roots differed. ``covered`` names the groups whose
+    marks ``marks`` lists in full. A reply is not answered in turn unless
+    it shows a difference.
+    """
+
+    sender: str
+    root: int
+    groups: tuple[int, ...] = ()
+    covered: tuple[int, ...] = ()
+    marks: tuple[VersionMark, ...] = ()
+    is_reply: bool = False
+
+
+class ConfigurationNotice(NamedTuple):
+    """A version of a service's configuration, as JSON bytes.
+
+    A configuration that does not fit a datagram is announced by its
+    ``VersionMark``; the receiver fetches it with ``StateRequest``.
+    """
+
+    sender: str
+    service: str
+    version: int
+    content: bytes
+
+
+class RegistryNotice(NamedTuple):
+    """A version of a service's registered members."""
 
     sender: str
-    balancers_digest: int
-    marks: tuple[VersionMark, ...]
-    is_reply: bool
+    service: str
+    version: int
+    registrations: tuple[Registration, ...]
+
+
+class Registry(NamedTuple):
+    """Registered members of one service at a version of the platform."""
+
+    service: str
+    version: int
+    registrations: tuple[Registration, ...]
+
+
+class Configuration(NamedTuple):
+    """Configuration of one service as JSON bytes with its version."""
+
+    service: str
+    version: int
+    content: bytes
+
+
+class StateRequest(NamedTuple):
+    """Asks a peer for all records of some services.
+
+    Without services, it asks for everything that the peer knows.
+    """
+
+    sender: str
+    services: tuple[str, ...] = ()
+
+
+class State(NamedTuple):
+    """Everything that a process knows about the requested services."""
+
+    sender: str
+    members: tuple[Member, ...]
+    balancers: tuple[BalancerRecord, ...]
+    registries: tuple[Registry, ...]
+    configurations: tuple[Configuration, ...]
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/records.py
@@ -0,0 +1,121 @@
+"""Order of records, their hashes and the records of one service."""
+
+from typing import Final, NamedTuple
+
+import msgspec
+import xxhash
+
+from trefoilhaven_core.membership.messages import (
+    BalancerRecord,
+    Configuration,
+    Member,
+    MemberState,
+    Registry,
+)
+
+# Groups of services and balancers that two processes compare at first. 64
+# group digests fit one datagram, and a group of a region holds about 12
+# services and 16 balancers.
+GROUP_COUNT: Final = 64
+
+MASK: Final = (1 << 64) - 1
+
+# An odd factor spreads small versions over the digest.
+_VERSION_FACTOR: Final = 0x9E3779B97F4A7C15
+_encode: Final = msgspec.msgpack.Encoder().encode
+
+
+class Changed(NamedTuple):
+    """Records that a merge changed, in their new form."""
+
+    members: tuple[Member, ...]
+    balancers: tuple[BalancerRecord, ...]
+
+    def __bool__(self) -> bool:
+        """Return whether anything changed."""
+        return bool(self.members or self.balancers)
+
+
+def group_of(name: str) -> int:
+    """Return the group of a service or balancer."""
+    return xxhash.xxh64_intdigest(name.encode()) % GROUP_COUNT
+
+
+def supersedes(
+    record: Member | BalancerRecord, known: Member | BalancerRecord
+) -> bool:
+    """Return whether a record replaces a known one of the same name.
+
+    Beyond incarnation, sequence and state, the fields themselves decide,
+    so that every process keeps the same of two records.
+    """
+    version = (record.incarnation, record.sequence, record.state)
+    known_version = (known.incarnation, known.sequence, known.state)
+    if version == known_version:
+        return record > known
+    return version > known_version
+
+
+class ServiceRecords:
+    """Records of one service with the running sum of their hashes."""
+
+    __slots__ = (
+        'configuration',
+        'group',
+        'members',
+        'registered',
+        'registry',
+        'total',
+    )
+
+    def __init__(self, name: str) -> None:
+        """Start without any record of the service."""
+        self.members: dict[str, Member] = {}
+        self.registry = Registry(name, 0, ())
+        self.registered: frozenset[str] = frozenset()
+        self.configuration = Configuration(name, 0, b'')
+        self.group = group_of(name)
+        self.total = 0
+
+    def counts(self, member: Member) -> bool:
+        """Return whether the digest covers a member."""
+        is_registered = member.target in self.registered
+        return is_registered or member.state < MemberState.dead
+
+    def weight(self, member: Member | None) -> int:
+        """Return what a member adds to the digest."""
+        if member is None or not self.counts(member):
+            return 0
+        return hash_record(member)
+
+    @property
+    def digest(self) -> int:
+        """Digest of the members and the registry's version."""
+        return (self.total + self.registry.version * _VERSION_FACTOR) & MASK
+
+    @property
+    def mark_hash(self) -> int:
+        """Hash of all versions of the service, 0 when nothing is known."""
+        registry, configuration = self.registry, self.configuration
+        if not (self.digest or configuration.version):
+            return 0
+        return hash_record(
+            (
+                registry.service,
+                self.digest,
+                registry.version,
+                configuration.version,
+            )
+        )
+
+
+def weigh_balancer(record: BalancerRecord | None) -> int:
+    """Return what a balancer adds to the digest of its group."""
+    if record is None or record.state >= MemberState.dead:
+        return 0
+    return hash_record(record)
+
+
+def hash_record(record: object) -> int:
+    """Return the xxhash64 of a record's msgpack form."""
+    return xxhash.xxh64_intdigest(_encode(record))
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/rumours.py
@@ -0,0 +1,171 @@
+"""Bounded relaying of changes to random peers.
+
+Each change goes to 4 random peers at once and to further ones on later
+ticks, until it was sent about log2 of the peers plus 2 times. Digests
+settle what this misses.
+"""
+
+import math
+import random
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+import msgspec
+
+from trefoilhaven_core.membership.messages import (
+    BalancerRecord,
+    Changes,
+    ConfigurationNotice,
+    Digest,
+    Member,
+    RegistryNotice,
+    SilentDomain,
+)
+
+FANOUT: Final = 4
+EXTRA_RELAYS: Final = 2
+
+# Fits an Ethernet frame of 1,500 bytes behind IP and UDP headers.
+DATAGRAM_BYTES: Final = 1_400
+
+# Kind, clock and the array heads of a datagram, besides the sender's name.
+ENVELOPE_BYTES: Final = 64
+
+# Unsent traffic may accumulate for this long before it is lost as credit.
+BURST_S: Final = 4.0
+
+Notice = ConfigurationNotice | RegistryNotice | Digest
+Message = Changes | Notice
+Item = Member | BalancerRecord | SilentDomain | Notice
+ItemKey = tuple[str, ...]
+
+_encode: Final = msgspec.msgpack.Encoder().encode
+
+
+class Send(NamedTuple):
+    """Send a message to a balancer, by its name."""
+
+    peer: str
+    message: Message
+
+
+def size_of(item: object) -> int:
+    """Return the encoded size in bytes."""
+    return len(_encode(item))
+
+
+def pack(sender: str, items: Iterable[Item]) -> list[Message]:
+    """Return the items as messages that fit a datagram each."""
+    messages: list[Message] = []
+    batch: list[Item] = []
+    room = DATAGRAM_BYTES - ENVELOPE_BYTES - len(sender.encode())
+    used = 0
+    for item in items:
+        if isinstance(item, ConfigurationNotice | RegistryNotice | Digest):
+            messages.append(item)
+            continue
+        size = size_of(item)
+        if batch and used + size > room:
+            messages.append(_bundle(sender, batch))
+            batch, used = [], 0
+        batch.append(item)
+        used += size
+    if batch:
+        messages.append(_bundle(sender, batch))
+    return messages
+
+
+class _Rumour:
+    """A change and how often it may still be sent."""
+
+    __slots__ = ('item', 'remaining')
+
+    def __init__(self, item: Item, remaining: int) -> None:
+        self.item = item
+        self.remaining = remaining
+
+
+class Rumours:
+    """Changes that this process still relays, within a byte budget."""
+
+    def __init__(
+        self, sender: str, rng: random.Random, bytes_per_s: float
+    ) -> None:
+        """Start empty, with the full credit of ``BURST_S``."""
+        self._sender = sender
+        self._rng = rng
+        self._rate = bytes_per_s
+        self._credit = bytes_per_s * BURST_S
+        self._credited_at = 0.0
+        self._rumours: dict[ItemKey, _Rumour] = {}
+        self._fresh: set[ItemKey] = set()
+
+    def add(self, items: Iterable[Item], peer_count: int) -> None:
+        """Queue changes; a newer one of the same name replaces an old."""
+        relays = math.ceil(math.log2(peer_count + 1)) + EXTRA_RELAYS
+        for item in items:
+            key = _key(item)
+            self._rumours[key] = _Rumour(item, max(relays, FANOUT))
+            self._fresh.add(key)
+
+    def send_fresh(self, now: float, peers: list[str]) -> list[Send]:
+        """Return the first sends of the changes that were added."""
+        return self._send(now, peers, self._fresh)
+
+    def send_again(self, now: float, peers: list[str]) -> list[Send]:
+        """Return the next sends of all changes."""
+        return self._send(now, peers, set(self._rumours))
+
+    def _send(
+        self, now: float, peers: list[str], keys: set[ItemKey]
+    ) -> list[Send]:
+        self._refill(now)
+        if not peers or not keys or self._credit <= 0:
+            return []
+        due = sorted(keys)
+        chosen = self._rng.sample(peers, min(FANOUT, len(peers)))
+        sends: list[Send] = []
+        for key in due:
+            self._fresh.discard(key)
+        items = [self._use(key, len(chosen)) for key in due]
+        for message in pack(self._sender, items):
+            self._credit -= size_of(message) * len(chosen)
+            sends.extend(Send(peer, message) for peer in chosen)
+        return sends
+
+    def _use(self, key: ItemKey, count: int) -> Item:
+        rumour = self._rumours[key]
+        rumour.remaining -= count
+        if rumour.remaining <= 0:
+            self._rumours.pop(key)
+        return rumour.item
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0, now - self._credited_at)
+        self._credited_at = now
+        limit = self._rate * BURST_S
+        self._credit = min(limit, self._credit + elapsed * self._rate)
+
+
+def _bundle(sender: str, items: list[Item]) -> Changes:
+    return Changes(
+        sender,
+        tuple(item for item in items if isinstance(item, Member)),
+        tuple(item for item in items if isinstance(item, BalancerRecord)),
+        tuple(item for item in items if isinstance(item, SilentDomain)),
+    )
+
+
+def _key(item: Item) -> ItemKey:
+    match item:
+        case Member():
+            return ('member', item.service, item.target)
+        case BalancerRecord():
+            return ('balancer', item.name)
+        case SilentDomain():
+            return ('domain', item.reporter, str(item.number))
+        case ConfigurationNotice():
+            return ('configuration', item.service)
+        case RegistryNotice():
+            return ('registry', item.service)
+    return ('mark', item.marks[0].service)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/silence.py
@@ -0,0 +1,30 @@
+"""Timers of one silent agent or peer."""
+
+
+class Silence:
+    """Since when an agent or peer is silent and what was reported of it.
+
+    Times are monotonic seconds, 0 for an event that did not happen.
+    """
+
+    __slots__ = (
+        'dead_at',
+        'failure_domain',
+        'probed_at',
+        'since',
+        'spared_until',
+        'suspected',
+    )
+
+    def __init__(self, now: float, failure_domain: str) -> None:
+        """Start at the last sign of life."""
+        self.failure_domain = failure_domain
+        self.probed_at = now
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Forget the reports and count the silence from now."""
+        self.since = now
+        self.suspected = False
+        self.dead_at = 0.0
+        self.spared_until = 0.0
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_leases.py
@@ -0,0 +1,203 @@
+"""Tests of lease holders, witnesses and the count of votes."""
+
+from trefoilhaven_core.membership.fencing import VOTE_LIFE_S, FenceTally
+from trefoilhaven_core.membership.leases import (
+    FENCE_AFTER_S,
+    FORGET_AFTER_S,
+    LEASE_S,
+    LeaseHolder,
+    LeaseWitness,
+)
+from trefoilhaven_core.membership.messages import (
+    FenceRequest,
+    FenceVote,
+    Heartbeat,
+    HeartbeatAck,
+    HeartbeatRefused,
+)
+from trefoilhaven_core.membership.tests.support import (
+    NO_LOAD,
+    SERVICE,
+    WITNESSES,
+    make_member,
+)
+
+_START = 100.0
+
+
+def _holder() -> LeaseHolder:
+    return LeaseHolder(SERVICE, 'desk-1', 1, WITNESSES)
+
+
+def _witness(started_at: float = 0) -> LeaseWitness:
+    return LeaseWitness('entry-1', started_at)
+
+
+def _beat(
+    incarnation: int = 1, term: int = 1, sent_at: float = _START
+) -> Heartbeat:
+    member = make_member(incarnation=incarnation)
+    return Heartbeat(member, term, NO_LOAD, sent_at, 0)
+
+
+def _fence(incarnation: int = 1, term: int = 1) -> FenceRequest:
+    return FenceRequest(SERVICE, 'desk-1', incarnation, term, 'desk-2')
+
+
+def _ack(witness: str, sent_at: float = _START, term: int = 1) -> HeartbeatAck:
+    return HeartbeatAck(SERVICE, 'desk-1', 1, term, sent_at, witness, 0, 0, ())
+
+
+def _vote(witness: str, sent_at: float, *, agreed: bool = True) -> FenceVote:
+    return FenceVote(SERVICE, 'desk-1', 1, 1, witness, agreed, 9, sent_at)
+
+
+class TestLeaseHolder:
+    """The agent's side."""
+
+    def test_majority_starts_lease_at_send_time(self) -> None:
+        """Guards against a lease by one witness or by arrival time."""
+        holder = _holder()
+        holder.heartbeats(_START, make_member(), NO_LOAD, 0)
+        holder.on_ack(_START + 1, _ack('entry-1'))
+        assert not holder.lease_valid(_START + 1)
+        holder.on_ack(_START + 1, _ack('entry-3'))
+        assert holder.lease_until == _START + LEASE_S
+
+    def test_interval_and_urgent_heartbeat(self) -> None:
+        """Guards against a drain that waits for the interval."""
+        holder = _holder()
+        member = make_member()
+        assert len(holder.heartbeats(_START, member, NO_LOAD, 0)) == 3
+        assert not holder.heartbeats(_START + 0.4, member, NO_LOAD, 0)
+        raised = member._replace(sequence=2)
+        assert len(holder.heartbeats(_START + 0.4, raised, NO_LOAD, 0)) == 3
+
+    def test_lapsed_lease_needs_new_term(self) -> None:
+        """Guards against a resumed term that a majority has fenced."""
+        holder = _holder()
+        holder.heartbeats(_START, make_member(), NO_LOAD, 0)
+        late = _START + LEASE_S + 0.1
+        assert not holder.on_ack(late, _ack('entry-1', late))
+        assert holder.on_ack(late, _ack('entry-2', late))
+        assert holder.term == 2
+        assert not holder.lease_valid(late)
+
+    def test_refused_term(self) -> None:
+        """Guards against a lease that outlives its refusal."""
+        holder = _holder()
+        holder.heartbeats(_START, make_member(), NO_LOAD, 0)
+        for name in WITNESSES:
+            holder.on_ack(_START, _ack(name))
+        refused = HeartbeatRefused(SERVICE, 'desk-1', 1, 1, 'entry-1')
+        assert holder.on_refused(_START, refused)
+        assert not holder.lease_valid(_START)
+        assert not holder.on_refused(_START, refused)
+        assert holder.term == 2
+
+    def test_superseded_incarnation(self) -> None:
+        """Guards against a lease of a process whose successor runs."""
+        holder = _holder()
+        holder.heartbeats(_START, make_member(), NO_LOAD, 0)
+        refused = HeartbeatRefused(SERVICE, 'desk-1', 2, 1, 'entry-1')
+        assert holder.on_refused(_START, refused)
+        for name in WITNESSES:
+            holder.on_ack(_START, _ack(name))
+        assert not holder.lease_valid(_START)
+
+    def test_foreign_answers(self) -> None:
+        """Guards against a lease by a stranger or for another target."""
+        holder = _holder()
+        holder.heartbeats(_START, make_member(), NO_LOAD, 0)
+        for name in ('entry-1', 'entry-8', 'entry-9'):
+            holder.on_ack(_START, _ack(name))
+        holder.on_ack(_START, _ack('entry-2')._replace(target='desk-2'))
+        holder.on_ack(_START, _ack('entry-2', term=2))
+        assert not holder.lease_valid(_START)
+
+
+class TestLeaseWitness:
+    """The balancer's side."""
+
+    def test_quiet_after_start(self) -> None:
+        """Guards against votes of a witness that has lost its memory."""
+        witness = _witness(_START)
+        early = _START + FENCE_AFTER_S - 0.1
+        assert witness.on_heartbeat(early, _beat()) is None
+        assert not witness.on_fence(early, _fence()).agreed
+        assert witness.on_fence(early + 0.1, _fence()).agreed
+
+    def test_fence_waits_for_silence(self) -> None:
+        """Guards against a fence while the lease may be valid."""
+        witness = _witness()
+        witness.on_heartbeat(_START, _beat())
+        assert not witness.on_fence(_START + 2.4, _fence()).agreed
+        assert witness.on_fence(_START + 2.5, _fence()).agreed
+
+    def test_fenced_term_stays_refused(self) -> None:
+        """Guards against an acknowledgement after the vote."""
+        witness = _witness()
+        assert witness.on_fence(_START, _fence(term=2)).agreed
+        for term in (1, 2):
+            answer = witness.on_heartbeat(_START, _beat(term=term))
+            assert isinstance(answer, HeartbeatRefused)
+            assert answer.term == 2
+        answer = witness.on_heartbeat(_START, _beat(term=3))
+        assert isinstance(answer, HeartbeatAck)
+
+    def test_older_incarnation(self) -> None:
+        """Guards against acknowledging a process that was replaced."""
+        witness = _witness()
+        witness.on_heartbeat(_START, _beat())
+        newer = witness.on_heartbeat(_START + 1, _beat(incarnation=2))
+        assert isinstance(newer, HeartbeatAck)
+        older = witness.on_heartbeat(_START + 1, _beat())
+        assert isinstance(older, HeartbeatRefused)
+        assert older.incarnation == 2
+        assert not witness.on_fence(_START + 2.4, _fence()).agreed
+        assert witness.on_fence(_START + 2.5, _fence()).agreed
+
+    def test_fence_of_lower_term_tells_current(self) -> None:
+        """Guards against a fence that misses the term in use."""
+        witness = _witness()
+        witness.on_heartbeat(_START, _beat(term=4))
+        vote = witness.on_fence(_START + 9, _fence(term=3))
+        assert (vote.agreed, vote.term) == (False, 4)
+
+    def test_memory_is_bounded(self) -> None:
+        """Guards against growth by departed targets, and lost fences."""
+        witness = _witness()
+        witness.on_fence(_START, _fence())
+        late = _START + FORGET_AFTER_S + 1
+        witness.forget(late, {(SERVICE, 'desk-1')})
+        assert len(witness) == 1
+        witness.forget(late, set())
+        assert not len(witness)
+
+
+class TestFenceTally:
+    """The claimant's side."""
+
+    def test_majority(self) -> None:
+        """Guards against a fence by one witness that votes twice."""
+        tally = FenceTally(_fence(), WITNESSES)
+        assert tally.requests(_START) is not None
+        assert not tally.on_vote(_START, _vote('entry-1', _START))
+        assert not tally.on_vote(_START, _vote('entry-1', _START))
+        assert tally.on_vote(_START, _vote('entry-2', _START))
+
+    def test_old_votes_do_not_count(self) -> None:
+        """Guards against a vote that a restarted witness forgot."""
+        tally = FenceTally(_fence(), WITNESSES)
+        tally.on_vote(_START, _vote('entry-1', _START))
+        late = _START + VOTE_LIFE_S + 0.1
+        assert not tally.on_vote(late, _vote('entry-2', late))
+
+    def test_takes_over_higher_term(self) -> None:
+        """Guards against fencing a term that is no longer in use."""
+        tally = FenceTally(_fence(), WITNESSES)
+        vote = _vote('entry-1', _START, agreed=False)
+        tally.on_vote(_START, vote._replace(term=5))
+        request = tally.requests(_START)
+        assert request is not None
+        assert request.term == 5
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/views.py
@@ -0,0 +1,276 @@
+"""All that a process knows about members, balancers and versions.
+
+Digests are sums of record hashes modulo 2**64, so that one changed record
+costs two hashes and the order of records does not matter. Records of dead
+members that are not registered are left out of the digests: processes
+drop them at different times.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from trefoilhaven_core.membership.messages import (
+    BalancerRecord,
+    Configuration,
+    Member,
+    MemberState,
+    Registration,
+    Registry,
+    ServiceView,
+    SilentDomain,
+    State,
+    VersionMark,
+)
+from trefoilhaven_core.membership.records import (
+    GROUP_COUNT,
+    MASK,
+    Changed,
+    ServiceRecords,
+    group_of,
+    hash_record,
+    supersedes,
+    weigh_balancer,
+)
+
+# Dead balancers and dead members that are not registered are kept this
+# long, so that a late datagram does not bring them back.
+RETENTION_S: Final = 600.0
+
+
+class ViewStore:
+    """Merges records and answers what is known now."""
+
+    def __init__(self) -> None:
+        """Start without any record."""
+        self._services: dict[str, ServiceRecords] = {}
+        self._balancers: dict[str, BalancerRecord] = {}
+        self._groups = [0] * GROUP_COUNT
+        self._departed: dict[tuple[str, str], float] = {}
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of all known services."""
+        return tuple(self._services)
+
+    @property
+    def balancers(self) -> tuple[BalancerRecord, ...]:
+        """Records of all known balancers, including dead ones."""
+        return tuple(self._balancers.values())
+
+    def member(self, service: str, target: str) -> Member | None:
+        """Return the record of a target."""
+        known = self._services.get(service)
+        return known.members.get(target) if known else None
+
+    def members(self, service: str) -> tuple[Member, ...]:
+        """Return all records of a service in no particular order."""
+        known = self._services.get(service)
+        return tuple(known.members.values()) if known else ()
+
+    def balancer(self, name: str) -> BalancerRecord | None:
+        """Return the record of a balancer."""
+        return self._balancers.get(name)
+
+    def merge(
+        self,
+        members: Iterable[Member] = (),
+        balancers: Iterable[BalancerRecord] = (),
+    ) -> Changed:
+        """Take over the records that supersede known ones; return them.
+
+        A record of an unknown departed member is taken over only when the
+        member is registered, and of an unknown departed balancer never.
+        """
+        changed_members = [
+            member for member in members if self._merge_member(member)
+        ]
+        changed_balancers = [
+            record for record in balancers if self._merge_balancer(record)
+        ]
+        return Changed(tuple(changed_members), tuple(changed_balancers))
+
+    def suspect_domain(self, report: SilentDomain) -> Changed:
+        """Mark the alive members that a report covers as suspect."""
+        suspects = [
+            member._replace(state=MemberState.suspect)
+            for service in report.services
+            for member in self.members(service)
+            if member.failure_domain == report.failure_domain
+            and member.state == MemberState.alive
+        ]
+        return self.merge(suspects)
+
+    def set_registry(
+        self,
+        service: str,
+        version: int,
+        registrations: Iterable[Registration],
+    ) -> bool:
+        """Take over a higher version of a service's registered members."""
+        known = self._service(service)
+        if version <= known.registry.version:
+            return False
+        before = known.mark_hash
+        entries = tuple(sorted(registrations))
+        known.registry = Registry(service, version, entries)
+        known.registered = frozenset(entry.target for entry in entries)
+        known.total = (
+            sum(known.weight(member) for member in known.members.values())
+            & MASK
+        )
+        self._shift(known.group, known.mark_hash - before)
+        return True
+
+    def registry(self, service: str) -> Registry:
+        """Return the registered members, at version 0 when unknown."""
+        known = self._services.get(service)
+        return known.registry if known else Registry(service, 0, ())
+
+    def set_configuration(
+        self, service: str, version: int, content: bytes
+    ) -> bool:
+        """Take over a higher version of a service's configuration."""
+        known = self._service(service)
+        if version <= known.configuration.version:
+            return False
+        before = known.mark_hash
+        known.configuration = Configuration(service, version, content)
+        self._shift(known.group, known.mark_hash - before)
+        return True
+
+    def configuration(self, service: str) -> Configuration:
+        """Return the configuration, at version 0 when unknown."""
+        known = self._services.get(service)
+        return known.configuration if known else Configuration(service, 0, b'')
+
+    def view(self, service: str) -> ServiceView:
+        """Return the members and registrations of a service, sorted."""
+        registry = self.registry(service)
+        return ServiceView(
+            service,
+            registry.version,
+            registry.registrations,
+            tuple(sorted(self.members(service))),
+        )
+
+    def eligible(self, service: str) -> tuple[Member, ...]:
+        """Return the members that may get new work, sorted by name."""
+        states = (MemberState.alive, MemberState.suspect)
+        return tuple(
+            sorted(
+                member
+                for member in self.members(service)
+                if member.state in states
+            )
+        )
+
+    def digest(self, service: str) -> int:
+        """Return the digest of a service's view."""
+        known = self._services.get(service)
+        return known.digest if known else 0
+
+    def mark(self, service: str) -> VersionMark:
+        """Return the versions that are held of a service."""
+        known = self._services.get(service)
+        if known is None:
+            return VersionMark(service, 0, 0, 0)
+        return VersionMark(
+            service,
+            known.digest,
+            known.registry.version,
+            known.configuration.version,
+        )
+
+    def group_digests(self) -> tuple[int, ...]:
+        """Return the digest of each group of services and balancers."""
+        return tuple(self._groups)
+
+    def root_digest(self) -> int:
+        """Return the digest of everything."""
+        return hash_record(self._groups)
+
+    def state(self, sender: str, services: Iterable[str] = ()) -> State:
+        """Return all records of some services, or of everything."""
+        names = tuple(services) or self.services
+        return State(
+            sender,
+            tuple(member for name in names for member in self.members(name)),
+            self.balancers,
+            tuple(self.registry(name) for name in names),
+            tuple(self.configuration(name) for name in names),
+        )
+
+    def merge_state(self, state: State) -> Changed:
+        """Take over what is newer in a peer's state.
+
+        Registries come first, since they decide which departed members
+        are taken over.
+        """
+        for registry in state.registries:
+            self.set_registry(*registry)
+        for configuration in state.configurations:
+            self.set_configuration(*configuration)
+        return self.merge(state.members, state.balancers)
+
+    def forget(self, now: float) -> None:
+        """Drop records that departed ``RETENTION_S`` ago.
+
+        Members stay as long as they are registered.
+        """
+        departed = dict.fromkeys(self._departed_keys(), now)
+        for key in departed:
+            departed[key] = min(now, self._departed.get(key, now))
+        expired = [
+            key for key, since in departed.items() if now - since >= RETENTION_S
+        ]
+        for service, name in expired:
+            departed.pop((service, name))
+            if service:
+                self._services[service].members.pop(name)
+            else:
+                self._balancers.pop(name)
+        self._departed = departed
+
+    def _departed_keys(self) -> Iterable[tuple[str, str]]:
+        for service, known in self._services.items():
+            for member in known.members.values():
+                if not known.counts(member):
+                    yield service, member.target
+        for record in self._balancers.values():
+            if record.state >= MemberState.dead:
+                yield '', record.name
+
+    def _service(self, name: str) -> ServiceRecords:
+        known = self._services.get(name)
+        if known is None:
+            known = ServiceRecords(name)
+            self._services[name] = known
+            self._shift(known.group, known.mark_hash)
+        return known
+
+    def _merge_member(self, member: Member) -> bool:
+        known = self._service(member.service)
+        old = known.members.get(member.target)
+        if old is None and not known.counts(member):
+            return False
+        if old is not None and not supersedes(member, old):
+            return False
+        before = known.mark_hash
+        known.members[member.target] = member
+        known.total += known.weight(member) - known.weight(old)
+        self._shift(known.group, known.mark_hash - before)
+        return True
+
+    def _merge_balancer(self, record: BalancerRecord) -> bool:
+        old = self._balancers.get(record.name)
+        if old is None and record.state >= MemberState.dead:
+            return False
+        if old is not None and not supersedes(record, old):
+            return False
+        self._balancers[record.name] = record
+        gain = weigh_balancer(record) - weigh_balancer(old)
+        self._shift(group_of(record.name), gain)
+        return True
+
+    def _shift(self, group: int, gain: int) -> None:
+        self._groups[group] = (self._groups[group] + gain) & MASK
