Add settings types, defaults, loader and published schemas

Cause: processes and operators need settings files whose faults are reported together, with line and JSON path.

Change: one field table drives the reader, the defaults and the JSON Schemas of balancer settings, agent settings and service files.

--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/documents.py
@@ -0,0 +1,140 @@
+"""JSON documents with the line of each value."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from expression import Error, Ok, Result
+
+from trefoilhaven_core.settings.findings import Finding, Findings
+
+_TOKEN: Final = re.compile(r'"(?:[^"\\]|\\.)*"|[{}\[\]:,]|[^\s{}\[\]:,"]+')
+_ROOT: Final = '$'
+
+
+class Document(NamedTuple):
+    """A parsed JSON file; ``lines`` gives the line of each JSON path."""
+
+    file: str
+    content: Any
+    lines: dict[str, int]
+
+    def finding(self, path: str, message: str) -> Finding:
+        """Return a finding at a path, or at its nearest known parent."""
+        known = path
+        while known not in self.lines and known != _ROOT:
+            known = known[: max(known.rfind('.'), known.rfind('['), 1)]
+        return Finding(self.file, self.lines.get(known, 1), path, message)
+
+
+def read_document(path: Path) -> Result[Document, Findings]:
+    """Read and parse a JSON file."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as exc:
+        reason = exc.strerror or str(exc)
+        return _fault(str(path), 0, f'the file cannot be read: {reason}')
+    except UnicodeDecodeError as exc:
+        return _fault(str(path), 0, f'the file is not UTF-8: {exc.reason}')
+    return parse_document(str(path), text)
+
+
+def parse_document(file: str, text: str) -> Result[Document, Findings]:
+    """Parse JSON text; a key that occurs twice is a fault."""
+    try:
+        content = json.loads(text, parse_constant=_refuse_constant)
+    except json.JSONDecodeError as exc:
+        return _fault(file, exc.lineno, f'not valid JSON: {exc.msg}')
+    except (ValueError, RecursionError) as exc:
+        return _fault(file, 1, f'not valid JSON: {exc}')
+    walk = _Walk()
+    walk.run(text)
+    if walk.repeated:
+        return Error(
+            tuple(
+                Finding(file, line, path, 'the key occurs twice')
+                for path, line in walk.repeated
+            ),
+        )
+    return Ok(Document(file, content, walk.lines))
+
+
+def join_path(parent: str, key: str) -> str:
+    """Return the JSON path of a key; unusual keys are quoted."""
+    if re.fullmatch(r'\w+', key):
+        return f'{parent}.{key}'
+    return f'{parent}[{json.dumps(key, ensure_ascii=False)}]'
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f'{name} is not a JSON value')
+
+
+def _fault(
+    file: str,
+    line: int,
+    message: str,
+) -> Result[Document, Findings]:
+    return Error((Finding(file, line, _ROOT, message),))
+
+
+class _Scope:
+    """An open object or array of the walk."""
+
+    def __init__(self, path: str, *, is_object: bool) -> None:
+        self.path = path
+        self.is_object = is_object
+        self.index = 0
+        self.key: str | None = None
+
+    def child(self) -> str:
+        """Return the path of the value that comes next."""
+        if self.is_object:
+            return join_path(self.path, self.key or '')
+        return f'{self.path}[{self.index}]'
+
+
+class _Walk:
+    """Finds the line of each value in text that is known to be valid."""
+
+    def __init__(self) -> None:
+        self.lines: dict[str, int] = {}
+        self.repeated: list[tuple[str, int]] = []
+        self._scopes: list[_Scope] = []
+
+    def run(self, text: str) -> None:
+        """Record the lines of all values of the text."""
+        line = 1
+        reached = 0
+        for match in _TOKEN.finditer(text):
+            line += text.count('\n', reached, match.start())
+            reached = match.start()
+            self._take(match.group(), line)
+
+    def _take(self, token: str, line: int) -> None:
+        scope = self._scopes[-1] if self._scopes else None
+        if token in {'}', ']'}:
+            self._scopes.pop()
+        elif token == ',' and scope is not None:
+            scope.index += 1
+            scope.key = None
+        elif token == ':':
+            return
+        elif scope is not None and scope.is_object and scope.key is None:
+            scope.key = json.loads(token)
+            self._record(scope.child(), line)
+        else:
+            self._value(token, line, scope)
+
+    def _value(self, token: str, line: int, scope: _Scope | None) -> None:
+        path = _ROOT if scope is None else scope.child()
+        if scope is None or not scope.is_object:
+            self._record(path, line)
+        if token in {'{', '['}:
+            self._scopes.append(_Scope(path, is_object=token == '{'))
+
+    def _record(self, path: str, line: int) -> None:
+        if path in self.lines:
+            self.repeated.append((path, line))
+        self.lines[path] = line
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/fields.py
@@ -0,0 +1,51 @@
+"""Field tables: what a JSON file of the system may contain.
+
+One table drives the reader, the published JSON Schema and the defaults of
+a kind of file, so that they can't differ.
+"""
+
+from enum import Enum
+from typing import Any, NamedTuple
+
+
+class FieldKind(Enum):
+    """Kind of a field's value."""
+
+    name = 'name'
+    text = 'text'
+    address = 'address'
+    url = 'url'
+    integer = 'integer'
+    number = 'number'
+    choice = 'choice'
+    names = 'names'
+    section = 'section'
+    sections = 'sections'
+
+
+class Field(NamedTuple):
+    """One key of a JSON object.
+
+    A field without a default is required, unless it is ``optional``, in
+    which case it is absent from what is read. ``fields`` describes the
+    object of a section, or each object of a list of sections. Bounds are
+    inclusive; of a list they bound its length.
+    """
+
+    key: str
+    kind: FieldKind
+    description: str
+    default: Any = None
+    optional: bool = False
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
+    fields: 'tuple[Field, ...]' = ()
+
+    @property
+    def required(self) -> bool:
+        """Whether a file must contain the key."""
+        return self.default is None and not self.optional
+
+
+FieldTable = tuple[Field, ...]
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/findings.py
@@ -0,0 +1,34 @@
+"""Findings: faults in operators' files with their place.
+
+All faults of a file are collected and reported together, so that an
+operator corrects a file once.
+"""
+
+from typing import NamedTuple
+
+
+class Finding(NamedTuple):
+    """One fault in a file.
+
+    ``line`` counts from 1 and is 0 when the fault has no line, for
+    example when the file can't be read. ``path`` is a JSON path such as
+    ``$.seeds[1].control``.
+    """
+
+    file: str
+    line: int
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        """Return the finding as one line of text."""
+        place = f'{self.file}:{self.line}' if self.line else self.file
+        return f'{place}: {self.path}: {self.message}'
+
+
+Findings = tuple[Finding, ...]
+
+
+def format_findings(findings: Findings) -> str:
+    """Return all findings as text, one a line, in the order of places."""
+    return '\n'.join(str(finding) for finding in sorted(findings))
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/printing.py
@@ -0,0 +1,27 @@
+"""Settings as JSON, in the form in which a file would contain them."""
+
+import json
+from typing import Any
+
+from trefoilhaven_core.membership.messages import Address
+
+
+def to_json_value(record: Any) -> Any:
+    """Return a settings record as plain JSON values.
+
+    Addresses become ``ip:port`` text and records become objects.
+    """
+    if isinstance(record, Address):
+        return f'{record.host}:{record.port}'
+    if isinstance(record, tuple) and hasattr(record, '_asdict'):
+        return {
+            key: to_json_value(each) for key, each in record._asdict().items()
+        }
+    if isinstance(record, tuple):
+        return [to_json_value(each) for each in record]
+    return record
+
+
+def format_settings(settings: Any) -> str:
+    """Return the effective settings, defaults included, as JSON text."""
+    return json.dumps(to_json_value(settings), indent=2)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -0,0 +1,202 @@
+"""Field tables of balancer settings, agent settings and service files."""
+
+from typing import Final
+
+from trefoilhaven_core.settings import defaults
+from trefoilhaven_core.settings.fields import Field, FieldKind, FieldTable
+
+# An odd number of witnesses, so that a cut leaves one side a majority.
+MAX_WITNESSES: Final = 5
+
+_MAX_TIME_S: Final = 604_800.0
+_MAX_COUNT: Final = 1_000_000
+_LOG_LEVELS: Final = ('debug', 'info', 'warning', 'error')
+
+
+def _address(key: str, description: str) -> Field:
+    return Field(key, FieldKind.address, description)
+
+
+def _name(key: str, description: str) -> Field:
+    return Field(key, FieldKind.name, description)
+
+
+def _count(key: str, description: str, default: int) -> Field:
+    return Field(
+        key,
+        FieldKind.integer,
+        description,
+        default=default,
+        minimum=1,
+        maximum=_MAX_COUNT,
+    )
+
+
+def _time(key: str, description: str, default: float) -> Field:
+    return Field(
+        key,
+        FieldKind.number,
+        f'{description}, in seconds.',
+        default=default,
+        minimum=0,
+        maximum=_MAX_TIME_S,
+    )
+
+
+def _share(key: str, description: str, default: float) -> Field:
+    return Field(
+        key,
+        FieldKind.number,
+        description,
+        default=default,
+        minimum=0,
+        maximum=1,
+    )
+
+
+_PROCESS_ADDRESSES: Final[FieldTable] = (
+    _address('flow', 'UDP address for flow packets.'),
+    _address('control', 'UDP address for control messages.'),
+    _address('rpc', 'TCP address for gRPC.'),
+    _address('metrics', 'TCP address of the metrics endpoint.'),
+    *[
+        Field(
+            f'advertise_{key}',
+            FieldKind.address,
+            f'Address that others use in place of "{key}".',
+            optional=True,
+        )
+        for key in ('flow', 'control', 'rpc')
+    ],
+)
+
+_FABRIC: Final = _address('fabric', 'UDP address that takes answer packets.')
+
+_LOG_LEVEL: Final = Field(
+    'log_level',
+    FieldKind.choice,
+    'Lowest level of log lines.',
+    default=defaults.LOG_LEVEL,
+    choices=_LOG_LEVELS,
+)
+
+BALANCER_FIELDS: Final[FieldTable] = (
+    _name('name', 'Name of the process, unique in the system.'),
+    _name('host', 'Name of the host.'),
+    _name('failure_domain', 'Failure domain of the host.'),
+    _name('operator', 'Operator that runs the host.'),
+    *_PROCESS_ADDRESSES,
+    Field('platform', FieldKind.url, 'Base URL of the platform.'),
+    Field(
+        'seeds',
+        FieldKind.sections,
+        'Balancers that are asked first.',
+        default=(),
+        maximum=64,
+        fields=(
+            _name('name', 'Name of the balancer.'),
+            _name('failure_domain', 'Its failure domain.'),
+            _address('control', 'Its control address.'),
+            _address('rpc', 'Its gRPC address.'),
+        ),
+    ),
+    Field(
+        'witnesses',
+        FieldKind.names,
+        'Names of the witnesses, an odd number.',
+        minimum=1,
+        maximum=MAX_WITNESSES,
+    ),
+    _FABRIC,
+    _LOG_LEVEL,
+)
+
+AGENT_FIELDS: Final[FieldTable] = (
+    _name('name', 'Name of the target, unique in its service.'),
+    _name('service', 'Service of the target.'),
+    _name('host', 'Name of the host.'),
+    _name('failure_domain', 'Failure domain of the host.'),
+    *_PROCESS_ADDRESSES,
+    Field(
+        'witnesses',
+        FieldKind.sections,
+        'Witnesses of the lease, an odd number.',
+        minimum=1,
+        maximum=MAX_WITNESSES,
+        fields=(
+            _name('name', 'Name of the balancer.'),
+            _address('control', 'Its control address.'),
+            _address('rpc', 'Its gRPC address.'),
+        ),
+    ),
+    _FABRIC,
+    Field(
+        'target',
+        FieldKind.section,
+        'Addresses of the target beside the agent.',
+        fields=(
+            _address('flow', 'UDP address for flow payloads.'),
+            _address('rpc', 'TCP address for gRPC.'),
+        ),
+    ),
+    _count('slots', 'Requests that the target runs at once.', defaults.SLOTS),
+    _LOG_LEVEL,
+)
+
+_FLOW_LIMITS: Final[FieldTable] = (
+    _time('idle_timeout_s', 'Idle time of a flow', defaults.IDLE_TIMEOUT_S),
+    _count(
+        'connection_limit',
+        'Open flows of one target.',
+        defaults.CONNECTION_LIMIT,
+    ),
+)
+
+_REQUEST_LIMITS: Final[FieldTable] = (
+    _count('slots', 'Requests that one target runs at once.', defaults.SLOTS),
+    _count(
+        'queue_limit',
+        'Requests that wait for one target.',
+        defaults.QUEUE_LIMIT,
+    ),
+    Field(
+        'long_body_bytes',
+        FieldKind.integer,
+        'Size in bytes from which a body counts as long work.',
+        default=defaults.LONG_BODY_BYTES,
+        minimum=1,
+        maximum=defaults.PLATFORM_OBJECT_BYTES * 100,
+    ),
+    _time('retention_s', 'Time records are kept', defaults.RETENTION_S),
+    _share(
+        'retry_budget',
+        'Share of the load that retries may add.',
+        defaults.RETRY_BUDGET,
+    ),
+)
+
+SERVICE_FIELDS: Final[FieldTable] = (
+    _name('service', 'Name of the service.'),
+    _address('address', 'Address that callers and flows use.'),
+    _name('operator', 'Operator of the service.'),
+    Field(
+        'flows',
+        FieldKind.section,
+        'Limits of flows.',
+        default={},
+        fields=_FLOW_LIMITS,
+    ),
+    Field(
+        'requests',
+        FieldKind.section,
+        'Limits of requests.',
+        default={},
+        fields=_REQUEST_LIMITS,
+    ),
+    _time('warm_up_s', 'Ramp of a cold target', defaults.WARM_UP_S),
+    _share(
+        'eject_share',
+        'Largest share of targets that are ejected at once.',
+        defaults.EJECT_SHARE,
+    ),
+)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/tests/test_loader.py
@@ -0,0 +1,176 @@
+"""Tests of the settings loader, its findings and the schemas."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import jsonschema  # type: ignore[import-untyped]
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.settings import loader, schemas
+from trefoilhaven_core.settings.documents import parse_document
+from trefoilhaven_core.settings.printing import format_settings
+
+_BALANCER = {
+    'name': 'entry-1',
+    'host': 'host-1',
+    'failure_domain': 'tainan-a',
+    'operator': 'lin',
+    'flow': '127.0.1.1:9000',
+    'control': '127.0.1.1:9001',
+    'rpc': '127.0.1.1:9002',
+    'metrics': '127.0.1.1:9003',
+    'platform': 'http://127.0.0.1:8000',
+    'seeds': [],
+    'witnesses': ['entry-1', 'entry-2', 'entry-3'],
+    'fabric': '127.0.0.1:6000',
+}
+_SERVICE = {
+    'service': 'classroom-desk',
+    'address': '127.1.0.1:7000',
+    'operator': 'lin',
+}
+
+
+def _messages(text: str) -> list[str]:
+    outcome = parse_document('b.json', text).bind(loader.read_balancer_settings)
+    return [str(finding) for finding in outcome.error]
+
+
+def _write(path: Path, content: Any) -> Path:
+    path.write_text(json.dumps(content, indent=1))
+    return path
+
+
+class TestSettings:
+    """Values, defaults and findings of settings files."""
+
+    def test_defaults_and_addresses(self, tmp_path: Path) -> None:
+        """Guards against an advertised address that is not the bound one."""
+        path = _write(tmp_path / 'b.json', _BALANCER)
+        settings = loader.load_balancer_settings(path).ok
+        assert settings.advertise_rpc == Address('127.0.1.1', 9002)
+        assert settings.log_level == 'info'
+
+    def test_printed_settings_load_again(self, tmp_path: Path) -> None:
+        """Guards against --print-settings output that is not settings."""
+        path = _write(tmp_path / 'b.json', _BALANCER)
+        settings = loader.load_balancer_settings(path).ok
+        path.write_text(format_settings(settings))
+        assert loader.load_balancer_settings(path).ok == settings
+
+    def test_all_findings_at_once(self) -> None:
+        """Guards against a check that stops at the first fault."""
+        faulty = _BALANCER | {
+            'seeds': [{'name': 'entry-2', 'control': 'localhost:1'}],
+            'witneses': [],
+            'log_level': 3,
+        }
+        faulty.pop('host')
+        lines = _messages(json.dumps(faulty, indent=1))
+        assert [line.split(': ')[1] for line in lines] == [
+            '$.witneses',
+            '$',
+            '$.seeds[0]',
+            '$.seeds[0].control',
+            '$.seeds[0]',
+            '$.log_level',
+        ]
+        assert 'did you mean "witnesses"?' in lines[0]
+
+    def test_line_of_nested_value(self) -> None:
+        """Guards against a finding that names another line."""
+        text = '{"name": "a",\n"seeds": [\n{},\n{"control": 5}]}'
+        found = [line for line in _messages(text) if 'seeds[1].co' in line]
+        assert found == [
+            'b.json:4: $.seeds[1].control: expected a string, found an integer',
+        ]
+
+    @pytest.mark.parametrize(
+        ('change', 'message'),
+        [
+            ({'flow': '127.0.0.1:70000'}, 'not an IPv4 address'),
+            ({'witnesses': ['a', 'b']}, 'must be odd'),
+            ({'witnesses': ['a', 'a', 'b']}, 'listed twice'),
+            ({'control': '127.0.1.1:9000'}, 'the same address as "flow"'),
+            ({'platform': 'ftp://127.0.0.1:1'}, 'not a URL'),
+            ({'name': 'a b'}, 'a name has 1 to 63'),
+        ],
+    )
+    def test_refused(self, change: dict[str, Any], message: str) -> None:
+        """Guards against faulty values that reach a process."""
+        assert message in _messages(json.dumps(_BALANCER | change))[0]
+
+    def test_repeated_key(self) -> None:
+        """Guards against the last of two equal keys taking effect."""
+        assert _messages('{"name": "a",\n"name": "b"}') == [
+            'b.json:2: $.name: the key occurs twice',
+        ]
+
+    @pytest.mark.parametrize(
+        'text',
+        ['', '{"a": NaN}', '[' * 100_000, '9' * 5_000, '{"a": 1e999}', '7'],
+    )
+    def test_hostile_text(self, text: str) -> None:
+        """Guards against text that makes the parser raise."""
+        assert _messages(text)
+
+    def test_unreadable_file(self, tmp_path: Path) -> None:
+        """Guards against an exception for a missing or binary file."""
+        (tmp_path / 'binary').write_bytes(b'\xff\xfe')
+        for name in ('absent', 'binary', '.'):
+            outcome = loader.load_agent_settings(tmp_path / name)
+            assert outcome.error[0].line == 0
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+class TestProperties:
+    """The loader under arbitrary content."""
+
+    @given(key=st.sampled_from(sorted(_BALANCER)), raw=_JSON)
+    def test_replaced_value(self, key: str, raw: Any) -> None:
+        """Guards against a value that makes the loader raise."""
+        text = json.dumps(_BALANCER | {key: raw})
+        outcome = parse_document('b.json', text).bind(
+            loader.read_balancer_settings,
+        )
+        assert outcome.is_ok() or outcome.error
+
+    @given(raw=_JSON)
+    def test_any_document(self, raw: Any) -> None:
+        """Guards against a document that makes a reader raise."""
+        document = parse_document('b.json', json.dumps(raw))
+        assert document.bind(loader.read_agent_settings).is_error()
+        assert document.bind(loader.read_service).is_error()
+
+    @given(text=st.text())
+    def test_any_text(self, text: str) -> None:
+        """Guards against text that makes the parser raise."""
+        assert parse_document('b.json', text).is_ok() or _messages(text)
+
+
+class TestSchemas:
+    """Published schemas."""
+
+    @pytest.mark.parametrize('kind', sorted(schemas.SCHEMA_TABLES))
+    def test_committed_file_is_fresh(self, kind: str) -> None:
+        """Guards against a field that the published schema lacks."""
+        committed = schemas.SCHEMAS_DIRECTORY / f'{kind}.json'
+        assert committed.read_text() == schemas.format_schema(kind)
+
+    def test_schema_accepts_valid_files(self) -> None:
+        """Guards against a schema that refuses what the loader takes."""
+        for kind, content in (('balancer', _BALANCER), ('service', _SERVICE)):
+            jsonschema.validate(
+                content,
+                json.loads(schemas.format_schema(kind)),
+            )
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -0,0 +1,103 @@
+"""Settings and service configuration as the processes use them."""
+
+from typing import NamedTuple
+
+from trefoilhaven_core.membership.messages import Address
+
+
+class Seed(NamedTuple):
+    """A balancer that a starting balancer asks first."""
+
+    name: str
+    failure_domain: str
+    control: Address
+    rpc: Address
+
+
+class Witness(NamedTuple):
+    """A witness of an agent's lease."""
+
+    name: str
+    control: Address
+    rpc: Address
+
+
+class TargetAddresses(NamedTuple):
+    """Addresses of the target beside an agent."""
+
+    flow: Address
+    rpc: Address
+
+
+class BalancerSettings(NamedTuple):
+    """Settings of a balancer process."""
+
+    name: str
+    host: str
+    failure_domain: str
+    operator: str
+    flow: Address
+    control: Address
+    rpc: Address
+    metrics: Address
+    advertise_flow: Address
+    advertise_control: Address
+    advertise_rpc: Address
+    platform: str
+    seeds: tuple[Seed, ...]
+    witnesses: tuple[str, ...]
+    fabric: Address
+    log_level: str
+
+
+class AgentSettings(NamedTuple):
+    """Settings of an agent process; ``name`` is the target's name."""
+
+    name: str
+    service: str
+    host: str
+    failure_domain: str
+    flow: Address
+    control: Address
+    rpc: Address
+    metrics: Address
+    advertise_flow: Address
+    advertise_control: Address
+    advertise_rpc: Address
+    witnesses: tuple[Witness, ...]
+    fabric: Address
+    target: TargetAddresses
+    slots: int
+    log_level: str
+
+
+class FlowLimits(NamedTuple):
+    """Limits of a service's flows, for each target."""
+
+    idle_timeout_s: float
+    connection_limit: int
+
+
+class RequestLimits(NamedTuple):
+    """Limits of a service's requests, for each target.
+
+    ``retry_budget`` is the share of the load that retries may add.
+    """
+
+    slots: int
+    queue_limit: int
+    long_body_bytes: int
+    retention_s: float
+    retry_budget: float
+
+
+class ServiceConfiguration(NamedTuple):
+    """Content of one service file."""
+
+    service: str
+    address: Address
+    operator: str
+    flows: FlowLimits
+    requests: RequestLimits
+    warm_up_s: float
+    eject_share: float
