Add the platform client and its HTTP implementation

Cause: configuration and registration need conditional updates whose failures tell whether a write may have taken effect.

Change: PlatformClient with typed errors, HttpPlatformClient over aiohttp and a backoff with jitter. aiohttp repeats a PUT after a lost connection, which turns a lost answer into a conflict with the own write; a middleware switches this off.

Conclusion: a doubtful write is sent once and reported as doubtful.

--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/backoffs.py
@@ -0,0 +1,35 @@
+"""Waiting times between tries."""
+
+from random import Random
+
+from trefoilhaven_core.settings import defaults
+
+
+class Backoff:
+    """Exponential waiting times with full jitter.
+
+    A wait is drawn evenly from the upper half of the current range, so
+    that processes which failed together do not return together.
+    """
+
+    def __init__(
+        self,
+        generator: Random,
+        first_s: float = defaults.PLATFORM_BACKOFF_S,
+        limit_s: float = defaults.PLATFORM_BACKOFF_LIMIT_S,
+    ) -> None:
+        """Start at the first range, with a seeded generator."""
+        self._generator = generator
+        self._first_s = first_s
+        self._limit_s = limit_s
+        self._range_s = first_s
+
+    def next_s(self, at_least_s: float = 0) -> float:
+        """Return the next wait in seconds and double the range."""
+        wait_s = self._range_s * self._generator.uniform(0.5, 1)
+        self._range_s = min(self._range_s * 2, self._limit_s)
+        return max(wait_s, at_least_s)
+
+    def reset(self) -> None:
+        """Return to the first range after a success."""
+        self._range_s = self._first_s
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/clients.py
@@ -0,0 +1,91 @@
+"""The platform as the other slices see it."""
+
+from abc import ABC, abstractmethod
+from typing import Any, NamedTuple
+
+from expression import Result
+
+from trefoilhaven_core.platform.errors import PlatformError
+
+
+class PlatformObject(NamedTuple):
+    """One object; ``version`` counts its writes from 1."""
+
+    path: str
+    version: int
+    content: Any
+
+
+class Listing(NamedTuple):
+    """Objects under a prefix at one revision of the platform."""
+
+    revision: int
+    objects: tuple[PlatformObject, ...]
+
+
+class ObjectChange(NamedTuple):
+    """An object that was written or deleted at a revision."""
+
+    path: str
+    version: int
+    content: Any
+    deleted: bool
+    revision: int
+
+
+class Changes(NamedTuple):
+    """Changes under a prefix; a watch goes on after ``revision``."""
+
+    revision: int
+    objects: tuple[ObjectChange, ...]
+
+
+class PlatformClient(ABC):
+    """Calls of the operator's object service.
+
+    No method raises for a failure of the platform; failures are returned
+    as ``PlatformError``.
+    """
+
+    @abstractmethod
+    async def get(self, path: str) -> Result[PlatformObject, PlatformError]:
+        """Return one object."""
+
+    @abstractmethod
+    async def put(
+        self,
+        path: str,
+        content: Any,
+        expected_version: int,
+    ) -> Result[int, PlatformError]:
+        """Write an object of the expected version, 0 to create it.
+
+        Returns the new version.
+        """
+
+    @abstractmethod
+    async def delete(
+        self,
+        path: str,
+        expected_version: int,
+    ) -> Result[None, PlatformError]:
+        """Delete an object of the expected version."""
+
+    @abstractmethod
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Return all objects whose path starts with a prefix."""
+
+    @abstractmethod
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        timeout_s: float,
+    ) -> Result[Changes, PlatformError]:
+        """Wait for changes after a revision.
+
+        Returns without changes when none came within the timeout.
+        """
+
+    async def close(self) -> None:  # noqa: B027
+        """Release connections; without effect where there are none."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/errors.py
@@ -0,0 +1,47 @@
+"""Errors of calls to the platform."""
+
+from typing import Any, NamedTuple
+
+
+class NotFound(NamedTuple):
+    """The object does not exist."""
+
+    path: str
+
+
+class Conflict(NamedTuple):
+    """The object has another version than expected.
+
+    ``version`` is 0 and ``content`` None when the object does not exist.
+    """
+
+    path: str
+    version: int
+    content: Any
+
+
+class RateLimited(NamedTuple):
+    """The platform refused the call for its rate; it took no effect."""
+
+    retry_after_s: float
+
+
+class Unavailable(NamedTuple):
+    """The platform gave no usable answer.
+
+    ``maybe_applied`` is true when a write may have taken effect, so that
+    the caller has to read the object back.
+    """
+
+    maybe_applied: bool
+    reason: str
+
+
+class TooLarge(NamedTuple):
+    """The content exceeds the platform's limit for one object."""
+
+    path: str
+    limit_bytes: int
+
+
+PlatformError = NotFound | Conflict | RateLimited | Unavailable | TooLarge
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/http.py
@@ -0,0 +1,242 @@
+"""HTTP implementation of the platform client.
+
+Reads are tried again after a failure. Writes are tried again only when
+the platform certainly did not apply them.
+"""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any, Final, TypeVar
+from urllib.parse import quote
+
+import aiohttp
+from expression import Error, Ok, Result
+
+from trefoilhaven_core.platform import errors, replies
+from trefoilhaven_core.platform.backoffs import Backoff
+from trefoilhaven_core.platform.clients import (
+    Changes,
+    Listing,
+    PlatformClient,
+    PlatformObject,
+)
+from trefoilhaven_core.platform.errors import PlatformError
+from trefoilhaven_core.settings import defaults
+
+# Tries of one call, the first included. Longer outages are the caller's
+# concern, which knows whether the call still matters.
+MAX_TRIES: Final = 3
+
+_WATCH_MARGIN_S: Final = 5.0
+
+_Value = TypeVar('_Value')
+_Call = Callable[[], Awaitable[Result[_Value, PlatformError]]]
+
+
+class _DisconnectedError(aiohttp.ClientError):
+    """The connection ended before the answer was complete."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest,
+    handler: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    """Hide disconnections from aiohttp, which would repeat a PUT.
+
+    A repeated conditional update meets its own first write and is
+    answered as a conflict.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise _DisconnectedError(str(exc)) from exc
+
+
+class HttpPlatformClient(PlatformClient):
+    """Platform client over HTTP with JSON content."""
+
+    def __init__(
+        self,
+        base_url: str,
+        generator: Random,
+        timeout_s: float = defaults.PLATFORM_CALL_TIMEOUT_S,
+    ) -> None:
+        """Prepare a client of ``http://ip:port``; connects on first use."""
+        self._base_url = base_url.rstrip('/')
+        self._generator = generator
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def get(self, path: str) -> Result[PlatformObject, PlatformError]:
+        """Return one object."""
+        return await self._retry(
+            lambda: self._read(
+                f'/objects/{quote(path)}',
+                {},
+                replies.decode_object,
+                path=path,
+            ),
+        )
+
+    async def put(
+        self,
+        path: str,
+        content: Any,
+        expected_version: int,
+    ) -> Result[int, PlatformError]:
+        """Write an object of the expected version, 0 to create it."""
+        body = json.dumps(
+            {'content': content, 'expected_version': expected_version},
+        ).encode()
+        if len(body) > defaults.PLATFORM_OBJECT_BYTES:
+            return Error(errors.TooLarge(path, defaults.PLATFORM_OBJECT_BYTES))
+        return await self._retry(
+            lambda: self._write('PUT', path, {}, body, replies.decode_version),
+        )
+
+    async def delete(
+        self,
+        path: str,
+        expected_version: int,
+    ) -> Result[None, PlatformError]:
+        """Delete an object of the expected version."""
+        expected = {'expected_version': str(expected_version)}
+        return await self._retry(
+            lambda: self._write(
+                'DELETE',
+                path,
+                expected,
+                b'',
+                replies.decode_nothing,
+            ),
+        )
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Return all objects whose path starts with a prefix."""
+        return await self._retry(
+            lambda: self._read(
+                '/objects', {'prefix': prefix}, replies.decode_listing
+            ),
+        )
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        timeout_s: float,
+    ) -> Result[Changes, PlatformError]:
+        """Wait for changes after a revision; never tried again."""
+        query = {
+            'prefix': prefix,
+            'after': str(after),
+            'timeout': f'{timeout_s:g}',
+        }
+        return await self._read(
+            '/watch',
+            query,
+            replies.decode_changes,
+            timeout_s=timeout_s + _WATCH_MARGIN_S,
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def _retry(
+        self,
+        call: _Call[_Value],
+    ) -> Result[_Value, PlatformError]:
+        backoff = Backoff(self._generator)
+        outcome = await call()
+        for _ in range(MAX_TRIES - 1):
+            if outcome.is_ok():
+                return outcome
+            wait_s = _wait_before_retry_s(outcome.error, backoff)
+            if wait_s is None:
+                return outcome
+            await asyncio.sleep(wait_s)
+            outcome = await call()
+        return outcome
+
+    async def _read(
+        self,
+        route: str,
+        query: dict[str, str],
+        decode: Callable[[bytes], _Value],
+        path: str = '',
+        timeout_s: float | None = None,
+    ) -> Result[_Value, PlatformError]:
+        sent = await self._send('GET', route, query, b'', timeout_s)
+        return sent.bind(
+            lambda answer: replies.interpret(
+                answer, path, decode, is_write=False
+            ),
+        )
+
+    async def _write(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        decode: Callable[[bytes], _Value],
+    ) -> Result[_Value, PlatformError]:
+        route = f'/objects/{quote(path)}'
+        sent = await self._send(method, route, query, body)
+        return sent.bind(
+            lambda answer: replies.interpret(
+                answer, path, decode, is_write=True
+            ),
+        )
+
+    async def _send(
+        self,
+        method: str,
+        route: str,
+        query: dict[str, str],
+        body: bytes,
+        timeout_s: float | None = None,
+    ) -> Result[replies.HttpAnswer, PlatformError]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(middlewares=(_send_once,))
+        limit_s = self._timeout_s if timeout_s is None else timeout_s
+        try:
+            async with self._session.request(
+                method,
+                f'{self._base_url}{route}',
+                params=query,
+                data=body or None,
+                headers={'Content-Type': 'application/json'},
+                timeout=aiohttp.ClientTimeout(total=limit_s),
+            ) as response:
+                retry_after = response.headers.get('Retry-After', '')
+                content = await response.read()
+                answer = replies.HttpAnswer(
+                    response.status,
+                    retry_after,
+                    content,
+                )
+                return Ok(answer)
+        except aiohttp.ClientConnectorError as exc:
+            return Error(errors.Unavailable(False, f'not reachable: {exc}'))
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            reason = str(exc) or f'no answer within {limit_s:g} s'
+            return Error(errors.Unavailable(method != 'GET', reason))
+
+
+def _wait_before_retry_s(
+    error: PlatformError,
+    backoff: Backoff,
+) -> float | None:
+    match error:
+        case errors.RateLimited(retry_after_s):
+            return backoff.next_s(retry_after_s)
+        case errors.Unavailable(maybe_applied=False):
+            return backoff.next_s()
+    return None
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/replies.py
@@ -0,0 +1,150 @@
+"""Answers of the platform's HTTP protocol."""
+
+import math
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, TypedDict, TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+
+from trefoilhaven_core.platform import errors
+from trefoilhaven_core.platform.clients import (
+    Changes,
+    Listing,
+    ObjectChange,
+    PlatformObject,
+)
+from trefoilhaven_core.platform.errors import PlatformError
+from trefoilhaven_core.settings import defaults
+
+_RETRY_AFTER_S: Final = 1.0
+_SERVER_FAULTS: Final = 500
+
+_Value = TypeVar('_Value')
+
+
+class HttpAnswer(NamedTuple):
+    """Status, Retry-After header and body of an answer."""
+
+    status: int
+    retry_after: str
+    body: bytes
+
+
+class _ObjectReply(TypedDict):
+    path: str
+    version: int
+    content: Any
+
+
+class _ListingReply(TypedDict):
+    revision: int
+    objects: list[_ObjectReply]
+
+
+class _ChangeReply(TypedDict):
+    path: str
+    version: int
+    content: Any
+    deleted: bool
+    revision: int
+
+
+class _ChangesReply(TypedDict):
+    revision: int
+    objects: list[_ChangeReply]
+
+
+class _WrittenReply(TypedDict):
+    version: int
+
+
+class _ConflictReply(TypedDict):
+    version: int
+    content: Any
+
+
+def decode_object(body: bytes) -> PlatformObject:
+    """Return the object of an answer to a read."""
+    return PlatformObject(**msgspec.json.decode(body, type=_ObjectReply))
+
+
+def decode_listing(body: bytes) -> Listing:
+    """Return the objects of an answer to a list call."""
+    reply = msgspec.json.decode(body, type=_ListingReply)
+    objects = tuple(PlatformObject(**each) for each in reply['objects'])
+    return Listing(reply['revision'], objects)
+
+
+def decode_changes(body: bytes) -> Changes:
+    """Return the changes of an answer to a watch."""
+    reply = msgspec.json.decode(body, type=_ChangesReply)
+    objects = tuple(ObjectChange(**each) for each in reply['objects'])
+    return Changes(reply['revision'], objects)
+
+
+def decode_version(body: bytes) -> int:
+    """Return the new version of an answer to a write."""
+    return msgspec.json.decode(body, type=_WrittenReply)['version']
+
+
+def decode_nothing(body: bytes) -> None:
+    """Ignore the body of an answer to a deletion."""
+
+
+def interpret(
+    answer: HttpAnswer,
+    path: str,
+    decode: Callable[[bytes], _Value],
+    *,
+    is_write: bool,
+) -> Result[_Value, PlatformError]:
+    """Return the value of an answer, or its error.
+
+    ``path`` is the object's path and empty for a list or watch.
+    """
+    if answer.status in {200, 201, 204}:
+        try:
+            return Ok(decode(answer.body))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            reason = f'malformed answer: {exc}'
+            return Error(errors.Unavailable(is_write, reason))
+    return Error(_failure(answer, path, is_write=is_write))
+
+
+def _failure(
+    answer: HttpAnswer,
+    path: str,
+    *,
+    is_write: bool,
+) -> PlatformError:
+    match answer.status:
+        case 404:
+            return errors.NotFound(path)
+        case 409:
+            return _conflict(answer, path)
+        case 413:
+            return errors.TooLarge(path, defaults.PLATFORM_OBJECT_BYTES)
+        case 429:
+            return errors.RateLimited(_retry_after_s(answer.retry_after))
+    # A gateway may answer 5xx after the platform took the write.
+    maybe_applied = is_write and answer.status >= _SERVER_FAULTS
+    return errors.Unavailable(maybe_applied, f'status {answer.status}')
+
+
+def _conflict(answer: HttpAnswer, path: str) -> PlatformError:
+    try:
+        reply = msgspec.json.decode(answer.body, type=_ConflictReply)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return errors.Unavailable(False, f'malformed conflict: {exc}')
+    return errors.Conflict(path, reply['version'], reply['content'])
+
+
+def _retry_after_s(header: str) -> float:
+    try:
+        wait_s = float(header)
+    except ValueError:
+        return _RETRY_AFTER_S
+    if not math.isfinite(wait_s):
+        return _RETRY_AFTER_S
+    return min(max(wait_s, 0), defaults.PLATFORM_BACKOFF_LIMIT_S)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_http.py
@@ -0,0 +1,201 @@
+"""Tests of the HTTP platform client."""
+
+from collections.abc import AsyncIterator
+from random import Random
+from typing import Any, Final
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from expression import Error, Ok, Result
+
+from trefoilhaven_core.platform import errors
+from trefoilhaven_core.platform.backoffs import Backoff
+from trefoilhaven_core.platform.clients import ObjectChange, PlatformObject
+from trefoilhaven_core.platform.errors import PlatformError
+from trefoilhaven_core.platform.http import HttpPlatformClient
+
+_PATH = 'services/certify'
+
+
+class _Script:
+    """Answers each request with the next scripted answer."""
+
+    def __init__(self) -> None:
+        self.answers: list[web.Response] = []
+        self.requests: list[tuple[str, str, bytes]] = []
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        self.requests.append((request.method, request.path_qs, body))
+        answer = self.answers.pop(0)
+        if answer.status == _LOST:
+            assert request.transport is not None
+            request.transport.close()
+        return answer
+
+    def add(self, status: int, content: Any = None, **headers: str) -> None:
+        named = {key.replace('_', '-'): each for key, each in headers.items()}
+        self.answers.append(
+            web.json_response(content, status=status, headers=named),
+        )
+
+
+# A status that makes the script close the connection without an answer.
+_LOST: Final = 599
+
+
+@pytest.fixture(name='script')
+def _script() -> _Script:
+    return _Script()
+
+
+@pytest.fixture(name='client')
+async def _client(script: _Script) -> AsyncIterator[HttpPlatformClient]:
+    app = web.Application()
+    app.router.add_route('*', '/{tail:.*}', script.handle)
+    async with TestServer(app) as server:
+        url = f'http://127.0.0.1:{server.port}'
+        client = HttpPlatformClient(url, Random(1), timeout_s=5)
+        yield client
+        await client.close()
+
+
+class TestCalls:
+    """Requests and answers of the protocol."""
+
+    async def test_get(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against a read that does not match the protocol."""
+        content = {'path': _PATH, 'version': 4, 'content': {'a': 1}}
+        script.add(200, content)
+        found = await client.get(_PATH)
+        assert found == Ok(PlatformObject(_PATH, 4, {'a': 1}))
+        assert script.requests[0][:2] == ('GET', f'/objects/{_PATH}')
+
+    async def test_watch(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against a deletion that is taken as a write."""
+        change = ObjectChange(_PATH, 2, None, deleted=True, revision=9)
+        script.add(200, {'revision': 9, 'objects': [change._asdict()]})
+        changes = (await client.watch('services/', 8, 0.5)).ok
+        assert changes.objects == (change,)
+        query = '/watch?prefix=services/&after=8&timeout=0.5'
+        assert script.requests[0][1] == query
+
+    async def test_conflict(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against a conflict without the other side's content."""
+        script.add(409, {'version': 7, 'content': 'theirs'})
+        outcome = await client.put(_PATH, 'ours', 6)
+        assert outcome == Error(errors.Conflict(_PATH, 7, 'theirs'))
+
+    async def test_missing_object(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against a 404 that is taken as an outage."""
+        script.add(404)
+        assert await client.get(_PATH) == Error(errors.NotFound(_PATH))
+
+    async def test_large_content_is_not_sent(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against a call that the platform is sure to refuse."""
+        outcome = await client.put(_PATH, 'a' * 1_000_001, 0)
+        assert isinstance(outcome.error, errors.TooLarge)
+        assert not script.requests
+
+
+def _is_doubtful(outcome: Result[Any, PlatformError]) -> bool:
+    error = outcome.error
+    return isinstance(error, errors.Unavailable) and error.maybe_applied
+
+
+class TestRetries:
+    """Calls that are tried again, and calls that must not be."""
+
+    async def test_read_after_outage(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against a read that gives up at the first failure."""
+        script.add(503)
+        script.add(200, {'revision': 3, 'objects': []})
+        assert (await client.list('services/')).ok.revision == 3
+
+    async def test_limited_write_is_retried(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against a publish that fails for a moment's load."""
+        script.add(429, Retry_After='0')
+        script.add(200, {'version': 1})
+        assert await client.put(_PATH, {}, 0) == Ok(1)
+
+    async def test_limit_goes_on(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against endless tries at a platform at its limit."""
+        for _ in range(3):
+            script.add(429, Retry_After='0')
+        outcome = await client.put(_PATH, {}, 0)
+        assert outcome == Error(errors.RateLimited(0))
+
+    @pytest.mark.parametrize('status', [503, _LOST])
+    async def test_doubtful_write_is_not_retried(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+        status: int,
+    ) -> None:
+        """Guards against a second write after a lost answer."""
+        script.add(status)
+        outcome = await client.put(_PATH, {}, 0)
+        assert _is_doubtful(outcome)
+        assert len(script.requests) == 1
+
+    async def test_malformed_answer(
+        self,
+        script: _Script,
+        client: HttpPlatformClient,
+    ) -> None:
+        """Guards against an unreadable answer taken as a failed write."""
+        script.add(200, {'revision': 1})
+        assert _is_doubtful(await client.put(_PATH, {}, 0))
+
+    async def test_refused_connection(self) -> None:
+        """Guards against doubt about a write that was never sent."""
+        client = HttpPlatformClient('http://127.0.0.1:1', Random(1))
+        outcome = await client.put(_PATH, {}, 0)
+        assert outcome.is_error()
+        assert not _is_doubtful(outcome)
+        await client.close()
+
+
+class TestBackoff:
+    """Waiting times."""
+
+    def test_grows_to_the_limit(self) -> None:
+        """Guards against tries in step and against endless waits."""
+        backoff = Backoff(Random(7), first_s=1, limit_s=4)
+        waits = [backoff.next_s() for _ in range(4)]
+        for wait, top in zip(waits, (1, 2, 4, 4), strict=True):
+            assert top / 2 <= wait <= top
+        assert backoff.next_s(at_least_s=9) == 9
