Add service files, the configuration store and publishing

Cause: operators publish one object per service, two of them may do so at once, and the answer of a write can be lost.

The object also records since when a service has its address, so that of two services on one address every process picks the same one, the earlier.

Conclusion: a conflict shows both sides and a lost answer ends with what is true, or with an outcome that is not known.

--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/configuration/messages.py
@@ -0,0 +1,48 @@
+"""Messages and records of the configuration slice."""
+
+from typing import Any, NamedTuple, TypedDict
+
+from trefoilhaven_core.settings.types import ServiceConfiguration
+
+# Prefix of the platform objects that hold service configuration.
+SERVICES_PREFIX = 'services/'
+
+
+class ServiceContent(TypedDict):
+    """Content of a platform object ``services/<name>``.
+
+    ``base_version`` is the version that the publisher had seen, and
+    ``address_since`` the Unix time in seconds at which the service was
+    first published with its address.
+    """
+
+    publish_id: str
+    publisher: str
+    base_version: int
+    address_since: float
+    file: dict[str, Any]
+
+
+class ConfigurationNotice(NamedTuple):
+    """A version of one service's configuration on its way to a process.
+
+    ``content`` is the content of the platform's object.
+    """
+
+    service: str
+    version: int
+    content: dict[str, Any]
+
+
+class ServiceVersion(NamedTuple):
+    """A version that a process holds."""
+
+    service: str
+    version: int
+    content: dict[str, Any]
+    configuration: ServiceConfiguration
+
+
+def object_path(service: str) -> str:
+    """Return the path of a service's platform object."""
+    return f'{SERVICES_PREFIX}{service}'
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/configuration/publishing.py
@@ -0,0 +1,282 @@
+"""Publishing one service file: the decisions and their execution.
+
+``Publication`` decides and does no input or output. ``publish`` executes
+its steps with a platform client.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Any, Final, NamedTuple
+
+from expression import Result
+
+from trefoilhaven_core.configuration.differences import compare_files
+from trefoilhaven_core.configuration.messages import (
+    ServiceContent,
+    object_path,
+)
+from trefoilhaven_core.configuration.versions import address_since
+from trefoilhaven_core.platform import errors
+from trefoilhaven_core.platform.clients import PlatformClient, PlatformObject
+from trefoilhaven_core.platform.errors import PlatformError
+
+# Times that a doubtful write is read back; at the waits below this takes
+# at least 10 s, longer than a lost connection usually lasts.
+MAX_READ_BACKS: Final = 10
+READ_BACK_WAIT_S: Final = 1.0
+
+
+class PublishOutcome(Enum):
+    """What is known of a publication when it ends."""
+
+    published = 'published'
+    unchanged = 'unchanged'
+    difference = 'difference'
+    conflict = 'conflict'
+    refused = 'refused'
+    unreachable = 'unreachable'
+    unknown = 'unknown'
+
+
+class PublishPlan(NamedTuple):
+    """A service file to publish.
+
+    ``publish_id`` is unique to this run; ``now`` is the Unix time in
+    seconds.
+    """
+
+    service: str
+    publish_id: str
+    publisher: str
+    base_version: int
+    file: dict[str, Any]
+    now: float
+    dry_run: bool = False
+
+
+class PublishReport(NamedTuple):
+    """Result of a publication; ``difference`` is a unified diff."""
+
+    service: str
+    outcome: PublishOutcome
+    version: int
+    message: str
+    difference: str = ''
+
+
+class ReadObject(NamedTuple):
+    """Step: read the object after a wait in seconds."""
+
+    wait_s: float
+
+
+class WriteObject(NamedTuple):
+    """Step: write the object if it still has the expected version."""
+
+    content: ServiceContent
+    expected_version: int
+
+
+Step = ReadObject | WriteObject | PublishReport
+_ReadResult = Result[PlatformObject, PlatformError]
+
+
+class Publication:
+    """State machine of one publication.
+
+    A doubtful write is read back and compared by its publish identity.
+    While the object still has the base version, the same write is sent
+    again: of the two, the platform applies one at most, since both expect
+    the base version.
+    """
+
+    def __init__(self, plan: PublishPlan) -> None:
+        """Prepare the publication of a plan."""
+        self._plan = plan
+        self._read_backs = 0
+        self._doubtful = False
+        self._since = plan.now
+
+    def start(self) -> Step:
+        """Return the first step."""
+        return ReadObject(0)
+
+    def on_read(self, outcome: _ReadResult) -> Step:
+        """Take the result of a read and return the next step."""
+        if outcome.is_ok():
+            return self._compare(outcome.ok)
+        if isinstance(outcome.error, errors.NotFound):
+            absent = PlatformObject(object_path(self._plan.service), 0, None)
+            return self._compare(absent)
+        if self._doubtful:
+            return self._read_back()
+        return self._failed(outcome.error)
+
+    def on_written(self, outcome: Result[int, PlatformError]) -> Step:
+        """Take the result of a write and return the next step."""
+        if outcome.is_ok():
+            return self._published(outcome.ok)
+        match outcome.error:
+            case errors.Conflict(path, version, content):
+                return self._compare(PlatformObject(path, version, content))
+            case errors.Unavailable(maybe_applied=True):
+                self._doubtful = True
+                return self._read_back()
+        if self._doubtful:
+            return self._read_back()
+        return self._failed(outcome.error)
+
+    def _compare(self, current: PlatformObject) -> Step:
+        plan = self._plan
+        if _part(current, 'publish_id') == plan.publish_id:
+            return self._published(current.version)
+        if self._may_be_overwritten(current):
+            return self._report(
+                PublishOutcome.unknown,
+                current.version,
+                f'version {current.version} of {_publisher(current)} is in '
+                'force; it is not known whether this file was in force '
+                'before it',
+                current,
+            )
+        if current.version == plan.base_version:
+            return self._write_or_show(current)
+        if _part(current, 'file') == plan.file:
+            return self._unchanged(current)
+        return self._conflict(current)
+
+    def _may_be_overwritten(self, current: PlatformObject) -> bool:
+        following = self._plan.base_version + 1
+        return self._doubtful and current.version > following
+
+    def _write_or_show(self, current: PlatformObject) -> Step:
+        plan = self._plan
+        if _part(current, 'file') == plan.file:
+            return self._unchanged(current)
+        if plan.dry_run:
+            return self._report(
+                PublishOutcome.difference,
+                current.version,
+                f'would replace version {current.version}',
+                current,
+            )
+        content = ServiceContent(
+            publish_id=plan.publish_id,
+            publisher=plan.publisher,
+            base_version=plan.base_version,
+            address_since=self._address_since(current),
+            file=plan.file,
+        )
+        return WriteObject(content, plan.base_version)
+
+    def _address_since(self, current: PlatformObject) -> float:
+        before = _part(current, 'file')
+        known = before.get('address') if isinstance(before, dict) else None
+        if known == self._plan.file.get('address'):
+            return address_since(current.content)
+        return self._plan.now
+
+    def _read_back(self) -> Step:
+        self._read_backs += 1
+        if self._read_backs <= MAX_READ_BACKS:
+            return ReadObject(READ_BACK_WAIT_S)
+        return self._report(
+            PublishOutcome.unknown,
+            0,
+            'the answer to the write was lost and the platform could not be '
+            'read; the file may be in force',
+        )
+
+    def _published(self, version: int) -> Step:
+        message = f'version {version} is published'
+        return self._report(PublishOutcome.published, version, message)
+
+    def _unchanged(self, current: PlatformObject) -> Step:
+        message = f'version {current.version} already has this content'
+        return self._report(PublishOutcome.unchanged, current.version, message)
+
+    def _conflict(self, current: PlatformObject) -> Step:
+        found = 'the object does not exist'
+        if current.version:
+            found = f'{_publisher(current)} published version {current.version}'
+        message = (
+            f'the file was written for version {self._plan.base_version}, but '
+            f'{found}'
+        )
+        return self._report(
+            PublishOutcome.conflict,
+            current.version,
+            message,
+            current,
+        )
+
+    def _failed(self, error: PlatformError) -> Step:
+        match error:
+            case errors.RateLimited():
+                message = 'the platform is at its rate limit'
+            case errors.TooLarge(limit_bytes=limit):
+                message = f'the file is larger than {limit} bytes'
+                return self._report(PublishOutcome.refused, 0, message)
+            case errors.Unavailable(reason=reason):
+                message = f'the platform is unavailable: {reason}'
+            case _:
+                message = f'unexpected answer of the platform: {error}'
+        message = f'not published: {message}'
+        return self._report(PublishOutcome.unreachable, 0, message)
+
+    def _report(
+        self,
+        outcome: PublishOutcome,
+        version: int,
+        message: str,
+        current: PlatformObject | None = None,
+    ) -> PublishReport:
+        difference = ''
+        if current is not None:
+            difference = compare_files(
+                _part(current, 'file'),
+                self._plan.file,
+                f'version {current.version} at the platform',
+                'this file',
+            )
+        return PublishReport(
+            self._plan.service,
+            outcome,
+            version,
+            message,
+            difference,
+        )
+
+
+async def publish(
+    client: PlatformClient,
+    plan: PublishPlan,
+    sleep: Callable[[float], Awaitable[Any]] = asyncio.sleep,
+) -> PublishReport:
+    """Publish a plan through a platform client and report what is true."""
+    publication = Publication(plan)
+    path = object_path(plan.service)
+    step = publication.start()
+    while not isinstance(step, PublishReport):
+        if isinstance(step, ReadObject):
+            await sleep(step.wait_s)
+            step = publication.on_read(await client.get(path))
+        else:
+            written = await client.put(
+                path,
+                step.content,
+                step.expected_version,
+            )
+            step = publication.on_written(written)
+    return step
+
+
+def _part(current: PlatformObject, key: str) -> Any:
+    if isinstance(current.content, dict):
+        return current.content.get(key)
+    return None
+
+
+def _publisher(current: PlatformObject) -> str:
+    return str(_part(current, 'publisher') or 'another publisher')
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/configuration/versions.py
@@ -0,0 +1,137 @@
+"""Highest known version of each service's configuration."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from expression import Error, Result
+
+from trefoilhaven_core.configuration.messages import (
+    ConfigurationNotice,
+    ServiceVersion,
+    object_path,
+)
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.settings.documents import parse_document
+from trefoilhaven_core.settings.findings import Finding, Findings
+from trefoilhaven_core.settings.loader import read_service
+from trefoilhaven_core.settings.types import ServiceConfiguration
+
+
+class ConfigurationStore:
+    """Keeps the highest version of each service and never goes back.
+
+    Versions may arrive from the platform and from peers, in any order and
+    more than once. Deletions at the platform are not followed, since a
+    process can't tell a deletion from an object that it has not read yet.
+    """
+
+    def __init__(self) -> None:
+        """Start without any configuration."""
+        self.findings: dict[str, Findings] = {}
+        self._versions: dict[str, ServiceVersion] = {}
+        self._addresses: dict[Address, ServiceVersion] = {}
+        self._pending: dict[str, ConfigurationNotice] = {}
+
+    def offer(
+        self,
+        service: str,
+        version: int,
+        content: Any,
+    ) -> bool:
+        """Take a version if it is higher than the known one.
+
+        Returns whether it was taken. A faulty version is not taken; its
+        findings are in ``findings`` until a later version is taken.
+        """
+        if version <= self.version(service):
+            return False
+        checked = check_content(service, content)
+        if checked.is_error():
+            self.findings[service] = checked.error
+            return False
+        self.findings.pop(service, None)
+        taken = ServiceVersion(service, version, content, checked.ok)
+        self._versions[service] = taken
+        self._pending[service] = _notice(taken)
+        self._index_addresses()
+        return True
+
+    def version(self, service: str) -> int:
+        """Return the version held of a service, 0 for none."""
+        held = self._versions.get(service)
+        return held.version if held else 0
+
+    def versions(self) -> dict[str, int]:
+        """Return the versions of all services."""
+        return {
+            service: held.version for service, held in self._versions.items()
+        }
+
+    def get(self, service: str) -> ServiceConfiguration | None:
+        """Return the configuration of a service."""
+        held = self._versions.get(service)
+        return held.configuration if held else None
+
+    def by_address(self, address: Address) -> ServiceConfiguration | None:
+        """Return the service of an address.
+
+        When two services have the same address, the one that had it first
+        keeps it, whatever the order in which the versions arrived.
+        """
+        held = self._addresses.get(address)
+        return held.configuration if held else None
+
+    def take_notices(self) -> tuple[ConfigurationNotice, ...]:
+        """Return the versions taken since the last call."""
+        notices = tuple(self._pending.values())
+        self._pending.clear()
+        return notices
+
+    def newer_than(
+        self,
+        known: Mapping[str, int],
+    ) -> tuple[ConfigurationNotice, ...]:
+        """Return the versions that a peer with the known ones lacks."""
+        return tuple(
+            _notice(held)
+            for service, held in self._versions.items()
+            if held.version > known.get(service, 0)
+        )
+
+    def _index_addresses(self) -> None:
+        self._addresses = {}
+        for held in sorted(self._versions.values(), key=_claim_order):
+            self._addresses.setdefault(held.configuration.address, held)
+
+
+def check_content(
+    service: str,
+    content: Any,
+) -> Result[ServiceConfiguration, Findings]:
+    """Return the configuration in the content of a platform object."""
+    path = object_path(service)
+    file = content.get('file') if isinstance(content, dict) else None
+    try:
+        text = json.dumps(file)
+    except (TypeError, ValueError) as exc:
+        return Error((Finding(path, 1, '$', f'not JSON: {exc}'),))
+    read = parse_document(path, text).bind(read_service)
+    if read.is_ok() and read.ok.service != service:
+        message = f'the file is for the service "{read.ok.service}"'
+        return Error((Finding(path, 1, '$.service', message),))
+    return read
+
+
+def address_since(content: Mapping[str, Any]) -> float:
+    """Return since when a service has its address, 0 when not recorded."""
+    since = content.get('address_since')
+    return float(since) if isinstance(since, int | float) else 0.0
+
+
+def _claim_order(held: ServiceVersion) -> tuple[float, str]:
+    return address_since(held.content), held.service
+
+
+def _notice(held: ServiceVersion) -> ConfigurationNotice:
+    return ConfigurationNotice(held.service, held.version, held.content)
