--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/timeline/merges.py
@@ -0,0 +1,56 @@
+"""Merges the events of several processes in causal order."""
+
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from typing import Final
+
+from trefoilhaven_core.timeline.clocks import stamp_counter, stamp_time_s
+from trefoilhaven_core.timeline.messages import (
+    TimelineEvent,
+    TimelineReply,
+    TimelineRequest,
+)
+from trefoilhaven_core.timeline.rings import matches
+
+# Year 9999, the last that the calendar of the language has.
+_LATEST_S: Final = 253_402_300_799.0
+
+
+def merge_events(
+    replies: Iterable[TimelineReply],
+    request: TimelineRequest,
+) -> tuple[TimelineEvent, ...]:
+    """Return the matching events of all replies in causal order.
+
+    Events of equal stamps did not cause each other and come in the order
+    of their processes' names. An event that arrives twice is kept once.
+    """
+    found = {
+        event
+        for reply in replies
+        for event in reply.events
+        if matches(event, request)
+    }
+    return tuple(sorted(found))
+
+
+def format_event(event: TimelineEvent) -> str:
+    """Return an event as one line of text."""
+    named = (
+        ('service', event.service),
+        ('flow', event.flow),
+        ('key', event.request_key),
+        ('host', event.host),
+    )
+    fields = [f'{name}={text}' for name, text in named if text]
+    parts = [format_stamp(event.clock), event.process, event.kind, *fields]
+    if event.detail:
+        parts.append(event.detail)
+    return ' '.join(parts)
+
+
+def format_stamp(stamp: int) -> str:
+    """Return a stamp as ``2026-12-04T07:00:00.125Z+3``."""
+    moment = datetime.fromtimestamp(min(stamp_time_s(stamp), _LATEST_S), UTC)
+    text = moment.isoformat(timespec='milliseconds')
+    return f'{text.removesuffix("+00:00")}Z+{stamp_counter(stamp)}'
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/timeline/messages.py
@@ -0,0 +1,42 @@
+"""Messages and records of the timeline slice."""
+
+from typing import NamedTuple
+
+
+class TimelineEvent(NamedTuple):
+    """One event of a process.
+
+    ``clock`` is a hybrid logical clock stamp. ``flow`` is text such as
+    ``17,127.0.0.1,4000,127.1.0.1,7000``. Fields that do not apply are
+    empty.
+    """
+
+    clock: int
+    process: str
+    kind: str
+    service: str = ''
+    flow: str = ''
+    request_key: str = ''
+    host: str = ''
+    detail: str = ''
+
+
+class TimelineRequest(NamedTuple):
+    """Asks a process for the events that match; empty fields match all."""
+
+    service: str = ''
+    flow: str = ''
+    request_key: str = ''
+    host: str = ''
+    since: int = 0
+
+
+class TimelineReply(NamedTuple):
+    """Events of one process in the order of their stamps.
+
+    ``overwritten`` counts the events that its ring no longer holds.
+    """
+
+    process: str
+    events: tuple[TimelineEvent, ...]
+    overwritten: int
