--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/telemetry/logs.py
@@ -0,0 +1,74 @@
+"""Logs as JSON lines on standard output.
+
+Modules log through ``logging.getLogger(__name__)`` and give the fields of
+an event as ``extra``, for example
+``extra={'service': 'certify', 'request_key': 'r-17'}``.
+"""
+
+import logging
+import sys
+from typing import Any, Final, TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+from trefoilhaven_core.settings import defaults
+
+# Keys that a rate-limited log tells apart. Keys can come from outside,
+# for example senders of datagrams, and must not fill the memory.
+MAX_LIMITED_KEYS: Final = 256
+
+_OTHER_KEYS: Final = 'others'
+
+
+def configure_logging(
+    process: str,
+    failure_domain: str,
+    level: str,
+    stream: TextIO = sys.stdout,
+) -> None:
+    """Send all logs of this process to a stream as JSON lines."""
+    formatter = JsonFormatter(
+        ['levelname', 'name', 'message'],
+        rename_fields={'levelname': 'level', 'name': 'logger'},
+        static_fields={'process': process, 'failure_domain': failure_domain},
+        timestamp='time',
+    )
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+
+
+class RateLimitedLog:
+    """Logs at most so many lines a second for each key.
+
+    The next line that passes tells how many were suppressed before it.
+    """
+
+    def __init__(
+        self,
+        logger: logging.Logger,
+        lines_per_s: float = defaults.LOG_LINES_PER_S,
+    ) -> None:
+        """Wrap a logger."""
+        self._logger = logger
+        self._interval_s = 1 / lines_per_s
+        self._next_s: dict[str, float] = {}
+        self._suppressed: dict[str, int] = {}
+
+    def warn(self, now_s: float, key: str, message: str, **fields: Any) -> None:
+        """Log a warning unless the key's last line is too recent.
+
+        ``now_s`` is a monotonic time in seconds.
+        """
+        known = key if self._has_room(key) else _OTHER_KEYS
+        if now_s < self._next_s.get(known, now_s):
+            self._suppressed[known] = self._suppressed.get(known, 0) + 1
+            return
+        self._next_s[known] = now_s + self._interval_s
+        fields['suppressed'] = self._suppressed.pop(known, 0)
+        self._logger.warning(message, extra=fields)
+
+    def _has_room(self, key: str) -> bool:
+        return key in self._next_s or len(self._next_s) < MAX_LIMITED_KEYS
