--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/deployments/__init__.py
@@ -0,0 +1,1 @@
+"""Whole deployments: descriptions, settings files and processes."""
