Add fabric, target, load tool and fault proxy

Cause: flows and requests need both ends and the network between them. Change: the fabric sprays datagrams, the target records each start, the load tool judges flows and answers, and the proxy delays and cuts links. Conclusion: the parts work against each other with a small relay in place of balancer and agent.

--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/caller/latencies.py
@@ -0,0 +1,44 @@
+"""Latency histograms of the load tool."""
+
+from typing import Any, Final, TypedDict
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US: Final = 1
+_HIGHEST_US: Final = 600_000_000
+_DIGITS: Final = 3
+_US_PER_S: Final = 1_000_000
+
+
+class Percentiles(TypedDict):
+    """Summary of a histogram; times are in seconds."""
+
+    count: int
+    p50_s: float
+    p90_s: float
+    p99_s: float
+    max_s: float
+
+
+class Latencies:
+    """An HDR histogram with microsecond steps."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._histogram: Any = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+    def record(self, seconds: float) -> None:
+        """Record one latency in seconds."""
+        bounded = min(max(int(seconds * _US_PER_S), _LOWEST_US), _HIGHEST_US)
+        self._histogram.record_value(bounded)
+
+    def percentiles(self) -> Percentiles:
+        """Return the summary; all zero when nothing was recorded."""
+        histogram = self._histogram
+        return {
+            'count': histogram.get_total_count(),
+            'p50_s': histogram.get_value_at_percentile(50) / _US_PER_S,
+            'p90_s': histogram.get_value_at_percentile(90) / _US_PER_S,
+            'p99_s': histogram.get_value_at_percentile(99) / _US_PER_S,
+            'max_s': histogram.get_max_value() / _US_PER_S,
+        }
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/caller/reports.py
@@ -0,0 +1,56 @@
+"""What the load tool reports."""
+
+from typing import NamedTuple, TypedDict
+
+from trefoilhaven_bench.caller.latencies import Percentiles
+
+
+class FlowReport(TypedDict):
+    """Counts of a set of flows.
+
+    ``unopened`` flows never got an answer. ``broken`` ones were answered
+    and then failed; the reasons are counted in ``broken_by``.
+    """
+
+    service: str
+    opened: int
+    unopened: int
+    broken: int
+    broken_by: dict[str, int]
+    broken_flows: list[str]
+    wrong: int
+    packets: int
+    answers: int
+    retransmits: int
+    by_target: dict[str, int]
+    round_trip: Percentiles
+
+
+class RefusedAttempt(NamedTuple):
+    """An attempt that was answered *not run*."""
+
+    key: str
+    attempt: int
+
+
+class RequestReport(TypedDict):
+    """Outcomes of a stream of requests.
+
+    ``refused`` lists every attempt that was answered *not run*; none of
+    them may show up at a target. ``run_once_keys`` are the keys of the
+    non-idempotent requests.
+    """
+
+    service: str
+    sent: int
+    done: int
+    not_run: int
+    unknown: int
+    wrong: int
+    skipped: int
+    counts: dict[str, int]
+    refused: list[RefusedAttempt]
+    run_once_keys: list[str]
+    short: Percentiles
+    long: Percentiles
+    refusal: Percentiles
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Proxy that delays, loses, doubles, reorders and cuts traffic by link."""
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/streams.py
@@ -0,0 +1,132 @@
+"""TCP links: bytes keep their order; a cut holds them back."""
+
+import asyncio
+import contextlib
+from collections import Counter
+
+from trefoilhaven_bench.fault_proxy.links import Link, Network
+from trefoilhaven_bench.processes import parse_address
+from trefoilhaven_bench.settings import POLL_S, TCP_RETRANSMIT_S
+
+_BLOCK_BYTES = 65_536
+# Blocks in flight in one direction before reading pauses.
+_MAX_BLOCKS = 64
+
+_Block = tuple[float, bytes]
+
+
+class StreamLink:
+    """A TCP link; each connection has one upstream connection."""
+
+    def __init__(self, name: str, network: Network) -> None:
+        """Prepare the link without opening sockets."""
+        self.counts: Counter[str] = Counter()
+        self._name = name
+        self._network = network
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+
+    @property
+    def link(self) -> Link:
+        """The link's present values."""
+        return self._network.links[self._name]
+
+    async def start(self) -> None:
+        """Open the listening socket."""
+        address = parse_address(self.link.listen)
+        self._server = await asyncio.start_server(self._accept, *address)
+
+    def close(self) -> None:
+        """Close the listening socket and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in self._connections:
+            connection.cancel()
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._connections.add(task)
+            task.add_done_callback(self._connections.discard)
+        self.counts['connections'] += 1
+        peer_host = writer.get_extra_info('peername')[0]
+        source = self._network.source_domain(self.link, peer_host)
+        try:
+            await self._until_connected(source)
+            await self._join(reader, writer, source)
+        except (OSError, asyncio.CancelledError):
+            self.counts['ended'] += 1
+        finally:
+            writer.close()
+
+    async def _join(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        source: str,
+    ) -> None:
+        address = parse_address(self.link.forward)
+        up_reader, up_writer = await asyncio.open_connection(*address)
+        directions = [
+            asyncio.ensure_future(self._pump(reader, up_writer, source)),
+            asyncio.ensure_future(self._pump(up_reader, writer, source)),
+        ]
+        try:
+            await asyncio.wait(
+                directions,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            for direction in directions:
+                direction.cancel()
+            await asyncio.gather(*directions, return_exceptions=True)
+            up_writer.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        source: str,
+    ) -> None:
+        """Copy one direction until the sender closes."""
+        blocks: asyncio.Queue[_Block | None] = asyncio.Queue(_MAX_BLOCKS)
+        sender = asyncio.ensure_future(self._send(blocks, writer, source))
+        loop = asyncio.get_running_loop()
+        try:
+            while block := await reader.read(_BLOCK_BYTES):
+                delay_s = self._network.delay(self.link, source)
+                if self._network.draw(self.link.loss):
+                    delay_s += TCP_RETRANSMIT_S
+                await blocks.put((loop.time() + delay_s, block))
+            await blocks.put(None)
+            await sender
+        finally:
+            sender.cancel()
+            with contextlib.suppress(OSError, asyncio.CancelledError):
+                await sender
+
+    async def _send(
+        self,
+        blocks: 'asyncio.Queue[_Block | None]',
+        writer: asyncio.StreamWriter,
+        source: str,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            entry = await blocks.get()
+            if entry is None:
+                return
+            due_at, block = entry
+            await asyncio.sleep(max(0, due_at - loop.time()))
+            await self._until_connected(source)
+            self.counts['bytes'] += len(block)
+            writer.write(block)
+            await writer.drain()
+
+    async def _until_connected(self, source: str) -> None:
+        while self._network.is_cut(self.link, source):
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/target/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a server beside an agent."""
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/tests/test_loads.py
@@ -0,0 +1,298 @@
+"""Tests of fabric, target and load tool against each other.
+
+A small relay stands in for balancer and agent, since those are tested
+with real processes by the scenarios.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import pytest
+import xxhash
+from aiohttp import ClientSession
+from grpclib.client import Channel
+from grpclib.server import Server, Stream
+
+from trefoilhaven_bench.caller.flows import FlowLoad
+from trefoilhaven_bench.caller.plans import FlowPlan, RequestPlan
+from trefoilhaven_bench.caller.requests import RequestLoad
+from trefoilhaven_bench.fabric import Fabric, FabricSettings
+from trefoilhaven_bench.payloads import (
+    FlowQuestion,
+    WorkBody,
+    answer_content,
+    seal,
+    unseal,
+)
+from trefoilhaven_bench.processes import open_datagram_socket, parse_address
+from trefoilhaven_bench.target.__main__ import Target
+from trefoilhaven_bench.target.behaviour import TargetSettings
+from trefoilhaven_bench.tests.ports import free_addresses
+from trefoilhaven_core.flows.messages import FlowKey, FlowMark, FlowPacket
+from trefoilhaven_core.wire.codec import make_codec
+from trefoilhaven_core.wire.proto import calls_pb2 as pb
+from trefoilhaven_core.wire.proto.calls_grpc import RequestsBase, WorkStub
+
+_SERVICE = 'collect'
+
+
+class Relay(asyncio.DatagramProtocol):
+    """Passes flows on to the target and answers back to the fabric."""
+
+    def __init__(self, fabric: str, target: str) -> None:
+        """Relay between the fabric's agent side and a target."""
+        self.marks = FlowMark.answer
+        self._fabric = parse_address(fabric)
+        self._target = parse_address(target)
+        self._codec = make_codec()
+        self._sockets: dict[FlowKey, Any] = {}
+        self._transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the socket for answers."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Deliver a packet on its flow's own socket."""
+        packet = self._codec.decode(data).ok.message
+        assert isinstance(packet, FlowPacket)
+        asyncio.ensure_future(self._deliver(packet))
+
+    def answer(self, flow: FlowKey, payload: bytes) -> None:
+        """Send a target's payload to the fabric."""
+        packet = FlowPacket(_SERVICE, flow, self.marks, 0, 0, payload)
+        self._transport.sendto(self._codec.encode(packet), self._fabric)
+
+    async def _deliver(self, packet: FlowPacket) -> None:
+        if packet.flow not in self._sockets:
+            back = _Back(self, packet.flow)
+            self._sockets[packet.flow] = asyncio.ensure_future(
+                open_datagram_socket(back, remote=self._target),
+            )
+        (await self._sockets[packet.flow]).sendto(packet.payload)
+
+
+class _Back(asyncio.DatagramProtocol):
+    def __init__(self, relay: Relay, flow: FlowKey) -> None:
+        self._relay = relay
+        self._flow = flow
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self._relay.answer(self._flow, data)
+
+
+class Path(NamedTuple):
+    """The parts of a running path from caller to target."""
+
+    caller: str
+    relay: Relay
+    target: Target
+    rpc: str
+    control: str
+
+
+@pytest.fixture
+async def path() -> AsyncIterator[Path]:
+    """A fabric, a relay and a target."""
+    caller, agent, control, balancer, flow, rpc, http = free_addresses(7)
+    fabric = Fabric(FabricSettings(caller, agent, control, (balancer,)))
+    runner = await fabric.start()
+    relay = Relay(agent, flow)
+    transport = await open_datagram_socket(relay, parse_address(balancer))
+    cfg = TargetSettings(_SERVICE, 'collect-1', flow, rpc, http)
+    target = Target(cfg)
+    stopped = asyncio.Event()
+    serving = asyncio.create_task(target.run(stopped))
+    await _until_connected(http)
+    yield Path(caller, relay, target, rpc, http)
+    stopped.set()
+    await serving
+    transport.close()
+    fabric.close()
+    await runner.cleanup()
+
+
+async def _until_connected(address: str) -> None:
+    async with asyncio.timeout(10):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(
+                    *parse_address(address),
+                )
+            except OSError:
+                await asyncio.sleep(0)
+                continue
+            writer.close()
+            return
+
+
+def _plan(path: Path) -> FlowPlan:
+    return FlowPlan(
+        _SERVICE,
+        '127.1.0.3:7000',
+        path.caller,
+        flows=20,
+        packets_per_s=20,
+        duration_s=30,
+    )
+
+
+class TestFlowLoad:
+    """Counts of the flow load against fabric and target."""
+
+    async def test_open_flows(self, path: Path) -> None:
+        """Guards against healthy flows that are counted as broken."""
+        load = FlowLoad(_plan(path))
+        running = asyncio.create_task(load.run())
+        await load.until_opened(20, timeout_s=10)
+        await load.until_answers(100, timeout_s=10)
+        load.stop()
+        report = await running
+        assert (report['opened'], report['broken']) == (20, 0)
+        assert report['wrong'] == 0
+        assert len(path.target.flows.started) == 20
+
+    async def test_reset(self, path: Path) -> None:
+        """Guards against a reset that is not counted as a broken flow."""
+        load = FlowLoad(_plan(path))
+        running = asyncio.create_task(load.run())
+        await load.until_opened(20, timeout_s=10)
+        path.relay.marks = FlowMark.reset
+        async with asyncio.timeout(10):
+            while load.broken < 20:
+                await asyncio.sleep(0.01)
+        load.stop()
+        assert (await running)['broken_by'] == {'reset': 20}
+
+    async def test_lost_state(self, path: Path) -> None:
+        """Guards against a flow that starts anew and counts as whole."""
+        load = FlowLoad(_plan(path))
+        running = asyncio.create_task(load.run())
+        await load.until_opened(20, timeout_s=10)
+        path.target.flows.forget()
+        async with asyncio.timeout(10):
+            while load.broken < 20:
+                await asyncio.sleep(0.01)
+        load.stop()
+        assert (await running)['broken_by'] == {'restarted': 20}
+
+
+class TestPayloads:
+    """Contents that both ends verify."""
+
+    def test_altered(self) -> None:
+        """Guards against altered bytes that pass the check."""
+        raw = seal(FlowQuestion(_SERVICE, 7, 1, 0, b'padding'))
+        assert unseal(raw, FlowQuestion) is not None
+        assert unseal(raw.replace(b'padding', b'changed'), FlowQuestion) is None
+
+
+class _Balancer(RequestsBase):
+    """Answers from a script, then *done* with the right content."""
+
+    def __init__(self, script: list[pb.Closing]) -> None:
+        self.seen: list[pb.CallerRequest] = []
+        self._script = script
+
+    async def Submit(self, stream: Stream[Any, Any]) -> None:
+        req: Any = await stream.recv_message()
+        self.seen.append(req)
+        if self._script:
+            await self._send(stream, closing=self._script.pop(0))
+            return
+        content = answer_content(req.service, req.key, 2048)
+        await self._send(stream, chunk=pb.Chunk(number=0, content=content))
+        closing = pb.Closing(
+            outcome=pb.OUTCOME_DONE,
+            chunks=1,
+            length=len(content),
+            digest=xxhash.xxh64_intdigest(content),
+        )
+        await self._send(stream, closing=closing)
+
+    async def _send(self, stream: Stream[Any, Any], **part: Any) -> None:
+        req = self.seen[-1]
+        await stream.send_message(
+            pb.AnswerPart(service=req.service, key=req.key, **part),
+        )
+
+
+async def _ask_once(script: list[pb.Closing]) -> tuple[Any, _Balancer]:
+    address = free_addresses(1)[0]
+    balancer = _Balancer(script)
+    server = Server([balancer])
+    await server.start(*parse_address(address))
+    plan = RequestPlan(_SERVICE, (address,), rate_per_s=1, duration_s=0)
+    report = await RequestLoad(plan).run()
+    server.close()
+    await server.wait_closed()
+    return report, balancer
+
+
+class TestRequestLoad:
+    """Asking again and judging answers."""
+
+    async def test_not_run(self) -> None:
+        """Guards against a refused attempt that is sent again unchanged."""
+        refusal = pb.Closing(outcome=pb.OUTCOME_NOT_RUN, retry_after_s=0.01)
+        report, balancer = await _ask_once([refusal])
+        assert report['done'] == 1
+        assert [req.attempt for req in balancer.seen] == [1, 2]
+        first, second = balancer.seen
+        assert second.issued_at > first.issued_at
+
+    async def test_unknown(self) -> None:
+        """Guards against *unknown* that is asked again as new work."""
+        report, balancer = await _ask_once(
+            [pb.Closing(outcome=pb.OUTCOME_UNKNOWN)],
+        )
+        assert report['done'] == 1
+        first, second = balancer.seen
+        assert (first.attempt, first.issued_at) == (1, second.issued_at)
+        assert second.attempt == 1
+
+    async def test_partial(self) -> None:
+        """Guards against a partial answer that is taken as whole."""
+        partial = pb.Closing(outcome=pb.OUTCOME_DONE, chunks=2, length=9)
+        report, _ = await _ask_once([partial])
+        assert (report['done'], report['counts']['partial']) == (1, 1)
+
+
+class TestWorkServer:
+    """Starts, slots and incarnations at a target."""
+
+    async def test_old_incarnation(self, path: Path) -> None:
+        """Guards against work for an agent that was replaced."""
+        new = pb.IncarnationToken(
+            service=_SERVICE,
+            target='collect-1',
+            incarnation=9,
+        )
+        old = pb.IncarnationToken(
+            service=_SERVICE,
+            target='collect-1',
+            incarnation=8,
+        )
+        channel = Channel(*parse_address(path.rpc))
+        stub = WorkStub(channel)
+        assert (await stub.Register(new)).accepted
+        assert not (await stub.Register(old)).accepted
+        request = pb.WorkRequest(token=old, key='k', attempt=1)
+        parts = await stub.Run(request)
+        assert parts[-1].refused
+        request = pb.WorkRequest(token=new, key='k', attempt=1)
+        parts = await stub.Run(request)
+        channel.close()
+        content = b''.join(part.content for part in parts)
+        assert content == answer_content(
+            _SERVICE,
+            'k',
+            WorkBody().answer_bytes,
+        )
+        async with (
+            ClientSession(f'http://{path.control}') as session,
+            session.get('/ran') as answer,
+        ):
+            ran = (await answer.json())['ran']
+        assert [start['incarnation'] for start in ran['k']] == [9]
