--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/flows/effects.py
@@ -0,0 +1,76 @@
+"""Effects that the decision code of flows returns."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from trefoilhaven_core.flows.messages import FlowKey, FlowPacket, FlowsEnded
+
+
+class ResetReason(Enum):
+    """Why a flow is ended by the system."""
+
+    lost = 'flow is not known to the owner of its bucket'
+    target_lost = 'target is lost'
+    holder_restarted = 'holder was restarted'
+    no_target = 'no target takes new flows'
+    connection_limit = 'connection limit is reached'
+    idle = 'idle timeout'
+
+
+class DropReason(Enum):
+    """Why a packet is dropped."""
+
+    wrong_service = 'packet of another service'
+    malformed = 'answer or reset on the way to a target'
+    hop_limit = 'hop limit is reached'
+    no_owner = 'no owner is known'
+    queue_full = 'queue of the bucket is full'
+    queue_timeout = 'bucket was not acquired in time'
+    flow_ended = 'flow has ended'
+    holder_silent = 'holder may be a silent sibling'
+    no_lease = 'no lease to decide that the flow is lost'
+
+
+class Deliver(NamedTuple):
+    """Hand a payload to the target; ``is_new`` opens the connection."""
+
+    flow: FlowKey
+    payload: bytes
+    is_new: bool
+    is_last: bool = False
+
+
+class Forward(NamedTuple):
+    """Send a packet to the agent of another target."""
+
+    target: str
+    packet: FlowPacket
+
+
+class SendReset(NamedTuple):
+    """Tell the caller that its flow has ended."""
+
+    flow: FlowKey
+    reason: ResetReason
+
+
+class Hold(NamedTuple):
+    """The packet waits until its bucket is acquired."""
+
+    bucket: int
+
+
+class Dropped(NamedTuple):
+    """The packet was dropped."""
+
+    reason: DropReason
+
+
+class SendEnded(NamedTuple):
+    """Tell the owner of some buckets which flows have ended."""
+
+    target: str
+    message: FlowsEnded
+
+
+Effect = Deliver | Forward | SendReset | Hold | Dropped | SendEnded
--- a/packages/core/src/trefoilhaven_core/flows/messages.py
+++ b/packages/core/src/trefoilhaven_core/flows/messages.py
@@ -39,3 +39,15 @@
     hops: int
     incarnation: int
     payload: bytes
+
+
+class FlowsEnded(NamedTuple):
+    """Tells the owner of buckets that flows it knows of have ended.
+
+    ``items`` holds pairs of bucket and item hash.
+    """
+
+    service: str
+    holder: str
+    incarnation: int
+    items: tuple[tuple[int, int], ...]
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/flows/queues.py
@@ -0,0 +1,60 @@
+"""Packets that wait for the acquisition of their bucket."""
+
+from collections import deque
+from collections.abc import Collection
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.flows.messages import FlowPacket
+
+# Packets that wait for one bucket; 64 packets of 1,400 bytes in 150 buckets
+# stay below 14 MB.
+QUEUE_LIMIT: Final = 64
+
+# Longest wait for an acquisition, in seconds. Callers retransmit after it.
+QUEUE_TIMEOUT_S: Final = 1.0
+
+
+class _Waiting(NamedTuple):
+    packet: FlowPacket
+    deadline: float
+
+
+class HoldingQueues:
+    """One bounded first-in-first-out queue for each bucket."""
+
+    def __init__(self) -> None:
+        """Start with no packets."""
+        self._queues: dict[int, deque[_Waiting]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of waiting packets."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def buckets(self) -> Collection[int]:
+        """Return the buckets that packets wait for."""
+        return tuple(self._queues)
+
+    def put(self, now: float, bucket: int, packet: FlowPacket) -> bool:
+        """Queue a packet; return False when the queue is full."""
+        queue = self._queues.setdefault(bucket, deque())
+        if len(queue) >= QUEUE_LIMIT:
+            return False
+        queue.append(_Waiting(packet, now + QUEUE_TIMEOUT_S))
+        return True
+
+    def expire(self, now: float) -> int:
+        """Drop the packets that waited too long; return their number."""
+        expired = 0
+        for bucket in tuple(self._queues):
+            queue = self._queues[bucket]
+            while queue and queue[0].deadline <= now:
+                queue.popleft()
+                expired += 1
+            if not queue:
+                self._queues.pop(bucket)
+        return expired
+
+    def take(self, bucket: int) -> list[FlowPacket]:
+        """Remove and return the packets of a bucket, oldest first."""
+        queue = self._queues.pop(bucket, ())
+        return [waiting.packet for waiting in queue]
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/flows/resolvers.py
@@ -0,0 +1,174 @@
+"""Where a packet of a flow goes that the agent does not hold."""
+
+import logging
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.flows.counters import FlowCounters
+from trefoilhaven_core.flows.effects import (
+    Dropped,
+    DropReason,
+    Forward,
+    Hold,
+    ResetReason,
+    SendReset,
+)
+from trefoilhaven_core.flows.held import item_of
+from trefoilhaven_core.flows.messages import FlowMark, FlowPacket
+from trefoilhaven_core.flows.placement import Placement
+from trefoilhaven_core.membership.messages import Load
+from trefoilhaven_core.ownership.claims import BucketOwnership
+from trefoilhaven_core.ownership.effects import Standing
+from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
+from trefoilhaven_core.routing.tables import bucket_of
+
+_logger = logging.getLogger(__name__)
+
+# Agents that a packet may pass. A change of view takes it over the old and
+# the new owner to the holder; more than that is a loop.
+HOP_LIMIT: Final = 6
+
+Loads = Mapping[str, Load]
+
+
+class Admit(NamedTuple):
+    """The agent itself serves the flow."""
+
+
+Resolution = Admit | Forward | SendReset | Hold | Dropped
+
+
+class OwnTarget(NamedTuple):
+    """What the agent's own target can take."""
+
+    open_flows: int
+    accepts_flows: bool
+    is_cold: bool
+
+
+class Resolver:
+    """Decides about packets of flows that are not held here."""
+
+    def __init__(
+        self,
+        service: str,
+        buckets: int,
+        connection_limit: int,
+        counters: FlowCounters,
+    ) -> None:
+        """Count lost and redirected flows in the table's counters."""
+        self._service = service
+        self._buckets = buckets
+        self._limit = connection_limit
+        self._counters = counters
+        self._placement = Placement(connection_limit)
+
+    def resolve(
+        self,
+        now: float,
+        packet: FlowPacket,
+        ownership: BucketOwnership,
+        loads: Loads,
+        own: OwnTarget,
+    ) -> Resolution:
+        """Return what to do with a packet."""
+        item = item_of(self._service, packet.flow)
+        bucket = bucket_of(item, self._buckets)
+        standing = ownership.standing(bucket)
+        if standing is Standing.acquiring:
+            return Hold(bucket)
+        if standing is Standing.elsewhere:
+            return _forward(ownership.owner_hint(bucket), packet)
+        entry = _find(ownership, bucket, item)
+        if entry is not None:
+            return _pass_to_holder(packet, entry)
+        if not ownership.lease.may_decide(now):
+            return Hold(bucket)
+        if not packet.marks & FlowMark.first:
+            return self._lose(now, packet, bucket, ownership)
+        sibling = self._choose_sibling(ownership, loads, own)
+        if sibling is None:
+            return self._admit_or_refuse(packet, own)
+        entry = _entry(ownership, bucket, item, sibling)
+        ownership.directory.note(entry)
+        self._counters.redirected += 1
+        return _pass_to_holder(packet, entry)
+
+    def _choose_sibling(
+        self, ownership: BucketOwnership, loads: Loads, own: OwnTarget
+    ) -> str | None:
+        is_full = own.open_flows >= self._limit
+        siblings = ownership.siblings
+        return self._placement.choose_sibling(
+            own.open_flows,
+            is_full or own.is_cold or not own.accepts_flows,
+            filter(siblings.is_eligible, siblings.names),
+            loads,
+        )
+
+    def _admit_or_refuse(
+        self, packet: FlowPacket, own: OwnTarget
+    ) -> Admit | SendReset:
+        if not own.accepts_flows:
+            return SendReset(packet.flow, ResetReason.no_target)
+        if own.open_flows >= self._limit:
+            return SendReset(packet.flow, ResetReason.connection_limit)
+        return Admit()
+
+    def _lose(
+        self,
+        now: float,
+        packet: FlowPacket,
+        bucket: int,
+        ownership: BucketOwnership,
+    ) -> SendReset | Dropped:
+        if packet.marks & FlowMark.reset:
+            return Dropped(DropReason.flow_ended)
+        if not ownership.is_complete(bucket):
+            return Dropped(DropReason.holder_silent)
+        if not ownership.lease.is_valid(now):
+            return Dropped(DropReason.no_lease)
+        self._counters.broken += 1
+        _logger.warning('%s in bucket %d is lost', packet.flow, bucket)
+        return SendReset(packet.flow, ResetReason.lost)
+
+
+def _find(
+    ownership: BucketOwnership, bucket: int, item: int
+) -> DirectoryEntry | None:
+    entry = ownership.directory.find(bucket, item)
+    if entry is None or entry.kind is not ItemKind.flow:
+        return None
+    known = ownership.siblings.incarnation_of(entry.holder)
+    if known and known <= entry.holder_incarnation:
+        return entry
+    # The holder restarted or left the registry, and its flows with it.
+    ownership.directory.forget(bucket, item)
+    return None
+
+
+def _entry(
+    ownership: BucketOwnership, bucket: int, item: int, holder: str
+) -> DirectoryEntry:
+    incarnation = ownership.siblings.incarnation_of(holder)
+    return DirectoryEntry(
+        bucket, item, ItemKind.flow, holder, incarnation, 0, 0
+    )
+
+
+def _pass_to_holder(
+    packet: FlowPacket, entry: DirectoryEntry
+) -> Forward | Dropped:
+    marked = packet._replace(
+        marks=packet.marks | FlowMark.placed,
+        incarnation=entry.holder_incarnation,
+    )
+    return _forward(entry.holder, marked)
+
+
+def _forward(target: str | None, packet: FlowPacket) -> Forward | Dropped:
+    if target is None:
+        return Dropped(DropReason.no_owner)
+    if packet.hops >= HOP_LIMIT:
+        return Dropped(DropReason.hop_limit)
+    return Forward(target, packet._replace(hops=packet.hops + 1))
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/flows/tables.py
@@ -0,0 +1,253 @@
+"""The flow table of an agent: where each packet of a flow goes."""
+
+from collections.abc import Collection
+from typing import Final
+
+from trefoilhaven_core.flows.counters import FlowCounters
+from trefoilhaven_core.flows.effects import (
+    Deliver,
+    Dropped,
+    DropReason,
+    Effect,
+    Forward,
+    Hold,
+    ResetReason,
+    SendReset,
+)
+from trefoilhaven_core.flows.held import HeldFlows
+from trefoilhaven_core.flows.messages import (
+    FlowKey,
+    FlowMark,
+    FlowPacket,
+    FlowsEnded,
+)
+from trefoilhaven_core.flows.queues import HoldingQueues
+from trefoilhaven_core.flows.resolvers import (
+    Admit,
+    Loads,
+    OwnTarget,
+    Resolver,
+)
+from trefoilhaven_core.ownership.claims import BucketOwnership
+from trefoilhaven_core.ownership.effects import Standing
+from trefoilhaven_core.ownership.messages import DirectoryEntry
+from trefoilhaven_core.routing.tables import BUCKET_COUNT
+
+# Defaults of the service file, in seconds and flows.
+IDLE_TIMEOUT_S: Final = 3600
+CONNECTION_LIMIT: Final = 2000
+
+_ENDING: Final = FlowMark.last | FlowMark.reset
+
+
+class FlowTable:
+    """Open flows of one target, and the decision about every packet.
+
+    The agent sets ``is_draining`` at once when its target drains, before
+    any view says so, and ``is_cold`` while the target warms up.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        target: str,
+        incarnation: int,
+        buckets: int = BUCKET_COUNT,
+        connection_limit: int = CONNECTION_LIMIT,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+    ) -> None:
+        """Start without flows."""
+        self.is_draining = False
+        self.target_lost = False
+        self.is_cold = False
+        self.counters = FlowCounters()
+        self._service = service
+        self._incarnation = incarnation
+        self._resolver = Resolver(
+            service, buckets, connection_limit, self.counters
+        )
+        self._queues = HoldingQueues()
+        self._held = HeldFlows(
+            service, target, incarnation, buckets, idle_timeout_s
+        )
+
+    def __len__(self) -> int:
+        """Return the number of open flows."""
+        return len(self._held)
+
+    def on_packet(
+        self,
+        now: float,
+        packet: FlowPacket,
+        ownership: BucketOwnership,
+        loads: Loads,
+    ) -> list[Effect]:
+        """Decide about a packet.
+
+        ``loads`` are those of the siblings by target, as the heartbeat
+        acknowledgements brought them.
+        """
+        if packet.service != self._service:
+            self.counters.refused_service += 1
+            return [Dropped(DropReason.wrong_service)]
+        if packet.marks & FlowMark.answer:
+            return self._drop(DropReason.malformed)
+        if self._held.is_open(packet.flow):
+            return self._deliver(now, packet, is_new=False)
+        if self._held.has_ended(packet.flow):
+            return self._drop(DropReason.flow_ended)
+        if packet.marks & FlowMark.placed:
+            return self._admit_placed(now, packet)
+        return self._resolve(now, packet, ownership, loads)
+
+    def on_answer(
+        self, now: float, flow: FlowKey, payload: bytes, is_last: bool = False
+    ) -> FlowPacket | None:
+        """Return the packet to the fabric for an answer of the target.
+
+        None is returned when the flow is not open.
+        """
+        if not self._held.is_open(flow):
+            return None
+        self._held.touch(now, flow)
+        marks = FlowMark.answer
+        if is_last:
+            marks |= FlowMark.last
+            self._end(now, flow)
+        return FlowPacket(self._service, flow, marks, 0, 0, payload)
+
+    def on_acquired(
+        self,
+        now: float,
+        buckets: Collection[int],
+        ownership: BucketOwnership,
+        loads: Loads,
+    ) -> list[Effect]:
+        """Decide about the packets that waited for some buckets."""
+        return [
+            effect
+            for bucket in buckets
+            for packet in self._queues.take(bucket)
+            for effect in self.on_packet(now, packet, ownership, loads)
+        ]
+
+    def on_ended(self, notice: FlowsEnded, ownership: BucketOwnership) -> None:
+        """Remove ended flows of a sibling from the directory."""
+        if notice.service != self._service:
+            self.counters.refused_service += 1
+            return
+        for bucket, item in notice.items:
+            entry = ownership.directory.find(bucket, item)
+            if entry is not None and entry.holder == notice.holder:
+                ownership.directory.forget(bucket, item)
+
+    def on_target_lost(self, now: float) -> list[Effect]:
+        """Reset all flows, because the target's process is gone."""
+        self.target_lost = True
+        flows = self._held.open_flows()
+        for flow in flows:
+            self._end(now, flow)
+        self.counters.reset += len(flows)
+        return [SendReset(flow, ResetReason.target_lost) for flow in flows]
+
+    def tick(
+        self, now: float, ownership: BucketOwnership, loads: Loads
+    ) -> list[Effect]:
+        """End idle flows and decide about packets that need not wait."""
+        effects: list[Effect] = []
+        for flow in self._held.idle(now):
+            self._end(now, flow)
+            self.counters.reset += 1
+            effects.append(SendReset(flow, ResetReason.idle))
+        expired = self._queues.expire(now)
+        self.counters.dropped += expired
+        effects.extend([Dropped(DropReason.queue_timeout)] * expired)
+        ready = [
+            bucket
+            for bucket in self._queues.buckets()
+            if self._is_ready(now, bucket, ownership)
+        ]
+        effects.extend(self.on_acquired(now, ready, ownership, loads))
+        effects.extend(self._held.forget_ended(now, ownership))
+        return effects
+
+    def items(self, buckets: Collection[int]) -> list[DirectoryEntry]:
+        """Return the entries of the flows that are held in some buckets.
+
+        Flows that ended a short time ago are among them, since their late
+        packets must reach this agent to be dropped quietly.
+        """
+        return self._held.items(frozenset(buckets))
+
+    def _resolve(
+        self,
+        now: float,
+        packet: FlowPacket,
+        ownership: BucketOwnership,
+        loads: Loads,
+    ) -> list[Effect]:
+        leaves = self.is_draining or ownership.siblings.is_draining()
+        own = OwnTarget(
+            len(self), not (leaves or self.target_lost), self.is_cold
+        )
+        resolution = self._resolver.resolve(now, packet, ownership, loads, own)
+        if isinstance(resolution, Admit):
+            return self._admit(now, packet)
+        if isinstance(resolution, Hold):
+            return self._hold(now, resolution, packet)
+        return self._count(resolution)
+
+    def _admit_placed(self, now: float, packet: FlowPacket) -> list[Effect]:
+        if packet.incarnation != self._incarnation:
+            return self._count(
+                SendReset(packet.flow, ResetReason.holder_restarted)
+            )
+        if self.target_lost:
+            return self._count(SendReset(packet.flow, ResetReason.target_lost))
+        self.counters.admitted_placed += 1
+        return self._admit(now, packet)
+
+    def _admit(self, now: float, packet: FlowPacket) -> list[Effect]:
+        self._held.open(now, packet.flow)
+        self.counters.opened += 1
+        return self._deliver(now, packet, is_new=True)
+
+    def _deliver(
+        self, now: float, packet: FlowPacket, is_new: bool
+    ) -> list[Effect]:
+        is_last = bool(packet.marks & _ENDING)
+        self._held.touch(now, packet.flow)
+        if is_last:
+            self._end(now, packet.flow)
+        return [Deliver(packet.flow, packet.payload, is_new, is_last)]
+
+    def _end(self, now: float, flow: FlowKey) -> None:
+        self._held.end(now, flow)
+        self.counters.ended += 1
+
+    def _hold(self, now: float, hold: Hold, packet: FlowPacket) -> list[Effect]:
+        if not self._queues.put(now, hold.bucket, packet):
+            return self._drop(DropReason.queue_full)
+        self.counters.held += 1
+        return [hold]
+
+    def _is_ready(
+        self, now: float, bucket: int, ownership: BucketOwnership
+    ) -> bool:
+        standing = ownership.standing(bucket)
+        if standing is Standing.owned:
+            return ownership.lease.may_decide(now)
+        return standing is Standing.elsewhere
+
+    def _count(self, resolution: Forward | SendReset | Dropped) -> list[Effect]:
+        if isinstance(resolution, Forward):
+            self.counters.forwarded += 1
+        elif isinstance(resolution, Dropped):
+            self.counters.dropped += 1
+        elif resolution.reason is not ResetReason.lost:
+            self.counters.refused += 1
+        return [resolution]
+
+    def _drop(self, reason: DropReason) -> list[Effect]:
+        self.counters.dropped += 1
+        return [Dropped(reason)]
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/buckets.py
@@ -0,0 +1,105 @@
+"""State of one bucket in one agent, and what the agent ceded."""
+
+from typing import NamedTuple
+
+from trefoilhaven_core.ownership.fences import Epoch
+from trefoilhaven_core.ownership.messages import DirectoryEntry
+
+
+class Cession(NamedTuple):
+    """What was handed over with a bucket, kept for a repeated claim.
+
+    ``horizon`` is None when the agent held no valid lease at that time,
+    since another agent may have owned the bucket in between.
+    """
+
+    claimant: str
+    epoch: Epoch
+    claim_id: int
+    horizon: float | None
+    entries: tuple[DirectoryEntry, ...]
+
+
+class BucketState:
+    """What an agent knows about one bucket.
+
+    ``claim_id`` is 0 until a claim is made and after the bucket was
+    granted to a sibling. ``inherited`` is the horizon of a cession that
+    arrived before the acquisition. ``missing`` names fenced siblings whose
+    items are unknown. ``granted_ids`` holds the last claim granted to each
+    sibling.
+    """
+
+    __slots__ = (
+        'ceded',
+        'claim_id',
+        'claiming',
+        'denied',
+        'granted_ids',
+        'grants',
+        'hint',
+        'horizon',
+        'inherited',
+        'missing',
+        'owned',
+        'round_number',
+        'round_started',
+    )
+
+    def __init__(self) -> None:
+        """Start as a bucket that some other agent may own."""
+        self.owned = False
+        self.claiming = False
+        self.denied = False
+        self.claim_id = 0
+        self.round_number = 0
+        self.round_started = float(0)
+        self.horizon = float(0)
+        self.inherited: float | None = None
+        self.hint: str | None = None
+        self.ceded: Cession | None = None
+        self.grants: dict[str, Epoch] = {}
+        self.missing: set[str] = set()
+        self.granted_ids: dict[str, int] = {}
+
+    def begin(self, now: float, claim_id: int) -> None:
+        """Start a claim, or the next round of one that was never granted.
+
+        The claim id stays when the agent neither owned nor granted the
+        bucket since, so that a cession whose reply was lost is repeated.
+        """
+        self.claiming = True
+        self.claim_id = self.claim_id or claim_id
+        self.next_round(now)
+
+    def next_round(self, now: float) -> None:
+        """Ask all siblings again, as their earlier items may be outdated."""
+        self.round_number += 1
+        self.round_started = now
+        self.grants.clear()
+        self.denied = False
+
+    def pause_claim(self) -> None:
+        """Stop the claim but keep what was ceded to it."""
+        self.claiming = False
+        self.denied = False
+        self.grants.clear()
+
+    def release(self) -> None:
+        """Give up ownership and claim, and forget what was inherited."""
+        self.pause_claim()
+        self.owned = False
+        self.claim_id = 0
+        self.round_number = 0
+        self.inherited = None
+        self.missing.clear()
+
+    def acquire(self, horizon: float) -> None:
+        """Become the owner; the claim id stays for late replies."""
+        self.pause_claim()
+        self.owned = True
+        self.horizon = horizon
+        self.inherited = None
+        self.hint = None
+        # A remembered cession is older than this ownership.
+        self.ceded = None
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/claimants.py
@@ -0,0 +1,297 @@
+"""The claiming side of an agent: rounds, grants and acquisition."""
+
+from collections.abc import Collection
+from typing import Final
+
+from trefoilhaven_core.ownership.buckets import BucketState
+from trefoilhaven_core.ownership.directories import (
+    Directory,
+    without_holder,
+)
+from trefoilhaven_core.ownership.effects import SendClaim, SendFence
+from trefoilhaven_core.ownership.fences import Epoch, FenceBook
+from trefoilhaven_core.ownership.messages import ClaimBuckets, ClaimReply
+from trefoilhaven_core.ownership.siblings import Siblings
+
+# Time after which an unanswered or denied claim is repeated, in seconds.
+RETRY_S: Final = 0.2
+
+# Largest difference between the wall clocks of callers and agents, in
+# seconds.
+CLOCK_ERROR_S: Final = 0.25
+
+# A registered sibling that no witness has reported for this time is fenced
+# like a dead one, in seconds.
+ABSENT_S: Final = 5
+
+# A sibling that was dead for this time has lost its flows, in seconds. A
+# paused target that wakes earlier keeps them.
+HOLDER_LOST_S: Final = 10
+
+# A sibling may have been fenced unnoticed in a round older than this, in
+# seconds: the lease time plus the margin for clock rates.
+_FENCE_S: Final = 2.5
+
+# Claim ids start at the incarnation in milliseconds times this number, so
+# that they rise over restarts.
+_IDS_PER_MILLISECOND: Final = 1024
+
+
+class Claimant:
+    """Claims of one agent that are in progress."""
+
+    def __init__(
+        self,
+        service: str,
+        target: str,
+        states: list[BucketState],
+        directory: Directory,
+        siblings: Siblings,
+        fences: FenceBook,
+        epoch: Epoch,
+    ) -> None:
+        """Work on the bucket states and the directory of an agent."""
+        self.epoch = epoch
+        self.pending: set[int] = set()
+        self._service = service
+        self._target = target
+        self._states = states
+        self._directory = directory
+        self._siblings = siblings
+        self._fences = fences
+        self._incomplete: set[int] = set()
+        self._heard: set[str] = set()
+        self._last_claim_id = epoch.incarnation * _IDS_PER_MILLISECOND
+        self._asked_at: dict[str, float] = {}
+        self._fenced_at: dict[str, float] = {}
+
+    def follow_table(self, now: float) -> None:
+        """Claim what the table names and stop the other claims.
+
+        A bucket that the agent owns stays owned until it is claimed.
+        """
+        named = self._siblings.named_buckets
+        for bucket in self.pending - named:
+            self._states[bucket].pause_claim()
+        self.pending &= named
+        new = [
+            bucket
+            for bucket in named - self.pending
+            if not self._states[bucket].owned
+        ]
+        if not new:
+            return
+        self._last_claim_id += 1
+        for bucket in new:
+            self._states[bucket].begin(now, self._last_claim_id)
+        self.pending.update(new)
+        self._asked_at.clear()
+
+    def refresh(self) -> None:
+        """Leave out claims that ended because the bucket was granted."""
+        self.pending = {
+            bucket for bucket in self.pending if self._states[bucket].claiming
+        }
+        self._incomplete = {
+            bucket
+            for bucket in self._incomplete
+            if self._states[bucket].missing
+        }
+
+    def learn(
+        self, now: float, target: str, epoch: Epoch, heard: bool = True
+    ) -> None:
+        """Note the epoch of a sibling.
+
+        A sibling with a newer epoch may have owned buckets under the older
+        one without ceding them. The items that the others reported before
+        may then be incomplete, so all claims ask again. The first message
+        of a sibling needs this for old rounds only.
+        """
+        known = self._fences.epoch(target)
+        self._fences.learn(target, epoch)
+        is_first = target not in self._heard
+        if heard:
+            self._heard.add(target)
+        if known is None or epoch <= known:
+            return
+        restarted = epoch.incarnation > known.incarnation
+        if restarted:
+            self._directory.drop_holder(target, epoch.incarnation - 1)
+        unnoticed = is_first and not restarted
+        self.restart_rounds(now, older_than=_FENCE_S if unnoticed else 0)
+
+    def restart_rounds(
+        self, now: float, lacking: str | None = None, older_than: float = 0
+    ) -> None:
+        """Ask all siblings again about the pending buckets.
+
+        With ``lacking`` only the buckets that this sibling has not granted
+        are asked again.
+        """
+        for bucket in self.pending:
+            state = self._states[bucket]
+            is_old = now - state.round_started >= older_than
+            if is_old and lacking not in state.grants:
+                state.next_round(now)
+        self._asked_at.clear()
+
+    def take(self, reply: ClaimReply, epoch: Epoch) -> None:
+        """Count a reply; grants of dropped claims are not counted."""
+        valid = {
+            bucket
+            for bucket in reply.granted
+            if self._is_current(bucket, reply.claim_id)
+        }
+        entries = without_holder(reply.entries, self._target)
+        self._directory.merge(
+            (entry for entry in entries if entry.bucket in valid),
+            reply.sibling,
+        )
+        for bucket in valid:
+            state = self._states[bucket]
+            state.missing.discard(reply.sibling)
+            if state.claiming and state.round_number == reply.round_number:
+                state.grants[reply.sibling] = epoch
+                state.denied = False
+        self._take_horizons(reply, valid)
+        for bucket in reply.owned:
+            self._take_denial(bucket, reply)
+        self.refresh()
+
+    def acquire(self, wall: float, buckets: Collection[int]) -> tuple[int, ...]:
+        """Acquire the buckets that every sibling granted; return them."""
+        acquired = tuple(
+            sorted(
+                bucket
+                for bucket in buckets
+                if bucket in self.pending and self._is_granted(bucket)
+            )
+        )
+        for bucket in acquired:
+            state = self._states[bucket]
+            missing = set(self._siblings.names).difference(state.grants)
+            inherited = state.inherited
+            state.acquire(
+                wall + CLOCK_ERROR_S if inherited is None else inherited
+            )
+            state.missing = missing
+            if missing:
+                self._incomplete.add(bucket)
+        self.pending.difference_update(acquired)
+        return acquired
+
+    def claims(self, now: float) -> list[SendClaim]:
+        """Return the claims that are due, one message for each sibling.
+
+        Buckets whose claims began at different times have different ids
+        and need a message of their own.
+        """
+        effects: list[SendClaim] = []
+        for sibling in self._siblings.names:
+            asked_at = self._asked_at.get(sibling)
+            if asked_at is not None and now - asked_at < RETRY_S:
+                continue
+            due = self._claims_to(sibling)
+            if due:
+                self._asked_at[sibling] = now
+                effects.extend(SendClaim(sibling, claim) for claim in due)
+        return effects
+
+    def fence_requests(self, now: float) -> list[SendFence]:
+        """Return the fence requests that are due."""
+        effects = []
+        for sibling in self._siblings.names:
+            asked_at = self._fenced_at.get(sibling)
+            is_due = asked_at is None or now - asked_at >= RETRY_S
+            if is_due and self._needs_fence(now, sibling):
+                self._fenced_at[sibling] = now
+                request = self._fences.request(sibling, self._target)
+                effects.append(SendFence(request))
+        return effects
+
+    def drop_lost_holders(self, now: float) -> None:
+        """Forget what siblings held that were dead for a long time."""
+        for sibling in self._siblings.names:
+            is_gone = self._siblings.is_gone(sibling)
+            silent_s = self._siblings.silent_s(now, sibling)
+            if is_gone and silent_s >= HOLDER_LOST_S:
+                self._directory.drop_holder(
+                    sibling, self._siblings.incarnation_of(sibling)
+                )
+                for bucket in self._incomplete:
+                    self._states[bucket].missing.discard(sibling)
+        self.refresh()
+
+    def _claims_to(self, sibling: str) -> list[ClaimBuckets]:
+        groups: dict[tuple[int, int], list[int]] = {}
+        for bucket in self._asked_of(sibling):
+            state = self._states[bucket]
+            key = (state.claim_id, state.round_number)
+            groups.setdefault(key, []).append(bucket)
+        return [
+            ClaimBuckets(
+                self._service,
+                self._target,
+                self.epoch.incarnation,
+                self.epoch.term,
+                claim_id,
+                round_number,
+                self._siblings.registry_version,
+                tuple(sorted(buckets)),
+            )
+            for (claim_id, round_number), buckets in groups.items()
+        ]
+
+    def _asked_of(self, sibling: str) -> list[int]:
+        gone = self._siblings.is_gone(sibling)
+        asked: list[int] = []
+        if not (gone and self._fences.is_fenced(sibling)):
+            asked.extend(
+                bucket
+                for bucket in self.pending
+                if sibling not in self._states[bucket].grants
+            )
+        if not gone:
+            asked.extend(
+                bucket
+                for bucket in self._incomplete
+                if sibling in self._states[bucket].missing
+            )
+        return asked
+
+    def _is_current(self, bucket: int, claim_id: int) -> bool:
+        known = 0 <= bucket < len(self._states)
+        return known and self._states[bucket].claim_id == claim_id
+
+    def _is_granted(self, bucket: int) -> bool:
+        grants = self._states[bucket].grants
+        return all(
+            name in grants or self._fences.is_fenced(name)
+            for name in self._siblings.names
+        )
+
+    def _take_horizons(self, reply: ClaimReply, valid: set[int]) -> None:
+        for bucket, horizon in reply.ceded:
+            state = self._states[bucket]
+            if bucket in valid and not state.owned:
+                state.inherited = max(state.inherited or horizon, horizon)
+
+    def _take_denial(self, bucket: int, reply: ClaimReply) -> None:
+        if not self._is_current(bucket, reply.claim_id):
+            return
+        state = self._states[bucket]
+        if state.claiming and reply.sibling not in state.grants:
+            state.denied = True
+            state.hint = reply.sibling
+
+    def _needs_fence(self, now: float, sibling: str) -> bool:
+        if self._fences.is_fenced(sibling):
+            return False
+        silent_s = self._siblings.silent_s(now, sibling)
+        if not self._siblings.is_gone(sibling) and silent_s < ABSENT_S:
+            return False
+        return any(
+            sibling not in self._states[bucket].grants
+            for bucket in self.pending
+        )
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -0,0 +1,221 @@
+"""Exclusive ownership of the buckets of one service by one agent.
+
+An agent claims the buckets for which its table names it first. It owns a
+bucket when every registered sibling has granted the claim or is fenced.
+"""
+
+import logging
+from collections.abc import Collection
+
+from trefoilhaven_core.membership.messages import FenceVote, ServiceView
+from trefoilhaven_core.ownership.buckets import BucketState
+from trefoilhaven_core.ownership.claimants import Claimant
+from trefoilhaven_core.ownership.directories import Directory
+from trefoilhaven_core.ownership.effects import (
+    Acquired,
+    Effect,
+    Lost,
+    Standing,
+)
+from trefoilhaven_core.ownership.fences import Epoch, FenceBook
+from trefoilhaven_core.ownership.grants import (
+    Granter,
+    HeldItems,
+    empty_reply,
+)
+from trefoilhaven_core.ownership.leases import LeaseState
+from trefoilhaven_core.ownership.messages import ClaimBuckets, ClaimReply
+from trefoilhaven_core.ownership.siblings import Siblings
+from trefoilhaven_core.routing.tables import BUCKET_COUNT
+
+_logger = logging.getLogger(__name__)
+
+
+class BucketOwnership:
+    """State machine of one agent for all buckets of its service.
+
+    All times named ``now`` are monotonic seconds of the agent and times
+    named ``wall`` are Unix seconds. ``tick`` must be called at least every
+    100 ms, and at once after ``on_view`` and ``on_term``.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        target: str,
+        incarnation: int,
+        buckets: int = BUCKET_COUNT,
+        witnesses: Collection[str] = (),
+    ) -> None:
+        """Start without a view, owning nothing."""
+        self.directory = Directory()
+        self.lease = LeaseState()
+        self.siblings = Siblings(service, target, incarnation, buckets)
+        self._service = service
+        self._target = target
+        self._states = [BucketState() for _ in range(buckets)]
+        self._fences = FenceBook(service, witnesses)
+        self._granter = Granter(self._states, self.directory, self.siblings)
+        self._claimant = Claimant(
+            service,
+            target,
+            self._states,
+            self.directory,
+            self.siblings,
+            self._fences,
+            Epoch(incarnation, 0),
+        )
+        self._queued: list[Effect] = []
+
+    def on_lease(self, until: float) -> None:
+        """Note the end of the agent's own lease."""
+        self.lease.extend(until)
+
+    def on_view(self, now: float, view: ServiceView) -> list[Effect]:
+        """Take a view of the service and claim what the table names."""
+        if view.service != self._service:
+            return []
+        self.siblings.update(now, view)
+        for name, incarnation in self.siblings.incarnations.items():
+            epoch = Epoch(incarnation, 0)
+            self._claimant.learn(now, name, epoch, heard=False)
+        self._claimant.follow_table(now)
+        return self._requests(now)
+
+    def on_term(self, term: int) -> list[Effect]:
+        """Drop all ownership and claims, because the agent was fenced."""
+        if term <= self._claimant.epoch.term:
+            return []
+        self._claimant.epoch = self._claimant.epoch._replace(term=term)
+        self.lease.revoke()
+        lost = tuple(
+            bucket for bucket, state in enumerate(self._states) if state.owned
+        )
+        for state in self._states:
+            state.release()
+        self.directory.drop(range(len(self._states)))
+        self._claimant.refresh()
+        return [Lost(lost, None)] if lost else []
+
+    def on_claim(
+        self, now: float, claim: ClaimBuckets, items: HeldItems
+    ) -> ClaimReply:
+        """Answer a claim; ``items`` returns what the agent holds itself.
+
+        Buckets that are lost by this are reported by the next ``tick``.
+        """
+        epoch = Epoch(claim.incarnation, claim.term)
+        head = empty_reply(
+            claim, self._target, self._claimant.epoch, self._fences.seen()
+        )
+        foreign = claim.service != self._service
+        if foreign or self._fences.is_old(claim.claimant, epoch):
+            return head
+        self._claimant.learn(now, claim.claimant, epoch)
+        owned = [
+            bucket for bucket, state in enumerate(self._states) if state.owned
+        ]
+        leased = self.lease.is_valid(now)
+        reply = self._granter.answer(claim, leased, items, head)
+        self._claimant.refresh()
+        lost = tuple(
+            bucket for bucket in owned if not self._states[bucket].owned
+        )
+        if lost:
+            self._queued.append(Lost(lost, claim.claimant))
+        return reply
+
+    def on_reply(
+        self, now: float, wall: float, reply: ClaimReply
+    ) -> list[Effect]:
+        """Count a sibling's answer and acquire what is complete."""
+        epoch = Epoch(reply.incarnation, reply.term)
+        foreign = reply.service != self._service
+        if foreign or self._fences.is_old(reply.sibling, epoch):
+            return []
+        self._claimant.learn(now, reply.sibling, epoch)
+        for seen in reply.terms:
+            if seen.target != self._target:
+                epoch_seen = Epoch(seen.incarnation, seen.term)
+                self._claimant.learn(now, seen.target, epoch_seen)
+        self._claimant.take(reply, epoch)
+        return self._acquire(wall, reply.granted) + self._requests(now)
+
+    def on_fence_vote(
+        self, now: float, wall: float, vote: FenceVote
+    ) -> list[Effect]:
+        """Count a witness's vote.
+
+        A refusal that names a newer term teaches that term, so that the
+        next request asks for it.
+        """
+        if vote.service != self._service or vote.target == self._target:
+            return []
+        if not vote.agreed:
+            epoch = Epoch(vote.incarnation, vote.term)
+            self._claimant.learn(now, vote.target, epoch)
+        elif self._fences.add_vote(vote):
+            _logger.info('%s is fenced in %s', vote.target, self._service)
+            self._claimant.restart_rounds(now, lacking=vote.target)
+        acquired = self._acquire(wall, self._claimant.pending)
+        return acquired + self._requests(now)
+
+    def tick(self, now: float, wall: float) -> list[Effect]:
+        """Repeat claims and fence requests and acquire what is complete."""
+        self.lease.tick(now)
+        queued = self._queued
+        self._queued = []
+        self._claimant.drop_lost_holders(now)
+        self._claimant.follow_table(now)
+        acquired = self._acquire(wall, self._claimant.pending)
+        return queued + acquired + self._requests(now)
+
+    def standing(self, bucket: int) -> Standing:
+        """Return how the agent stands to a bucket.
+
+        A bucket whose claim was denied by its owner is elsewhere. A bucket
+        that the next ``tick`` will claim counts as being acquired.
+        """
+        state = self._states[bucket]
+        if state.owned:
+            return Standing.owned
+        if bucket in self.siblings.named_buckets and not state.denied:
+            return Standing.acquiring
+        return Standing.elsewhere
+
+    def owner_hint(self, bucket: int) -> str | None:
+        """Return the target that is believed to own a bucket."""
+        state = self._states[bucket]
+        if state.owned:
+            return self._target
+        hint = state.hint
+        if hint in self.siblings.names and not self.siblings.is_gone(hint):
+            return hint
+        first = self.siblings.table.first(bucket)
+        return None if first == self._target else first
+
+    def horizon(self, bucket: int) -> float:
+        """Return the Unix time from which all keys are known.
+
+        It is infinite for a bucket that the agent does not own.
+        """
+        state = self._states[bucket]
+        return state.horizon if state.owned else float('inf')
+
+    def is_complete(self, bucket: int) -> bool:
+        """Return whether the directory names all flows of a bucket.
+
+        It does not while a fenced sibling that may still live has not
+        reported the items that it holds.
+        """
+        return not self._states[bucket].missing
+
+    def _acquire(self, wall: float, buckets: Collection[int]) -> list[Effect]:
+        acquired = self._claimant.acquire(wall, buckets)
+        return [Acquired(acquired)] if acquired else []
+
+    def _requests(self, now: float) -> list[Effect]:
+        return [
+            *self._claimant.claims(now),
+            *self._claimant.fence_requests(now),
+        ]
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/effects.py
@@ -0,0 +1,48 @@
+"""Effects and states that the decision code of ownership returns."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from trefoilhaven_core.membership.messages import FenceRequest
+from trefoilhaven_core.ownership.messages import ClaimBuckets
+
+
+class Standing(Enum):
+    """How an agent stands to a bucket."""
+
+    owned = 'owned'
+    acquiring = 'acquiring'
+    elsewhere = 'elsewhere'
+
+
+class SendClaim(NamedTuple):
+    """Send a claim to the agent of a target."""
+
+    target: str
+    claim: ClaimBuckets
+
+
+class SendFence(NamedTuple):
+    """Send a fence request to all witnesses of the service."""
+
+    request: FenceRequest
+
+
+class Acquired(NamedTuple):
+    """The agent owns these buckets from now on."""
+
+    buckets: tuple[int, ...]
+
+
+class Lost(NamedTuple):
+    """The agent no longer owns these buckets.
+
+    ``new_owner`` is the claimant that they were ceded to, or None when the
+    agent was fenced.
+    """
+
+    buckets: tuple[int, ...]
+    new_owner: str | None
+
+
+Effect = SendClaim | SendFence | Acquired | Lost
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/grants.py
@@ -0,0 +1,172 @@
+"""Answers of an agent to the claims of its siblings."""
+
+from collections.abc import Callable, Collection, Iterable
+from enum import Enum
+
+from trefoilhaven_core.ownership.buckets import BucketState, Cession
+from trefoilhaven_core.ownership.directories import Directory
+from trefoilhaven_core.ownership.fences import Epoch
+from trefoilhaven_core.ownership.messages import (
+    Ceded,
+    ClaimBuckets,
+    ClaimReply,
+    DirectoryEntry,
+    SeenTerm,
+)
+from trefoilhaven_core.ownership.siblings import Siblings
+
+HeldItems = Callable[[Collection[int]], Iterable[DirectoryEntry]]
+
+
+class Verdict(Enum):
+    """Answer to a claim of one bucket."""
+
+    granted = 'granted'
+    owned = 'owned'
+    contested = 'contested'
+    ignored = 'ignored'
+
+
+class Granter:
+    """Grants, cedes or denies buckets and remembers the cessions."""
+
+    def __init__(
+        self,
+        states: list[BucketState],
+        directory: Directory,
+        siblings: Siblings,
+    ) -> None:
+        """Work on the bucket states and the directory of an agent."""
+        self._states = states
+        self._directory = directory
+        self._siblings = siblings
+
+    def judge(self, claim: ClaimBuckets, bucket: int) -> Verdict:
+        """Return the answer for one bucket without changing anything.
+
+        A claim that was granted before and arrives again is outdated when
+        the agent has owned the bucket since, because the claimant must have
+        dropped that claim first. A claim older than the last granted one is
+        outdated as well.
+        """
+        state = self._states[bucket]
+        last_granted = state.granted_ids.get(claim.claimant, 0)
+        if claim.claim_id < last_granted:
+            return Verdict.ignored
+        if claim.claim_id == last_granted:
+            return Verdict.ignored if state.owned else Verdict.granted
+        if state.owned:
+            first = self._siblings.table.first(bucket)
+            named = first == claim.claimant
+            return Verdict.granted if named else Verdict.owned
+        if state.claiming and bucket in self._siblings.named_buckets:
+            return Verdict.contested
+        return Verdict.granted
+
+    def answer(
+        self,
+        claim: ClaimBuckets,
+        leased: bool,
+        items: HeldItems,
+        head: ClaimReply,
+    ) -> ClaimReply:
+        """Return the reply to a claim and give up what it grants."""
+        verdicts: dict[Verdict, list[int]] = {}
+        for bucket in claim.buckets:
+            if 0 <= bucket < len(self._states):
+                verdict = self.judge(claim, bucket)
+                verdicts.setdefault(verdict, []).append(bucket)
+        granted = verdicts.get(Verdict.granted, [])
+        cessions = {
+            bucket: cession
+            for bucket in granted
+            if (cession := self.grant(claim, bucket, leased)) is not None
+        }
+        entries = [
+            entry for cession in cessions.values() for entry in cession.entries
+        ]
+        entries.extend(items(granted))
+        return head._replace(
+            granted=tuple(granted),
+            ceded=tuple(
+                Ceded(bucket, cession.horizon)
+                for bucket, cession in cessions.items()
+                if cession.horizon is not None
+            ),
+            owned=tuple(verdicts.get(Verdict.owned, ())),
+            contested=tuple(verdicts.get(Verdict.contested, ())),
+            entries=tuple(entries),
+        )
+
+    def grant(
+        self, claim: ClaimBuckets, bucket: int, leased: bool
+    ) -> Cession | None:
+        """Grant a bucket; return what is handed over with it.
+
+        The agent hands over a bucket that it owns, and also one that was
+        ceded to it while its own claim was not yet complete. Granting drops
+        the agent's own claim.
+        """
+        state = self._states[bucket]
+        state.hint = claim.claimant
+        if state.granted_ids.get(claim.claimant) == claim.claim_id:
+            return _repeat(state, claim)
+        state.granted_ids[claim.claimant] = claim.claim_id
+        if state.owned or state.inherited is not None:
+            state.ceded = self._hand_over(state, claim, bucket, leased)
+        elif state.ceded and state.ceded.claimant == claim.claimant:
+            state.ceded = None
+        self._directory.drop((bucket,))
+        state.release()
+        return _repeat(state, claim)
+
+    def _hand_over(
+        self,
+        state: BucketState,
+        claim: ClaimBuckets,
+        bucket: int,
+        leased: bool,
+    ) -> Cession:
+        horizon = state.horizon if state.owned else state.inherited
+        return Cession(
+            claim.claimant,
+            Epoch(claim.incarnation, claim.term),
+            claim.claim_id,
+            horizon if leased else None,
+            tuple(self._directory.entries((bucket,))),
+        )
+
+
+def empty_reply(
+    claim: ClaimBuckets,
+    sibling: str,
+    epoch: Epoch,
+    terms: tuple[SeenTerm, ...],
+) -> ClaimReply:
+    """Return a reply that answers no bucket."""
+    return ClaimReply(
+        claim.service,
+        sibling,
+        epoch.incarnation,
+        epoch.term,
+        claim.claim_id,
+        claim.round_number,
+        (),
+        (),
+        (),
+        (),
+        (),
+        terms,
+    )
+
+
+def _repeat(state: BucketState, claim: ClaimBuckets) -> Cession | None:
+    cession = state.ceded
+    if cession is None:
+        return None
+    asked = (
+        claim.claimant,
+        Epoch(claim.incarnation, claim.term),
+        claim.claim_id,
+    )
+    return cession if cession[:3] == asked else None
--- a/packages/core/src/trefoilhaven_core/ownership/messages.py
+++ b/packages/core/src/trefoilhaven_core/ownership/messages.py
@@ -30,14 +30,29 @@
     issued_at: float
 
 
+class SeenTerm(NamedTuple):
+    """Highest incarnation and term that an agent has seen of a target."""
+
+    target: str
+    incarnation: int
+    term: int
+
+
 class ClaimBuckets(NamedTuple):
-    """Asks a sibling for its permission to own some buckets."""
+    """Asks a sibling for its permission to own some buckets.
+
+    ``claim_id`` rises over all incarnations of the claimant and stays the
+    same until the claimant owns or grants the bucket. ``round_number``
+    rises when the claimant must ask all siblings again, because one of
+    them was fenced or restarted and the others may hold newer items.
+    """
 
     service: str
     claimant: str
     incarnation: int
     term: int
     claim_id: int
+    round_number: int
     registry_version: int
     buckets: tuple[int, ...]
 
@@ -54,15 +69,22 @@
 
 
 class ClaimReply(NamedTuple):
-    """A sibling's answer to a claim, for each bucket of the claim."""
+    """A sibling's answer to a claim, for each bucket of the claim.
+
+    ``incarnation`` and ``term`` are those of the sibling. ``terms`` lists
+    what the sibling has seen of other targets, so that a claimant that
+    joined later fences the right term.
+    """
 
     service: str
     sibling: str
     incarnation: int
     term: int
     claim_id: int
+    round_number: int
     granted: tuple[int, ...]
     ceded: tuple[Ceded, ...]
     owned: tuple[int, ...]
     contested: tuple[int, ...]
     entries: tuple[DirectoryEntry, ...]
+    terms: tuple[SeenTerm, ...] = ()
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
@@ -0,0 +1,249 @@
+"""Tests of claims, cessions and fences."""
+
+from trefoilhaven_core.membership.messages import MemberState
+from trefoilhaven_core.ownership.claims import BucketOwnership
+from trefoilhaven_core.ownership.effects import Acquired, Lost, Standing
+from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
+from trefoilhaven_core.ownership.tests.support import (
+    BUCKETS,
+    SERVICE,
+    WALL,
+    WITNESSES,
+    alive,
+    claims_in,
+    exchange,
+    fences_in,
+    make_ownership,
+    no_items,
+    view,
+    vote,
+)
+
+_ALL = tuple(range(BUCKETS))
+_BOTH = alive('t1', 't2')
+
+
+def _owned(agent: BucketOwnership) -> set[int]:
+    return {
+        bucket for bucket in _ALL if agent.standing(bucket) is Standing.owned
+    }
+
+
+def _sole_owner(target: str = 't1') -> BucketOwnership:
+    agent = make_ownership(target)
+    agent.on_view(0, alive(target))
+    agent.tick(0, WALL)
+    return agent
+
+
+def _shared() -> dict[str, BucketOwnership]:
+    agents = {name: make_ownership(name) for name in ('t1', 't2')}
+    for agent in agents.values():
+        exchange(agents, 0, agent.on_view(0, _BOTH))
+    for agent in agents.values():
+        exchange(agents, 1, agent.tick(1, WALL))
+    return agents
+
+
+class TestClaims:
+    """Claims between live agents."""
+
+    def test_sole_member(self) -> None:
+        """Guards against a lone agent that waits for nobody."""
+        agent = make_ownership('t1')
+        agent.on_view(0, alive('t1'))
+        assert Acquired(_ALL) in agent.tick(0, WALL)
+        assert agent.horizon(0) == WALL + 0.25
+
+    def test_unregistered(self) -> None:
+        """Guards against a claim of an agent that nobody would ask."""
+        agent = make_ownership('t1', incarnation=2)
+        assert not agent.on_view(0, alive('t1'))
+        assert not agent.tick(0, WALL)
+
+    def test_every_bucket_once(self) -> None:
+        """Guards against buckets with two owners or none."""
+        agents = _shared()
+        first, second = (_owned(agent) for agent in agents.values())
+        assert not first & second
+        assert first | second == set(_ALL)
+
+    def test_cession_hands_over(self) -> None:
+        """Guards against a hand-over without directory and horizon."""
+        old = _sole_owner()
+        entries = [
+            DirectoryEntry(bucket, 7, ItemKind.flow, 't3', 1, 0, 0)
+            for bucket in _ALL
+        ]
+        for entry in entries:
+            old.directory.note(entry)
+        new = make_ownership('t2')
+        agents = {'t1': old, 't2': new}
+        old.on_view(1, _BOTH)
+        exchange(agents, 2, new.on_view(2, _BOTH))
+        moved = _owned(new)
+        assert moved
+        assert all(new.directory.find(bucket, 7) for bucket in moved)
+        assert not any(old.directory.find(bucket, 7) for bucket in moved)
+        assert {new.horizon(bucket) for bucket in moved} == {WALL + 0.25}
+        assert Lost(tuple(sorted(moved)), 't2') in old.tick(2, WALL)
+
+    def test_owner_denies(self) -> None:
+        """Guards against a cession that the owner's view does not want."""
+        old = _sole_owner()
+        new = make_ownership('t2')
+        exchange({'t1': old, 't2': new}, 1, new.on_view(1, _BOTH))
+        assert not _owned(new)
+        bucket = min(new.siblings.named_buckets)
+        assert new.standing(bucket) is Standing.elsewhere
+        assert new.owner_hint(bucket) == 't1'
+
+    def test_lost_reply(self) -> None:
+        """Guards against a cession that is lost with its reply."""
+        old = _sole_owner()
+        old.on_view(1, _BOTH)
+        new = make_ownership('t2')
+        claim = claims_in(new.on_view(1, _BOTH))[0].claim
+        first = old.on_claim(1, claim, no_items)
+        repeated = claims_in(new.tick(1.3, WALL))[0].claim
+        assert repeated == claim
+        assert old.on_claim(1.3, repeated, no_items) == first
+        assert first.ceded
+
+    def test_no_repeat_for_new_term(self) -> None:
+        """Guards against an old directory for a claimant fenced since."""
+        old = _sole_owner()
+        old.on_view(1, _BOTH)
+        new = make_ownership('t2')
+        claim = claims_in(new.on_view(1, _BOTH))[0].claim
+        old.on_claim(1, claim, no_items)
+        later = claim._replace(term=1, claim_id=claim.claim_id + 1)
+        assert not old.on_claim(2, later, no_items).ceded
+        assert not old.on_claim(2, claim, no_items).granted
+
+    def test_late_duplicate_claim(self) -> None:
+        """Guards against a cession to a claim that its claimant dropped."""
+        agents = _shared()
+        claim = claims_in(make_ownership('t1').on_view(0, _BOTH))[0].claim
+        owner = agents['t2']
+        one = claim._replace(buckets=(min(_owned(owner)),))
+        owner.on_claim(2, one, no_items)
+        assert not owner.on_claim(2, one, no_items).ceded
+        assert one.buckets[0] in _owned(owner)
+
+    def test_late_reply_to_dropped_claim(self) -> None:
+        """Guards against ownership by a claim that was dropped."""
+        agents = {name: make_ownership(name) for name in ('t1', 't2')}
+        claim = claims_in(agents['t1'].on_view(0, _BOTH))[0].claim
+        reply = agents['t2'].on_claim(0, claim, no_items)
+        agents['t1'].on_term(1)
+        agents['t1'].on_reply(1, WALL, reply)
+        assert not _owned(agents['t1'])
+
+    def test_contested(self) -> None:
+        """Guards against two views that both name their own agent."""
+        agents = {name: make_ownership(name) for name in ('t1', 't2')}
+        both = {'t1': MemberState.alive, 't2': MemberState.alive}
+        draining = MemberState.draining
+        first = agents['t1'].on_view(0, view({**both, 't2': draining}))
+        second = agents['t2'].on_view(0, view({**both, 't1': draining}))
+        replies = exchange(agents, 0, [*first, *second])
+        assert all(reply.contested == _ALL for reply in replies)
+
+    def test_unleased_cession_has_no_horizon(self) -> None:
+        """Guards against the horizon of an owner that was paused."""
+        old = _sole_owner()
+        old.on_view(1, _BOTH)
+        old.on_lease(2)
+        new = make_ownership('t2')
+        claim = claims_in(new.on_view(3, _BOTH))[0].claim
+        reply = old.on_claim(3, claim, no_items)
+        assert reply.granted
+        assert not reply.ceded
+
+    def test_other_service(self) -> None:
+        """Guards against buckets granted to another service's agent."""
+        old = _sole_owner()
+        old.on_view(1, _BOTH)
+        claim = claims_in(make_ownership('t2').on_view(1, _BOTH))[0].claim
+        reply = old.on_claim(1, claim._replace(service='certify'), no_items)
+        assert not reply.granted
+        assert len(_owned(old)) == BUCKETS
+
+
+class TestFences:
+    """Claims that a dead sibling can't answer."""
+
+    _dead = view({'t1': MemberState.alive, 't2': MemberState.dead})
+
+    def test_majority(self) -> None:
+        """Guards against ownership without a proof of the fence."""
+        agent = make_ownership('t1')
+        assert fences_in(agent.on_view(0, self._dead))
+        agent.on_fence_vote(1, WALL, vote('t2', WITNESSES[0]))
+        agent.on_fence_vote(1, WALL, vote('t2', WITNESSES[0]))
+        agent.on_fence_vote(1, WALL, vote('t2', 'entry-9'))
+        agent.on_fence_vote(1, WALL, vote('t2', WITNESSES[1], agreed=False))
+        assert not _owned(agent)
+        effects = agent.on_fence_vote(1, WALL, vote('t2', WITNESSES[2]))
+        assert Acquired(_ALL) in effects
+
+    def test_newer_term(self) -> None:
+        """Guards against a fence of a term that the sibling has left."""
+        agent = make_ownership('t1')
+        agent.on_view(0, self._dead)
+        refusal = vote('t2', WITNESSES[0], term=3, agreed=False)
+        agent.on_fence_vote(1, WALL, refusal)
+        for witness in WITNESSES:
+            agent.on_fence_vote(1, WALL, vote('t2', witness))
+        assert not _owned(agent)
+        request = fences_in(agent.tick(2, WALL))[0].request
+        assert (request.target, request.term) == ('t2', 3)
+
+    def test_asks_again_after_fence(self) -> None:
+        """Guards against items that a dead owner placed in the meantime."""
+        agent = make_ownership('t1')
+        states = {'t1': MemberState.alive, 't3': MemberState.alive}
+        sibling = make_ownership('t3')
+        dead = view({**states, 't2': MemberState.dead})
+        effects = agent.on_view(0, dead)
+        sibling.on_view(0, dead)
+        exchange({'t1': agent, 't3': sibling}, 0, effects)
+        agent.on_fence_vote(1, WALL, vote('t2', WITNESSES[0]))
+        effects = agent.on_fence_vote(1, WALL, vote('t2', WITNESSES[1]))
+        assert not _owned(agent)
+        assert claims_in(effects)[0].claim.round_number == 2
+        exchange({'t1': agent, 't3': sibling}, 1, effects)
+        assert _owned(agent) == agent.siblings.named_buckets
+
+    def test_missing_items_are_asked_for(self) -> None:
+        """Guards against flows of a paused target that count as lost."""
+        agent = make_ownership('t1')
+        agent.on_view(0, self._dead)
+        for witness in WITNESSES:
+            agent.on_fence_vote(1, WALL, vote('t2', witness))
+        assert not agent.is_complete(0)
+        effects = agent.on_view(3, _BOTH)
+        claim = claims_in(effects)[0].claim
+        entry = DirectoryEntry(0, 7, ItemKind.flow, 't2', 1, 0, 0)
+        reply = make_ownership('t2').on_claim(3, claim, lambda _: [entry])
+        agent.on_reply(3, WALL, reply)
+        assert agent.directory.find(0, 7) == entry
+        assert agent.is_complete(0)
+
+    def test_fenced_agent_drops_all(self) -> None:
+        """Guards against an owner that goes on after it was fenced."""
+        agent = _sole_owner()
+        assert agent.on_term(1) == [Lost(_ALL, None)]
+        assert agent.standing(0) is Standing.acquiring
+        assert agent.horizon(0) == float('inf')
+        assert Acquired(_ALL) in agent.tick(1, WALL)
+
+    def test_service_of_vote(self) -> None:
+        """Guards against votes about an agent of another service."""
+        agent = make_ownership('t1')
+        agent.on_view(0, self._dead)
+        for witness in WITNESSES:
+            foreign = vote('t2', witness)._replace(service=f'{SERVICE}-2')
+            agent.on_fence_vote(1, WALL, foreign)
+        assert not _owned(agent)
