--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/membership/tasks.py
@@ -0,0 +1,195 @@
+"""Heartbeats, the lease and the view of the agent's service."""
+
+import asyncio
+import logging
+import time
+from typing import Final
+
+from trefoilhaven_agent.ownership.tasks import OwnershipTask
+from trefoilhaven_agent.requests.works import TargetWork
+from trefoilhaven_agent.state import AgentState
+from trefoilhaven_core.membership.detectors import refute
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Changes,
+    HeartbeatAck,
+    HeartbeatRefused,
+    Load,
+    Member,
+    MemberState,
+    State,
+    StateRequest,
+)
+from trefoilhaven_core.settings.types import Witness
+from trefoilhaven_core.wire.calls import call_peer
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+
+logger = logging.getLogger(__name__)
+
+TICK_S: Final = 0.1
+PROBE_INTERVAL_S: Final = 0.5
+
+# A view that still differs after a transfer is fetched again after this.
+PULL_INTERVAL_S: Final = 1.0
+
+
+class MembershipTask:
+    """Owns the control socket of an agent."""
+
+    def __init__(
+        self,
+        state: AgentState,
+        endpoint: DatagramEndpoint,
+        ownership: OwnershipTask,
+        target: TargetWork,
+    ) -> None:
+        """Register the handlers of the control socket."""
+        self._state = state
+        self._endpoint = endpoint
+        self._ownership = ownership
+        self._target = target
+        self._witnesses = {
+            witness.name: witness for witness in state.cfg.witnesses
+        }
+        self._pulled_at: dict[str, float] = {}
+        self._pulls: set[asyncio.Task[None]] = set()
+        self._view_digest = -1
+        endpoint.on(HeartbeatAck, self._on_ack)
+        endpoint.on(HeartbeatRefused, self._on_refused)
+        endpoint.on(Changes, self._on_changes)
+
+    async def run(self) -> None:
+        """Send heartbeats and probe the target until cancelled."""
+        await asyncio.gather(self._beat(), self._probe())
+
+    def announce(self) -> None:
+        """Send a changed state at once, to witnesses and siblings."""
+        if not self._state.update_member():
+            return
+        self._send_heartbeats()
+        self._tell_siblings()
+        self._take_view()
+
+    def send_farewell(self) -> None:
+        """Tell witnesses and siblings that this agent has left."""
+        self._send_heartbeats()
+        self._tell_siblings()
+
+    async def _beat(self) -> None:
+        while True:
+            self._state.update_member()
+            self._send_heartbeats()
+            await asyncio.sleep(TICK_S)
+
+    async def _probe(self) -> None:
+        while True:
+            alive = await self._target.register()
+            if alive and not self._state.target_alive:
+                self._state.flows.target_lost = False
+            if self._state.target_alive != alive:
+                self._state.target_alive = alive
+                logger.info('target probe', extra={'alive': alive})
+                self.announce()
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def _send_heartbeats(self) -> None:
+        state = self._state
+        due = state.lease.heartbeats(
+            time.monotonic(),
+            state.member,
+            state.load(),
+            state.configurations.version(state.cfg.service),
+        )
+        for name, heartbeat in due:
+            self._endpoint.send(heartbeat, self._witnesses[name].control)
+
+    def _tell_siblings(self) -> None:
+        state = self._state
+        notice = Changes(state.cfg.name, (state.member,), (), ())
+        for member in state.store.members(state.cfg.service):
+            is_other = member.target != state.cfg.name
+            if is_other and member.state < MemberState.dead:
+                self._endpoint.send(notice, member.control)
+
+    def _on_ack(self, ack: HeartbeatAck, sender: Address) -> None:
+        state = self._state
+        now = time.monotonic()
+        if state.lease.on_ack(now, ack):
+            self._ownership.on_term(state.lease.term)
+        state.ownership.on_lease(state.lease.lease_until)
+        for known in ack.loads:
+            self._note_load(known.target, known.load)
+        own_version = state.store.configuration(ack.service).version
+        differs = ack.view_digest != state.store.digest(ack.service)
+        if differs or ack.configuration_version > own_version:
+            self._pull(now, self._witnesses[ack.witness])
+
+    def _note_load(self, target: str, load: Load) -> None:
+        if target != self._state.cfg.name:
+            self._state.loads[target] = load
+
+    def _on_refused(self, refused: HeartbeatRefused, sender: Address) -> None:
+        state = self._state
+        if state.lease.on_refused(time.monotonic(), refused):
+            state.runtime.publish(
+                'lease refused',
+                refused.service,
+                host=refused.target,
+                detail=f'by {refused.witness}, new term {state.lease.term}',
+            )
+            self._ownership.on_term(state.lease.term)
+            state.ownership.on_lease(state.lease.lease_until)
+
+    def _on_changes(self, changes: Changes, sender: Address) -> None:
+        self._state.store.merge(
+            [
+                member
+                for member in changes.members
+                if member.service == self._state.cfg.service
+            ],
+        )
+        self._take_view()
+
+    def _pull(self, now: float, witness: Witness) -> None:
+        last = self._pulled_at.get(witness.name, now - PULL_INTERVAL_S)
+        if now - last < PULL_INTERVAL_S:
+            return
+        self._pulled_at[witness.name] = now
+        task = asyncio.create_task(self._fetch(witness))
+        self._pulls.add(task)
+        task.add_done_callback(self._pulls.discard)
+
+    async def _fetch(self, witness: Witness) -> None:
+        state = self._state
+        req = StateRequest(state.cfg.name, (state.cfg.service,))
+        called = await call_peer(
+            witness.rpc,
+            req,
+            clock=state.runtime.clock.stamp(),
+        )
+        if called.is_error() or not isinstance(called.ok.message, State):
+            logger.info('no view', extra={'witness': witness.name})
+            return
+        state.runtime.clock.observe(called.ok.clock)
+        state.store.merge_state(called.ok.message)
+        self._take_view()
+        state.take_configuration()
+
+    def _take_view(self) -> None:
+        state = self._state
+        known = state.store.member(state.cfg.service, state.cfg.name)
+        raised = known and refute(state.member, known)
+        if raised:
+            state.set_member(raised)
+            self._send_heartbeats()
+        digest = state.store.digest(state.cfg.service)
+        if digest != self._view_digest:
+            self._view_digest = digest
+            self._forget_loads(state.store.eligible(state.cfg.service))
+            self._ownership.on_view()
+
+    def _forget_loads(self, eligible: tuple[Member, ...]) -> None:
+        names = {member.target for member in eligible}
+        for target in tuple(self._state.loads):
+            if target not in names:
+                self._state.loads.pop(target)
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/ownership/tasks.py
@@ -0,0 +1,180 @@
+"""Claims between the agents of a service."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Collection, Iterable, Iterator
+from typing import Final, Protocol
+
+from trefoilhaven_agent.state import AgentState
+from trefoilhaven_core.membership.messages import (
+    Address,
+    FenceRequest,
+    FenceVote,
+)
+from trefoilhaven_core.ownership.effects import (
+    Acquired,
+    Effect,
+    Lost,
+    SendClaim,
+    SendFence,
+)
+from trefoilhaven_core.ownership.messages import (
+    ClaimBuckets,
+    ClaimReply,
+    DirectoryEntry,
+)
+from trefoilhaven_core.wire.calls import call_channel
+from trefoilhaven_core.wire.channels import ChannelPool
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+
+logger = logging.getLogger(__name__)
+
+TICK_S: Final = 0.05
+
+# A claim is repeated by the decision code; the call itself ends sooner.
+CLAIM_TIMEOUT_S: Final = 1.0
+
+
+class AcquiredHandler(Protocol):
+    """Whoever decides about what waited for a bucket."""
+
+    def on_acquired(self, buckets: Iterable[int]) -> None:
+        """Take the buckets that the agent now owns."""
+
+
+class OwnershipTask:
+    """Feeds the ownership state machine and carries out its effects."""
+
+    def __init__(
+        self,
+        state: AgentState,
+        endpoint: DatagramEndpoint,
+        channels: ChannelPool,
+        waiting: AcquiredHandler,
+    ) -> None:
+        """Register the handler of fence votes on the control socket."""
+        self._state = state
+        self._endpoint = endpoint
+        self._channels = channels
+        self._waiting = waiting
+        self._calls: set[asyncio.Task[None]] = set()
+        self._asked: set[str] = set()
+        endpoint.on(FenceVote, self._on_vote)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    def tick(self) -> None:
+        """Repeat what is due."""
+        ownership = self._state.ownership
+        self.apply(ownership.tick(time.monotonic(), time.time()))
+
+    def on_view(self) -> None:
+        """Take the current view of the service."""
+        view = self._state.store.view(self._state.cfg.service)
+        self.apply(self._state.ownership.on_view(time.monotonic(), view))
+
+    def on_term(self, term: int) -> None:
+        """Drop all ownership for a new term."""
+        self.apply(self._state.ownership.on_term(term))
+
+    async def on_claim(self, claim: ClaimBuckets) -> ClaimReply:
+        """Answer the claim of a sibling."""
+        reply = self._state.ownership.on_claim(
+            time.monotonic(),
+            claim,
+            self._items,
+        )
+        self.tick()
+        return reply
+
+    def apply(self, effects: Iterable[Effect]) -> None:
+        """Carry out effects."""
+        for effect in effects:
+            if isinstance(effect, SendClaim):
+                self._send_claim(effect)
+            elif isinstance(effect, SendFence):
+                self._send_fence(effect.request)
+            elif isinstance(effect, Acquired):
+                self._waiting.on_acquired(effect.buckets)
+                self._publish('buckets acquired', effect.buckets, '')
+            elif isinstance(effect, Lost):
+                owner = effect.new_owner or 'nobody, the lease is over'
+                self._publish('buckets lost', effect.buckets, f' to {owner}')
+
+    def _publish(
+        self,
+        kind: str,
+        buckets: Collection[int],
+        suffix: str,
+    ) -> None:
+        self._state.runtime.publish(
+            kind,
+            self._state.cfg.service,
+            host=self._state.cfg.name,
+            detail=f'{len(buckets)} buckets{suffix}',
+        )
+
+    def _items(self, buckets: Collection[int]) -> Iterator[DirectoryEntry]:
+        yield from self._state.flows.items(buckets)
+        yield from self._state.requests.items(buckets)
+
+    def _send_claim(self, effect: SendClaim) -> None:
+        member = self._state.store.member(
+            self._state.cfg.service,
+            effect.target,
+        )
+        if member is None or effect.target in self._asked:
+            return
+        self._asked.add(effect.target)
+        task = asyncio.create_task(
+            self._claim(effect.target, member.rpc, effect.claim),
+        )
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _claim(
+        self,
+        target: str,
+        address: Address,
+        claim: ClaimBuckets,
+    ) -> None:
+        clock = self._state.runtime.clock
+        try:
+            called = await call_channel(
+                self._channels.get(address),
+                address,
+                claim,
+                clock=clock.stamp(),
+                timeout_s=CLAIM_TIMEOUT_S,
+            )
+        finally:
+            self._asked.discard(target)
+        if called.is_error():
+            logger.info('claim not answered', extra={'host': target})
+            return
+        clock.observe(called.ok.clock)
+        reply = called.ok.message
+        if isinstance(reply, ClaimReply):
+            effects = self._state.ownership.on_reply(
+                time.monotonic(),
+                time.time(),
+                reply,
+            )
+            self.apply(effects)
+
+    def _send_fence(self, req: FenceRequest) -> None:
+        for witness in self._state.cfg.witnesses:
+            self._endpoint.send(req, witness.control)
+
+    def _on_vote(self, vote: FenceVote, sender: Address) -> None:
+        effects = self._state.ownership.on_fence_vote(
+            time.monotonic(),
+            time.time(),
+            vote,
+        )
+        self.apply(effects)
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/process.py
@@ -0,0 +1,189 @@
+"""Start and stop of the agent process."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+import time
+from typing import Final
+
+from grpclib.server import Server
+
+from trefoilhaven_agent.flows.tasks import FlowTask
+from trefoilhaven_agent.membership.tasks import MembershipTask
+from trefoilhaven_agent.ownership.tasks import OwnershipTask
+from trefoilhaven_agent.peers import AgentPeers
+from trefoilhaven_agent.requests.relays import SiblingRelay
+from trefoilhaven_agent.requests.runs import Runner
+from trefoilhaven_agent.requests.services import (
+    PlacementService,
+    seeded_generator,
+)
+from trefoilhaven_agent.requests.works import TargetWork
+from trefoilhaven_agent.state import AgentState
+from trefoilhaven_core.membership.messages import MemberState
+from trefoilhaven_core.settings.types import AgentSettings
+from trefoilhaven_core.telemetry.endpoints import TelemetryEndpoint
+from trefoilhaven_core.telemetry.logs import configure_logging
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
+from trefoilhaven_core.wire.channels import ChannelPool
+from trefoilhaven_core.wire.codec import make_codec
+from trefoilhaven_core.wire.endpoints import (
+    DatagramEndpoint,
+    measure_endpoint,
+    open_endpoint,
+)
+from trefoilhaven_core.wire.peers import PeerService
+
+logger = logging.getLogger(__name__)
+
+STOP_CHECK_S: Final = 0.2
+
+
+class AgentProcess:
+    """All tasks of one agent."""
+
+    def __init__(self, cfg: AgentSettings, runtime: ProcessRuntime) -> None:
+        """Prepare the process; ``run`` opens its sockets."""
+        self._cfg = cfg
+        self._runtime = runtime
+        self._state = AgentState(cfg, runtime)
+        self._channels = ChannelPool()
+        self._target = TargetWork(
+            cfg.service,
+            cfg.name,
+            runtime.incarnation,
+            cfg.target.rpc,
+        )
+        self._runner = Runner(self._state, self._target)
+        relay = SiblingRelay(
+            self._state,
+            self._runner,
+            self._channels,
+            seeded_generator(self._state),
+        )
+        self._placement = PlacementService(self._state, self._runner, relay)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set and all flows and requests ended.
+
+        Raises ``OSError`` when an address of the settings is not free.
+        """
+        cfg = self._cfg
+        codec = make_codec()
+        clock = self._runtime.clock
+        flow_socket = await open_endpoint(cfg.flow, codec, clock)
+        control_socket = await open_endpoint(cfg.control, codec, clock)
+        flows = FlowTask(self._state, flow_socket)
+        ownership = OwnershipTask(
+            self._state,
+            control_socket,
+            self._channels,
+            flows,
+        )
+        membership = MembershipTask(
+            self._state,
+            control_socket,
+            ownership,
+            self._target,
+        )
+        peers = PeerService(codec, clock)
+        AgentPeers(self._state, membership, ownership).register(peers)
+        server = Server([self._placement, peers])
+        await server.start(cfg.rpc.host, cfg.rpc.port)
+        telemetry = TelemetryEndpoint(
+            self._runtime.metrics,
+            self._find_obstacle,
+        )
+        await telemetry.start(cfg.metrics)
+        self._measure(control_socket, flow_socket)
+        tasks = [
+            asyncio.create_task(task)
+            for task in (
+                flows.run(),
+                ownership.run(),
+                membership.run(),
+                self._runner.run(),
+            )
+        ]
+        self._runtime.publish('agent started', cfg.service, host=cfg.name)
+        logger.info('agent started')
+        await self._serve(stop, membership, tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        server.close()
+        await server.wait_closed()
+        await telemetry.stop()
+        flows.close()
+        self._target.close()
+        self._channels.close()
+        flow_socket.close()
+        control_socket.close()
+
+    def _measure(
+        self,
+        control: DatagramEndpoint,
+        flows: DatagramEndpoint,
+    ) -> None:
+        metrics = self._runtime.metrics
+        measure_endpoint(metrics, 'control', control)
+        measure_endpoint(metrics, 'flow', flows)
+
+    def _find_obstacle(self) -> str:
+        state = self._state
+        if not state.target_alive:
+            return 'the target does not answer'
+        if not state.lease.lease_valid(time.monotonic()):
+            return 'no lease'
+        if not state.ownership.siblings.can_claim():
+            return 'not registered at the platform'
+        return ''
+
+    async def _serve(
+        self,
+        stop: asyncio.Event,
+        membership: MembershipTask,
+        tasks: 'list[asyncio.Task[None]]',
+    ) -> None:
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait(
+            [stopping, *tasks],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in tasks:
+            if task.done():
+                # A task ends only by an error, which ends the process.
+                task.result()
+        logger.info('planned stop: waiting for flows and requests')
+        self._state.stopping = True
+        membership.announce()
+        while len(self._state.flows):
+            await asyncio.sleep(STOP_CHECK_S)
+        await self._placement.wait_idle()
+        self._leave(membership)
+
+    def _leave(self, membership: MembershipTask) -> None:
+        member = self._state.member
+        self._state.set_member(
+            member._replace(
+                state=MemberState.left,
+                sequence=member.sequence + 1,
+            ),
+        )
+        membership.send_farewell()
+
+
+async def _run(cfg: AgentSettings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await AgentProcess(cfg, make_runtime(cfg.name)).run(stop)
+
+
+def run(cfg: AgentSettings) -> None:
+    """Run an agent until SIGTERM or SIGINT."""
+    configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_run(cfg))
--- a/packages/agent/src/trefoilhaven_agent/requests/answers.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/answers.py
@@ -2,9 +2,24 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import Final
 
+from trefoilhaven_core.requests import decisions
+from trefoilhaven_core.wire.proto import calls_pb2 as pb
 from trefoilhaven_core.wire.proto.calls_pb2 import AnswerPart, Closing, Outcome
 
+_OUTCOMES: Final = {
+    decisions.Outcome.done: pb.OUTCOME_DONE,
+    decisions.Outcome.not_run: pb.OUTCOME_NOT_RUN,
+    decisions.Outcome.unknown: pb.OUTCOME_UNKNOWN,
+    decisions.Outcome.no_verdict: pb.OUTCOME_NO_VERDICT,
+}
+
+
+def conclude_with(buffer: 'AnswerBuffer', end: decisions.Conclude) -> None:
+    """Close an answer as the record table concluded."""
+    buffer.conclude(_OUTCOMES[end.outcome], end.reason, end.retry_after_s)
+
 
 class AnswerBuffer:
     """Parts of one answer, kept from the start so that askers can join.
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/requests/relays.py
@@ -0,0 +1,234 @@
+"""Requests that an owner hands to a sibling, or whose record one holds."""
+
+import logging
+import random
+import time
+from typing import Final
+
+from trefoilhaven_agent.requests.answers import AnswerBuffer
+from trefoilhaven_agent.requests.runs import QueuedRun, Runner
+from trefoilhaven_agent.state import AgentState
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.requests.answers import AnswerAssembler, WholeAnswer
+from trefoilhaven_core.requests.answers import Closing as ClosingFacts
+from trefoilhaven_core.requests.decisions import RelayTo
+from trefoilhaven_core.routing.choices import ChoiceSettings, TargetChooser
+from trefoilhaven_core.routing.waits import Candidate
+from trefoilhaven_core.wire.channels import CALL_ERRORS, ChannelPool
+from trefoilhaven_core.wire.proto import calls_pb2 as pb
+from trefoilhaven_core.wire.proto.calls_grpc import PlacementStub
+from trefoilhaven_core.wire.proto.calls_pb2 import AnswerPart, PlacedRequest
+
+logger = logging.getLogger(__name__)
+
+# Round trip to another failure domain until it is measured.
+LINK_COST_S: Final = 0.008
+
+# Ends the call to a sibling a little before the asker gives up.
+MIN_TIMEOUT_S: Final = 0.01
+
+
+class _NeverDelivered(Exception):
+    """No connection could be made, so the sibling saw nothing."""
+
+
+class SiblingRelay:
+    """Places requests on siblings and follows their records."""
+
+    def __init__(
+        self,
+        state: AgentState,
+        runner: Runner,
+        channels: ChannelPool,
+        rng: random.Random,
+    ) -> None:
+        """Prepare for the siblings in the state's view."""
+        self._state = state
+        self._runner = runner
+        self._channels = channels
+        self._rng = rng
+        self._chooser = TargetChooser(
+            ChoiceSettings(state.cfg.failure_domain, {}),
+        )
+        self._handed_off = state.runtime.metrics.counter('hand_offs')
+
+    async def place(self, run: QueuedRun) -> None:
+        """Run a new request here, or on a sibling with a free slot.
+
+        The hand-off is noted before the sibling is called. A sibling that
+        refuses gives the request back.
+        """
+        load = self._state.load()
+        if load.busy_slots < self._state.cfg.slots:
+            await self._runner.execute(run)
+            return
+        sibling = self._choose()
+        if sibling is None or not self._note(run, sibling):
+            await self._runner.execute(run)
+            return
+        self._handed_off.add()
+        closing = await self._call_or_none(run, sibling)
+        if closing is not None:
+            return
+        if self._note(run, self._state.cfg.name):
+            await self._runner.execute(run)
+        else:
+            self._runner.refuse(run, 'the lease ended before the start')
+
+    async def follow(self, run: QueuedRun, decision: RelayTo) -> None:
+        """Relay the answer of the agent that holds the record."""
+        member = self._state.store.member(
+            self._state.cfg.service,
+            decision.holder,
+        )
+        if member is None:
+            self._give_up(run)
+            return
+        try:
+            outcome = await self._call(
+                run,
+                member.rpc,
+                decision.incarnation,
+                decision.follow_only,
+            )
+        except _NeverDelivered:
+            self._give_up(run)
+            return
+        except CALL_ERRORS:
+            self._give_up(run)
+            return
+        if outcome == pb.OUTCOME_NOT_RUN:
+            self._runner.refuse(run, 'the holder refused the attempt')
+        elif outcome != pb.OUTCOME_DONE:
+            self._give_up(run)
+
+    async def _call_or_none(self, run: QueuedRun, sibling: str) -> bool | None:
+        """Return True when the answer is closed, None when it is not run."""
+        member = self._state.store.member(self._state.cfg.service, sibling)
+        if member is None:
+            return None
+        try:
+            outcome = await self._call(
+                run,
+                member.rpc,
+                member.incarnation,
+                follow_only=False,
+            )
+        except _NeverDelivered:
+            return None
+        except CALL_ERRORS as exc:
+            logger.info(
+                'sibling is silent',
+                extra={'host': sibling, 'reason': repr(exc)},
+            )
+            self._give_up(run)
+            return True
+        if outcome in {pb.OUTCOME_NOT_RUN, pb.OUTCOME_NO_VERDICT}:
+            return None
+        if outcome != pb.OUTCOME_DONE:
+            self._give_up(run)
+        return True
+
+    async def _call(
+        self,
+        run: QueuedRun,
+        address: Address,
+        incarnation: int,
+        follow_only: bool,
+    ) -> pb.Outcome:
+        placed = PlacedRequest(
+            request=run.req,
+            sender=self._state.cfg.name,
+            clock=self._state.runtime.clock.stamp(),
+            holder_incarnation=incarnation,
+            follow_only=follow_only,
+        )
+        timeout_s = max(run.deadline - time.monotonic(), MIN_TIMEOUT_S)
+        stub = PlacementStub(self._channels.get(address))
+        assembler = AnswerAssembler(run.req.service, run.req.key)
+        connected = False
+        try:
+            async with stub.Run.open(timeout=timeout_s) as stream:
+                connected = True
+                await stream.send_message(placed, end=True)
+                async for part in stream:
+                    if part.HasField('closing'):
+                        return self._close(run, assembler, part)
+                    _pass_on(assembler, run.buffer, part)
+        except ConnectionRefusedError as exc:
+            if connected:
+                raise
+            raise _NeverDelivered from exc
+        return pb.OUTCOME_UNKNOWN
+
+    def _close(
+        self,
+        run: QueuedRun,
+        assembler: AnswerAssembler,
+        part: AnswerPart,
+    ) -> pb.Outcome:
+        closing = part.closing
+        if closing.outcome != pb.OUTCOME_DONE:
+            return closing.outcome
+        assembler.add_closing(
+            part.service,
+            part.key,
+            ClosingFacts(closing.chunks, closing.length, closing.digest),
+        )
+        result = assembler.result()
+        if not isinstance(result, WholeAnswer):
+            logger.warning(
+                'answer of a sibling is not whole',
+                extra={'request_key': run.req.key, 'reason': str(result)},
+            )
+            return pb.OUTCOME_UNKNOWN
+        self._state.requests.on_finished(run.req.key, result.content)
+        run.buffer.append(part)
+        return pb.OUTCOME_DONE
+
+    def _give_up(self, run: QueuedRun) -> None:
+        settled = self._state.requests.on_unreachable(run.req.key)
+        self._runner.settle(run, settled)
+
+    def _note(self, run: QueuedRun, holder: str) -> bool:
+        member = self._state.store.member(self._state.cfg.service, holder)
+        if member is None:
+            return False
+        return self._state.requests.on_handed_off(
+            run.req.key,
+            holder,
+            member.incarnation,
+            self._state.standing(run.req.key, time.monotonic()),
+        )
+
+    def _choose(self) -> str | None:
+        now = time.monotonic()
+        state = self._state
+        siblings = [
+            member
+            for member in state.store.eligible(state.cfg.service)
+            if member.target in state.loads
+        ]
+        self._chooser.update(
+            Candidate(member.target, member.failure_domain, member.slots)
+            for member in siblings
+        )
+        for member in siblings:
+            load = state.loads[member.target]
+            self._chooser.on_report(now, member.target, load, 0)
+        choice = self._chooser.choose(now, self._rng, min_free_slots=1)
+        return choice.target if choice else None
+
+
+def _pass_on(
+    assembler: AnswerAssembler,
+    buffer: AnswerBuffer,
+    part: AnswerPart,
+) -> None:
+    assembler.add_chunk(
+        part.service,
+        part.key,
+        part.chunk.number,
+        part.chunk.content,
+    )
+    buffer.append(part)
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/state.py
@@ -0,0 +1,150 @@
+"""What an agent knows and decides with, shared by its tasks."""
+
+import json
+import logging
+import time
+from typing import Final
+
+from trefoilhaven_core.admission.queues import AdmissionQueue, QueueLimits
+from trefoilhaven_core.configuration.versions import ConfigurationStore
+from trefoilhaven_core.flows.tables import FlowTable
+from trefoilhaven_core.membership.leases import LeaseHolder
+from trefoilhaven_core.membership.messages import (
+    Load,
+    Member,
+    MemberState,
+)
+from trefoilhaven_core.membership.views import ViewStore
+from trefoilhaven_core.ownership.claims import BucketOwnership
+from trefoilhaven_core.ownership.effects import Standing as BucketStanding
+from trefoilhaven_core.requests.decisions import Standing
+from trefoilhaven_core.requests.records import RequestTable
+from trefoilhaven_core.routing.tables import bucket_of, hash_item
+from trefoilhaven_core.settings.types import AgentSettings
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
+
+logger = logging.getLogger(__name__)
+
+# Loads of siblings that are older say nothing.
+MAX_LOAD_AGE_S: Final = 5.0
+
+
+class AgentState:
+    """Decision code of one agent and the record that it announces."""
+
+    def __init__(self, cfg: AgentSettings, runtime: ProcessRuntime) -> None:
+        """Start without a view and without ownership."""
+        names = tuple(witness.name for witness in cfg.witnesses)
+        identity = (cfg.service, cfg.name, runtime.incarnation)
+        self.cfg = cfg
+        self.runtime = runtime
+        self.store = ViewStore()
+        self.configurations = ConfigurationStore()
+        self.lease = LeaseHolder(*identity, names)
+        self.ownership = BucketOwnership(*identity, witnesses=names)
+        self.flows = FlowTable(*identity)
+        self.requests = RequestTable(*identity)
+        self.queue = AdmissionQueue(QueueLimits(cfg.slots), time.monotonic())
+        self.loads: dict[str, Load] = {}
+        self.target_alive = False
+        self.drain_requested = False
+        self.stopping = False
+        self.member = Member(
+            cfg.service,
+            cfg.name,
+            cfg.host,
+            cfg.failure_domain,
+            runtime.incarnation,
+            1,
+            MemberState.draining,
+            cfg.advertise_flow,
+            cfg.advertise_control,
+            cfg.advertise_rpc,
+            cfg.slots,
+        )
+        self.store.merge([self.member])
+
+    def load(self) -> Load:
+        """Return the load of the target as the agent counts it."""
+        return self.queue.load(time.monotonic(), len(self.flows))
+
+    def update_member(self) -> bool:
+        """Announce a new state when it changed; tell whether it did.
+
+        A target that does not answer gets no new work, like one that
+        drains.
+        """
+        leaving = self.drain_requested or self.stopping
+        takes_work = self.target_alive and not leaving
+        wanted = MemberState.alive if takes_work else MemberState.draining
+        self.flows.is_draining = not takes_work
+        if self.member.state == wanted:
+            return False
+        self.set_member(
+            self.member._replace(
+                state=wanted,
+                sequence=self.member.sequence + 1,
+            ),
+        )
+        return True
+
+    def set_member(self, member: Member) -> None:
+        """Replace the own record and publish the change."""
+        self.member = member
+        self.store.merge([member])
+        self.runtime.publish(
+            f'target {member.state.name}',
+            member.service,
+            host=member.target,
+        )
+
+    def standing(self, key: str, now: float) -> Standing:
+        """Return how the agent stands to a request key."""
+        item = hash_item(self.cfg.service, key.encode())
+        bucket = bucket_of(item)
+        ownership = self.ownership
+        return Standing(
+            ownership.standing(bucket) is BucketStanding.owned,
+            self.lease.lease_valid(now),
+            ownership.horizon(bucket),
+            ownership.directory.find(bucket, item),
+        )
+
+    def owner_hint(self, key: str) -> str:
+        """Return the target that probably owns a key's bucket, or ''."""
+        bucket = bucket_of(hash_item(self.cfg.service, key.encode()))
+        return self.ownership.owner_hint(bucket) or ''
+
+    def take_configuration(self) -> None:
+        """Put the highest known configuration in force."""
+        service = self.cfg.service
+        held = self.store.configuration(service)
+        if held.version <= self.configurations.version(service):
+            return
+        content = json.loads(held.content)
+        if not self.configurations.offer(service, held.version, content):
+            logger.error(
+                'configuration not taken',
+                extra={'service': service, 'version': held.version},
+            )
+            return
+        configuration = self.configurations.get(service)
+        if configuration is not None:
+            self.flows.set_limits(
+                configuration.flows.connection_limit,
+                configuration.flows.idle_timeout_s,
+            )
+            self.requests.set_retention(configuration.requests.retention_s)
+            self.queue.set_limits(
+                QueueLimits(
+                    self.cfg.slots,
+                    configuration.requests.queue_limit,
+                    configuration.requests.long_body_bytes,
+                    configuration.warm_up_s,
+                ),
+            )
+        self.runtime.publish(
+            'configuration in force',
+            service,
+            detail=f'version {held.version}',
+        )
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer process."""
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/balancer/control.py
@@ -0,0 +1,273 @@
+"""Control traffic of a balancer: heartbeats, leases and dissemination.
+
+The task owns the control socket. It feeds the witness, the failure
+detector and the disseminator and carries out their effects.
+"""
+
+import asyncio
+import logging
+import time
+from collections.abc import Iterable
+from typing import Final
+
+from trefoilhaven.balancer.state import BalancerState
+from trefoilhaven_core.membership.detectors import FailureDetector
+from trefoilhaven_core.membership.dissemination import (
+    Disseminator,
+    Effect,
+    PullState,
+)
+from trefoilhaven_core.membership.leases import AckSummary, LeaseWitness
+from trefoilhaven_core.membership.messages import (
+    Address,
+    BalancerRecord,
+    Changes,
+    ConfigurationNotice,
+    Digest,
+    FenceRequest,
+    Heartbeat,
+    Member,
+    MemberState,
+    RegistryNotice,
+    State,
+    StateRequest,
+)
+from trefoilhaven_core.settings.types import BalancerSettings
+from trefoilhaven_core.wire.calls import call_peer
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+
+logger = logging.getLogger(__name__)
+
+TICK_S: Final = 0.25
+
+# A seed that is not known as a peer is contacted this often.
+SEED_INTERVAL_S: Final = 1.0
+
+
+class ControlTask:
+    """Heartbeats, fence votes and the spread of changes."""
+
+    def __init__(
+        self,
+        cfg: BalancerSettings,
+        state: BalancerState,
+        disseminator: Disseminator,
+        endpoint: DatagramEndpoint,
+    ) -> None:
+        """Register the handlers of the control socket."""
+        now = time.monotonic()
+        self.disseminator = disseminator
+        self._cfg = cfg
+        self._state = state
+        self._endpoint = endpoint
+        self._witness = LeaseWitness(cfg.name, now)
+        self._detector = FailureDetector(disseminator.own, state.store, now)
+        self._seeds = {
+            seed.name: seed for seed in cfg.seeds if seed.name != cfg.name
+        }
+        self._seeds_due = now
+        self._pulls: set[asyncio.Task[None]] = set()
+        endpoint.on(Heartbeat, self._on_heartbeat)
+        endpoint.on(FenceRequest, self._on_fence)
+        endpoint.on(Changes, self._on_changes)
+        endpoint.on(Digest, self._on_digest)
+        endpoint.on(ConfigurationNotice, self._on_configuration)
+        endpoint.on(RegistryNotice, self._on_registry)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self._tick(time.monotonic())
+            await asyncio.sleep(TICK_S)
+
+    def apply(self, effects: Iterable[Effect]) -> None:
+        """Send messages and start transfers."""
+        for effect in effects:
+            if isinstance(effect, PullState):
+                self._start_pull(effect)
+                continue
+            address = self._control_of(effect.peer)
+            if address is None:
+                continue
+            if isinstance(effect.message, Digest):
+                now = time.monotonic()
+                if not effect.message.is_reply:
+                    self._detector.on_probe_sent(now, effect.peer)
+            self._endpoint.send(effect.message, address)
+
+    def announce(self, state: MemberState) -> None:
+        """Spread a new state of this balancer."""
+        self.apply(self.disseminator.announce(time.monotonic(), state))
+
+    def take_configuration(self, notice: ConfigurationNotice) -> None:
+        """Take a version that this process read from the platform."""
+        self.apply(
+            self.disseminator.on_configuration(time.monotonic(), notice),
+        )
+        self._state.refresh([notice.service])
+
+    def take_registry(self, notice: RegistryNotice) -> None:
+        """Take registrations that this process read or wrote."""
+        self.apply(self.disseminator.on_registry(time.monotonic(), notice))
+        self._state.refresh([notice.service])
+
+    async def pull_from_seeds(self) -> bool:
+        """Fetch everything from the first seed that answers."""
+        for seed in self._seeds.values():
+            if await self._pull(seed.rpc, ()):
+                return True
+        return False
+
+    def _tick(self, now: float) -> None:
+        found = self._detector.tick(now)
+        if found.members or found.balancers or found.silent_domains:
+            self._report(now, found.members, found.balancers)
+            changes = Changes(
+                self._cfg.name,
+                found.members,
+                found.balancers,
+                found.silent_domains,
+            )
+            self.apply(self.disseminator.on_changes(now, changes))
+            self._state.refresh_all()
+        self.apply(self.disseminator.probe(peer) for peer in found.probes)
+        self.apply(self.disseminator.tick(now))
+        if now >= self._seeds_due:
+            self._seeds_due = now + SEED_INTERVAL_S
+            self._contact_seeds()
+            self._state.store.forget(now)
+
+    def _report(
+        self,
+        now: float,
+        members: Iterable[Member],
+        balancers: Iterable[BalancerRecord],
+    ) -> None:
+        publish = self._state.runtime.publish
+        for member in members:
+            publish(
+                f'target {member.state.name}',
+                member.service,
+                host=member.target,
+            )
+        for balancer in balancers:
+            publish(f'balancer {balancer.state.name}', host=balancer.name)
+
+    def _contact_seeds(self) -> None:
+        known = {record.name for record in self._state.store.balancers}
+        for name, seed in self._seeds.items():
+            if name not in known:
+                own = self.disseminator.own
+                message = Changes(self._cfg.name, (), (own,), ())
+                self._endpoint.send(message, seed.control)
+
+    def _on_heartbeat(self, heartbeat: Heartbeat, sender: Address) -> None:
+        now = time.monotonic()
+        member = heartbeat.member
+        service = member.service
+        contradiction = self._detector.on_heartbeat(now, member)
+        if contradiction is not None:
+            report = Changes(self._cfg.name, (contradiction,), (), ())
+            self._endpoint.send(report, sender)
+        known = self._state.store.member(service, member.target)
+        if known != member:
+            self._note_change(now, heartbeat)
+        self._state.loads.record(now, service, member.target, heartbeat.load)
+        summary = AckSummary(
+            self._state.store.digest(service),
+            self._state.store.configuration(service).version,
+            self._state.loads.loads(now, service),
+        )
+        reply = self._witness.on_heartbeat(now, heartbeat, summary)
+        if reply is not None:
+            self._endpoint.send(reply, sender)
+
+    def _note_change(self, now: float, heartbeat: Heartbeat) -> None:
+        member = heartbeat.member
+        changes = Changes(self._cfg.name, (member,), (), ())
+        self.apply(self.disseminator.on_changes(now, changes))
+        self._state.refresh([member.service])
+        if self._state.store.member(member.service, member.target) == member:
+            self._state.runtime.publish(
+                f'target {member.state.name}',
+                member.service,
+                host=member.target,
+                detail=f'incarnation {member.incarnation}',
+            )
+
+    def _on_fence(self, req: FenceRequest, sender: Address) -> None:
+        vote = self._witness.on_fence(time.monotonic(), req)
+        if vote.agreed:
+            self._state.runtime.publish(
+                'lease fenced',
+                req.service,
+                host=req.target,
+                detail=f'term {req.term}, asked by {req.claimant}',
+            )
+        self._endpoint.send(vote, sender)
+
+    def _on_changes(self, changes: Changes, sender: Address) -> None:
+        now = time.monotonic()
+        self._detector.on_peer(now, changes.sender)
+        self.apply(self.disseminator.on_changes(now, changes))
+        services = {member.service for member in changes.members}
+        for report in changes.silent_domains:
+            services.update(report.services)
+        self._state.refresh(services)
+
+    def _on_digest(self, digest: Digest, sender: Address) -> None:
+        now = time.monotonic()
+        self._detector.on_peer(now, digest.sender)
+        self.apply(self.disseminator.on_digest(now, digest))
+
+    def _on_configuration(
+        self,
+        notice: ConfigurationNotice,
+        sender: Address,
+    ) -> None:
+        self.take_configuration(notice)
+
+    def _on_registry(self, notice: RegistryNotice, sender: Address) -> None:
+        self.take_registry(notice)
+
+    def _control_of(self, peer: str) -> Address | None:
+        record = self._state.store.balancer(peer)
+        if record is not None:
+            return record.control
+        seed = self._seeds.get(peer)
+        return seed.control if seed else None
+
+    def _start_pull(self, effect: PullState) -> None:
+        record = self._state.store.balancer(effect.peer)
+        if record is None:
+            return
+        task = asyncio.create_task(
+            self._pull_later(record.rpc, effect.services),
+        )
+        self._pulls.add(task)
+        task.add_done_callback(self._pulls.discard)
+
+    async def _pull_later(
+        self,
+        address: Address,
+        services: tuple[str, ...],
+    ) -> None:
+        await self._pull(address, services)
+
+    async def _pull(
+        self,
+        address: Address,
+        services: tuple[str, ...],
+    ) -> bool:
+        req = StateRequest(self._cfg.name, services)
+        stamp = self._state.runtime.clock.stamp()
+        called = await call_peer(address, req, clock=stamp)
+        if called.is_error() or not isinstance(called.ok.message, State):
+            logger.info('state transfer failed', extra={'peer': str(address)})
+            return False
+        self._state.runtime.clock.observe(called.ok.clock)
+        self.apply(
+            self.disseminator.on_state(time.monotonic(), called.ok.message),
+        )
+        self._state.refresh_all()
+        return True
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/balancer/platforms.py
@@ -0,0 +1,159 @@
+"""What a balancer reads from and writes to the platform.
+
+Only the balancers of the lowest ranks watch, since a waiting watch counts
+as a call. All others learn from their peers.
+"""
+
+import asyncio
+import json
+import logging
+import time
+from typing import Any, Final
+
+import msgspec
+import xxhash
+
+from trefoilhaven.balancer.control import ControlTask
+from trefoilhaven.balancer.state import BalancerState
+from trefoilhaven_core.membership.messages import (
+    ConfigurationNotice,
+    MemberState,
+    RegistryNotice,
+)
+from trefoilhaven_core.membership.registrations import (
+    RegistrationPlan,
+    RegistrationPlanner,
+    decode_registrations,
+)
+from trefoilhaven_core.platform.clients import PlatformClient
+from trefoilhaven_core.platform.errors import Conflict
+from trefoilhaven_core.settings import defaults
+
+logger = logging.getLogger(__name__)
+
+SERVICES_PREFIX: Final = 'services/'
+MEMBERS_PREFIX: Final = 'members/'
+
+REGISTER_INTERVAL_S: Final = 0.5
+RANK_CHECK_S: Final = 1.0
+RETRY_S: Final = 0.5
+
+
+class PlatformTask:
+    """Watches the platform and writes registrations."""
+
+    def __init__(
+        self,
+        name: str,
+        state: BalancerState,
+        control: ControlTask,
+        client: PlatformClient,
+    ) -> None:
+        """Prepare the task of the balancer of that name."""
+        self._name = name
+        self._state = state
+        self._control = control
+        self._client = client
+        self._planner = RegistrationPlanner(name, state.store)
+
+    async def run(self) -> None:
+        """Watch and register until cancelled."""
+        await asyncio.gather(
+            self._watch(SERVICES_PREFIX),
+            self._watch(MEMBERS_PREFIX),
+            self._register(),
+        )
+
+    async def _watch(self, prefix: str) -> None:
+        revision = await self._list(prefix)
+        while True:
+            if self._rank() >= defaults.PLATFORM_WATCHERS:
+                await asyncio.sleep(RANK_CHECK_S)
+                continue
+            if revision is None:
+                await asyncio.sleep(RETRY_S)
+                revision = await self._list(prefix)
+                continue
+            changes = await self._client.watch(
+                prefix,
+                revision,
+                defaults.PLATFORM_WATCH_TIMEOUT_S,
+            )
+            if changes.is_error():
+                logger.info('watch ended', extra={'reason': str(changes.error)})
+                revision = None
+                continue
+            revision = changes.ok.revision
+            for change in changes.ok.objects:
+                if not change.deleted:
+                    self._take(change.path, change.version, change.content)
+
+    async def _list(self, prefix: str) -> int | None:
+        listing = await self._client.list(prefix)
+        if listing.is_error():
+            logger.info('no listing', extra={'reason': str(listing.error)})
+            return None
+        for known in listing.ok.objects:
+            self._take(known.path, known.version, known.content)
+        return listing.ok.revision
+
+    def _take(self, path: str, version: int, content: Any) -> None:
+        prefix, _, service = path.partition('/')
+        encoded = json.dumps(content).encode()
+        if f'{prefix}/' == SERVICES_PREFIX:
+            notice = ConfigurationNotice(self._name, service, version, encoded)
+            self._control.take_configuration(notice)
+            return
+        self._take_registry(service, version, encoded)
+
+    def _take_registry(self, service: str, version: int, raw: bytes) -> None:
+        try:
+            registrations = decode_registrations(raw)
+        except msgspec.MsgspecError:
+            logger.exception('malformed registry', extra={'service': service})
+            return
+        self._control.take_registry(
+            RegistryNotice(self._name, service, version, registrations),
+        )
+        self._planner.on_written(service, version, registrations)
+
+    async def _register(self) -> None:
+        while True:
+            await asyncio.sleep(REGISTER_INTERVAL_S)
+            for service in self._state.store.services:
+                plan = self._planner.plan(time.monotonic(), service)
+                if plan is not None:
+                    await self._write(plan)
+
+    async def _write(self, plan: RegistrationPlan) -> None:
+        content = json.loads(plan.content)
+        path = f'{MEMBERS_PREFIX}{plan.service}'
+        written = await self._client.put(path, content, plan.expected_version)
+        if written.is_ok():
+            self._take_registry(plan.service, written.ok, plan.content)
+            self._state.runtime.publish(
+                'members registered',
+                plan.service,
+                detail=f'version {written.ok}',
+            )
+        elif isinstance(written.error, Conflict):
+            conflict = written.error
+            if conflict.content is not None:
+                self._take(path, conflict.version, conflict.content)
+        else:
+            logger.info(
+                'registration not written',
+                extra={'service': plan.service, 'reason': str(written.error)},
+            )
+
+    def _rank(self) -> int:
+        own = _weigh(self._name)
+        return sum(
+            _weigh(record.name) < own
+            for record in self._state.store.balancers
+            if record.state < MemberState.dead
+        )
+
+
+def _weigh(name: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(f'platform\n{name}'.encode()), name
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -0,0 +1,165 @@
+"""Start and stop of the balancer process."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+from typing import Final
+
+from grpclib.server import Server
+
+from trefoilhaven.balancer.control import ControlTask
+from trefoilhaven.balancer.forwarding import ForwardingTask
+from trefoilhaven.balancer.peers import BalancerPeers
+from trefoilhaven.balancer.platforms import PlatformTask
+from trefoilhaven.balancer.requests import RequestsTask
+from trefoilhaven.balancer.spreading import Spreader
+from trefoilhaven.balancer.state import BalancerState
+from trefoilhaven_core.membership.dissemination import Disseminator
+from trefoilhaven_core.membership.messages import BalancerRecord, MemberState
+from trefoilhaven_core.platform.http import HttpPlatformClient
+from trefoilhaven_core.settings.types import BalancerSettings
+from trefoilhaven_core.telemetry.endpoints import TelemetryEndpoint
+from trefoilhaven_core.telemetry.logs import configure_logging
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
+from trefoilhaven_core.wire.channels import ChannelPool
+from trefoilhaven_core.wire.codec import make_codec
+from trefoilhaven_core.wire.endpoints import measure_endpoint, open_endpoint
+from trefoilhaven_core.wire.peers import PeerService
+
+logger = logging.getLogger(__name__)
+
+# After the announcement of a planned stop, flow packets that are on their
+# way still arrive for this long.
+STOP_DELAY_S: Final = 0.5
+
+
+class BalancerProcess:
+    """All tasks of one balancer."""
+
+    def __init__(self, cfg: BalancerSettings, runtime: ProcessRuntime) -> None:
+        """Prepare the process; ``run`` opens its sockets."""
+        self._cfg = cfg
+        self._runtime = runtime
+        self._state = BalancerState(runtime)
+        self._channels = ChannelPool()
+        rng = random.Random(f'{cfg.name}/{runtime.incarnation}')
+        self._platform = HttpPlatformClient(cfg.platform, rng)
+        self._spreader = Spreader(
+            cfg.failure_domain,
+            self._state,
+            self._channels,
+            rng,
+        )
+        self._requests = RequestsTask(
+            cfg.name,
+            self._state,
+            self._channels,
+            self._spreader,
+        )
+        own = BalancerRecord(
+            cfg.name,
+            cfg.failure_domain,
+            runtime.incarnation,
+            1,
+            MemberState.alive,
+            cfg.advertise_control,
+            cfg.advertise_rpc,
+        )
+        self._disseminator = Disseminator(own, self._state.store, rng)
+        self._state.store.merge(balancers=[own])
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set, then stop without cutting anything.
+
+        Raises ``OSError`` when an address of the settings is not free.
+        """
+        cfg = self._cfg
+        codec = make_codec()
+        flows = await open_endpoint(cfg.flow, codec, self._runtime.clock)
+        control_socket = await open_endpoint(
+            cfg.control,
+            codec,
+            self._runtime.clock,
+        )
+        ForwardingTask(self._state, flows)
+        measure_endpoint(self._runtime.metrics, 'control', control_socket)
+        measure_endpoint(self._runtime.metrics, 'flow', flows)
+        control = ControlTask(
+            cfg,
+            self._state,
+            self._disseminator,
+            control_socket,
+        )
+        peers = PeerService(codec, self._runtime.clock)
+        BalancerPeers(cfg, self._state, control).register(peers)
+        server = Server([self._requests, peers])
+        await server.start(cfg.rpc.host, cfg.rpc.port)
+        telemetry = TelemetryEndpoint(
+            self._runtime.metrics,
+            self._find_obstacle,
+        )
+        await telemetry.start(cfg.metrics)
+        await control.pull_from_seeds()
+        platform = PlatformTask(cfg.name, self._state, control, self._platform)
+        tasks = [
+            asyncio.create_task(control.run()),
+            asyncio.create_task(platform.run()),
+        ]
+        self._runtime.publish('balancer started', host=cfg.name)
+        logger.info('balancer started')
+        await _wait_for_stop(stop, tasks)
+        await self._stop(control)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        server.close()
+        await server.wait_closed()
+        await telemetry.stop()
+        await self._platform.close()
+        self._channels.close()
+        flows.close()
+        control_socket.close()
+
+    def _find_obstacle(self) -> str:
+        if not self._state.services:
+            return 'no configuration is known'
+        return ''
+
+    async def _stop(self, control: ControlTask) -> None:
+        logger.info('planned stop: waiting for requests in progress')
+        control.announce(MemberState.left)
+        await asyncio.sleep(STOP_DELAY_S)
+        await self._requests.wait_idle()
+        self._runtime.publish('balancer stopped', host=self._cfg.name)
+
+
+async def _wait_for_stop(
+    stop: asyncio.Event,
+    tasks: list[asyncio.Task[None]],
+) -> None:
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait(
+        [stopping, *tasks],
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    for task in tasks:
+        if task.done():
+            # A task ends only by an error, which ends the process.
+            task.result()
+
+
+async def _serve(cfg: BalancerSettings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await BalancerProcess(cfg, make_runtime(cfg.name)).run(stop)
+
+
+def run(cfg: BalancerSettings) -> None:
+    """Run a balancer until SIGTERM or SIGINT."""
+    configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_serve(cfg))
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/balancer/requests.py
@@ -0,0 +1,228 @@
+"""Requests of callers: checks, and the way to the right agent.
+
+A non-idempotent request goes to the owner of its key's bucket, which alone
+decides about it. An idempotent one goes to the target with the lowest
+expected wait.
+"""
+
+import asyncio
+import logging
+import time
+from typing import Final, NamedTuple
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Stream
+
+from trefoilhaven.balancer.relays import Relay, Silence, close_answer
+from trefoilhaven.balancer.spreading import Spreader
+from trefoilhaven.balancer.state import BalancerState
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.routing.tables import bucket_of, hash_item
+from trefoilhaven_core.wire.channels import ChannelPool
+from trefoilhaven_core.wire.proto.calls_grpc import RequestsBase
+from trefoilhaven_core.wire.proto.calls_pb2 import (
+    AnswerPart,
+    CallerRequest,
+    PlacedRequest,
+)
+from trefoilhaven_core.wire.proto import calls_pb2 as pb
+
+logger = logging.getLogger(__name__)
+
+DEFAULT_DEADLINE_S: Final = 30.0
+MAX_BODY_BYTES: Final = 1_000_000
+MAX_KEY_BYTES: Final = 256
+
+# Time to the next ask when the asked agent does not own the bucket.
+ASK_AGAIN_S: Final = 0.1
+
+# While an owner is silent, the table is looked up again this often.
+OWNER_CHECK_S: Final = 0.5
+
+# Kept back from the caller's deadline, so that the outcome still arrives.
+ANSWER_MARGIN_S: Final = 0.05
+
+CallerStream = Stream[CallerRequest, AnswerPart]
+
+
+class _Owner(NamedTuple):
+    """The agent that the table names for a key."""
+
+    target: str
+    address: Address
+
+
+class RequestsTask(RequestsBase):
+    """Serves callers."""
+
+    def __init__(
+        self,
+        name: str,
+        state: BalancerState,
+        channels: ChannelPool,
+        spreader: Spreader,
+    ) -> None:
+        """Prepare the service of the balancer of that name."""
+        self._name = name
+        self._state = state
+        self._channels = channels
+        self._spreader = spreader
+        self._open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        state.runtime.metrics.gauge('open_requests', lambda: self._open)
+
+    async def wait_idle(self) -> None:
+        """Return when no request is in progress."""
+        await self._idle.wait()
+
+    async def Submit(self, stream: CallerStream) -> None:  # noqa: N802
+        """Serve one request; a bad one ends with one clear error."""
+        req = await stream.recv_message()
+        if req is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, 'no request was sent')
+        self._check(req)
+        self._open += 1
+        self._idle.clear()
+        started = time.monotonic()
+        try:
+            await self._serve(stream, req, _deadline_of(stream, started))
+        finally:
+            self._open -= 1
+            if not self._open:
+                self._idle.set()
+
+    def _check(self, req: CallerRequest) -> None:
+        findings = []
+        if self._state.configuration(req.service) is None:
+            findings.append(f'service: "{req.service}" is not known')
+        if not req.key or len(req.key.encode()) > MAX_KEY_BYTES:
+            findings.append(f'key: must have 1 to {MAX_KEY_BYTES} bytes')
+        if len(req.body) > MAX_BODY_BYTES:
+            findings.append(
+                f'body: {len(req.body)} bytes exceed {MAX_BODY_BYTES}',
+            )
+        if req.attempt < 1:
+            findings.append('attempt: must be 1 or higher')
+        if req.work_class not in {'', 'short', 'long'}:
+            findings.append(f'work_class: "{req.work_class}" is not known')
+        if findings:
+            self._state.runtime.metrics.counter('bad_requests').add()
+            raise GRPCError(Status.INVALID_ARGUMENT, '; '.join(findings))
+
+    async def _serve(
+        self,
+        stream: CallerStream,
+        req: CallerRequest,
+        deadline: float,
+    ) -> None:
+        placed = PlacedRequest(
+            request=req,
+            sender=self._name,
+            clock=self._state.runtime.clock.stamp(),
+        )
+        started = time.monotonic()
+        if req.idempotent:
+            closing = await self._spreader.serve(stream, placed, deadline)
+        else:
+            closing = await self._ask_owner(stream, placed, deadline)
+        await stream.send_message(closing)
+        metrics = self._state.runtime.metrics
+        outcome = pb.Outcome.Name(closing.closing.outcome)
+        metrics.counter(
+            'requests',
+            service=req.service,
+            outcome=outcome.removeprefix('OUTCOME_').lower(),
+        ).add()
+        metrics.histogram('request_time', service=req.service).observe(
+            time.monotonic() - started,
+        )
+        if closing.closing.outcome == pb.OUTCOME_UNKNOWN:
+            self._state.runtime.publish(
+                'outcome unknown',
+                req.service,
+                request_key=req.key,
+                detail=closing.closing.reason,
+            )
+
+    async def _ask_owner(
+        self,
+        stream: CallerStream,
+        placed: PlacedRequest,
+        deadline: float,
+    ) -> AnswerPart:
+        req = placed.request
+        reason = 'no agent owns the bucket of the key'
+        abandoned: list[Relay] = []
+        hint = ''
+        while time.monotonic() < deadline:
+            owner = self._owner_of(req, hint)
+            hint = ''
+            if owner is None:
+                await asyncio.sleep(ASK_AGAIN_S)
+                continue
+            relay = Relay(
+                self._channels.get(owner.address),
+                placed,
+                owner=True,
+                timeout_s=max(deadline - time.monotonic(), ANSWER_MARGIN_S),
+            )
+            closing = await self._follow(stream, relay, owner, deadline)
+            if isinstance(closing, AnswerPart):
+                if closing.closing.outcome != pb.OUTCOME_NO_VERDICT:
+                    return closing
+                reason = closing.closing.reason
+                hint = closing.closing.target
+            elif closing is None:
+                # The call stays open: ending it would cancel the request.
+                abandoned.append(relay)
+                reason = f'{owner.target} is silent'
+            else:
+                reason = closing.reason
+            await asyncio.sleep(ASK_AGAIN_S)
+        return close_answer(req.service, req.key, pb.OUTCOME_UNKNOWN, reason)
+
+    async def _follow(
+        self,
+        stream: CallerStream,
+        relay: Relay,
+        owner: _Owner,
+        deadline: float,
+    ) -> AnswerPart | Silence | None:
+        """Pass chunks on; return the end, or None for a silent owner."""
+        req = relay.request
+        try:
+            while True:
+                part = await relay.next_part(OWNER_CHECK_S)
+                if part is None:
+                    moved = self._owner_of(req, '') != owner
+                    if moved or time.monotonic() >= deadline:
+                        return None
+                elif isinstance(part, Silence) or part.HasField('closing'):
+                    return part
+                else:
+                    await stream.send_message(part)
+        except asyncio.CancelledError:
+            # The caller cancelled or is gone; the agent decides what that
+            # means for the request.
+            relay.cancel()
+            raise
+
+    def _owner_of(self, req: CallerRequest, hint: str) -> _Owner | None:
+        table = self._state.routes.table(req.service)
+        if table is None:
+            return None
+        item = hash_item(req.service, req.key.encode())
+        target = hint or table.first(bucket_of(item))
+        member = target and self._state.store.member(req.service, target)
+        return _Owner(member.target, member.rpc) if member else None
+
+
+def _deadline_of(stream: CallerStream, now: float) -> float:
+    """Return the monotonic time at which the outcome must be sent."""
+    remaining = DEFAULT_DEADLINE_S
+    if stream.deadline is not None:
+        remaining = stream.deadline.time_remaining()
+    margin = min(ANSWER_MARGIN_S, remaining / 10)
+    return now + remaining - margin
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/balancer/spreading.py
@@ -0,0 +1,267 @@
+"""Idempotent requests: choice of the target, retries and hedging."""
+
+import asyncio
+import random
+import time
+from typing import Final, NamedTuple
+
+from grpclib.server import Stream
+
+from trefoilhaven.balancer.relays import (
+    Relay,
+    Silence,
+    close_answer,
+    load_of,
+)
+from trefoilhaven.balancer.state import BalancerState
+from trefoilhaven_core.requests.budgets import HedgePolicy, RetryBudget
+from trefoilhaven_core.routing.choices import (
+    Choice,
+    ChoiceSettings,
+    TargetChooser,
+)
+from trefoilhaven_core.routing.waits import Candidate
+from trefoilhaven_core.wire.channels import ChannelPool
+from trefoilhaven_core.wire.proto import calls_pb2 as pb
+from trefoilhaven_core.wire.proto.calls_pb2 import (
+    AnswerPart,
+    CallerRequest,
+    PlacedRequest,
+)
+
+# Round trip to another failure domain until it is measured.
+LINK_COST_S: Final = 0.008
+
+NO_TARGET_WAIT_S: Final = 0.1
+
+# Parts of a hedged request are looked at this often.
+HEDGE_CHECK_S: Final = 0.02
+
+
+class _Service:
+    """Chooser, budget and hedging of one service."""
+
+    def __init__(self, settings: ChoiceSettings, retry_share: float) -> None:
+        self.chooser = TargetChooser(settings)
+        self.budget = RetryBudget(retry_share)
+        self.hedging = HedgePolicy(self.budget)
+        self.seen: dict[str, tuple[int, float]] = {}
+
+
+class _Copy(NamedTuple):
+    """One copy of a request on its way."""
+
+    choice: Choice
+    relay: Relay
+    sent_at: float
+
+
+class Spreader:
+    """Serves idempotent requests of all services."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        state: BalancerState,
+        channels: ChannelPool,
+        rng: random.Random,
+    ) -> None:
+        """Prepare for a balancer in a failure domain."""
+        self._domain = failure_domain
+        self._state = state
+        self._channels = channels
+        self._rng = rng
+        self._services: dict[str, _Service] = {}
+
+    async def serve(
+        self,
+        stream: Stream[CallerRequest, AnswerPart],
+        placed: PlacedRequest,
+        deadline: float,
+    ) -> AnswerPart:
+        """Send the chunks of the answer and return its closing part."""
+        req = placed.request
+        service = self._service(req.service)
+        service.budget.on_request()
+        tried: set[str] = set()
+        last = close_answer(
+            req.service,
+            req.key,
+            pb.OUTCOME_UNKNOWN,
+            'no target answered before the deadline',
+        )
+        while time.monotonic() < deadline:
+            copy = self._send(service, placed, deadline, tried)
+            if copy is None:
+                await asyncio.sleep(NO_TARGET_WAIT_S)
+                tried.clear()
+                continue
+            tried.add(copy.choice.target)
+            parts = await self._collect(service, copy, placed, deadline)
+            closing = self._note(service, parts)
+            if closing is not None:
+                last = closing
+                if closing.closing.outcome == pb.OUTCOME_DONE:
+                    for chunk in parts.chunks:
+                        await stream.send_message(chunk)
+                    return closing
+            if not service.budget.take():
+                return last
+        return last
+
+    async def _collect(
+        self,
+        service: _Service,
+        copy: _Copy,
+        placed: PlacedRequest,
+        deadline: float,
+    ) -> '_Parts':
+        """Return the whole answer of the first copy that has one.
+
+        Chunks are not passed on before, since the chunks of two copies
+        must not be mixed.
+        """
+        running = [_Parts(copy)]
+        hedged = False
+        try:
+            while time.monotonic() < deadline:
+                for parts in running:
+                    await parts.read(HEDGE_CHECK_S / len(running))
+                ended = [parts for parts in running if parts.ended]
+                best = [parts for parts in ended if parts.is_done]
+                if best or len(ended) == len(running):
+                    return (best or ended)[0]
+                if not hedged and service.hedging.should_hedge(
+                    time.monotonic(),
+                    copy.sent_at,
+                    idempotent=True,
+                    copies=1,
+                ):
+                    hedged = True
+                    second = self._send(
+                        service,
+                        placed,
+                        deadline,
+                        {copy.choice.target},
+                    )
+                    if second is not None:
+                        running.append(_Parts(second))
+            return running[0]
+        finally:
+            for parts in running:
+                parts.copy.relay.cancel()
+
+    def _send(
+        self,
+        service: _Service,
+        placed: PlacedRequest,
+        deadline: float,
+        tried: set[str],
+    ) -> _Copy | None:
+        now = time.monotonic()
+        name = placed.request.service
+        self._update(service, now, name)
+        choice = service.chooser.choose(now, self._rng, tried)
+        member = choice and self._state.store.member(name, choice.target)
+        if choice is None or member is None:
+            return None
+        relay = Relay(
+            self._channels.get(member.rpc),
+            placed,
+            owner=False,
+            timeout_s=max(deadline - now, 0.01),
+        )
+        return _Copy(choice, relay, now)
+
+    def _note(self, service: _Service, parts: '_Parts') -> AnswerPart | None:
+        now = time.monotonic()
+        choice = parts.copy.choice
+        closing = parts.closing
+        if closing is None:
+            service.chooser.on_failure(now, choice.target)
+            return None
+        load = load_of(closing.closing)
+        if closing.closing.outcome == pb.OUTCOME_DONE:
+            elapsed = now - parts.copy.sent_at
+            service.chooser.on_answer(now, choice, elapsed, load)
+            service.hedging.on_service_time(elapsed)
+        elif closing.closing.outcome == pb.OUTCOME_NOT_RUN:
+            service.chooser.on_shed(now, choice.target, load)
+        else:
+            service.chooser.on_failure(now, choice.target)
+        return closing
+
+    def _service(self, name: str) -> _Service:
+        service = self._services.get(name)
+        if service is None:
+            cfg = self._state.configuration(name)
+            domains = {
+                member.failure_domain
+                for member in self._state.store.members(name)
+            }
+            settings = ChoiceSettings(
+                self._domain,
+                dict.fromkeys(domains - {self._domain}, LINK_COST_S),
+                cfg.warm_up_s if cfg else 0,
+                cfg.eject_share if cfg else 0,
+            )
+            share = cfg.requests.retry_budget if cfg else 0
+            service = _Service(settings, share)
+            self._services[name] = service
+        return service
+
+    def _update(self, service: _Service, now: float, name: str) -> None:
+        members = self._state.store.eligible(name)
+        for member in members:
+            known = service.seen.get(member.target)
+            if known is None or known[0] != member.incarnation:
+                service.seen[member.target] = (member.incarnation, now)
+        service.chooser.update(
+            Candidate(
+                member.target,
+                member.failure_domain,
+                member.slots,
+                service.seen[member.target][1],
+            )
+            for member in members
+        )
+        for known_load in self._state.loads.loads(now, name):
+            service.chooser.on_report(
+                now,
+                known_load.target,
+                known_load.load,
+                known_load.age_s,
+            )
+
+
+class _Parts:
+    """Parts of one copy's answer as they come in."""
+
+    def __init__(self, copy: _Copy) -> None:
+        self.copy = copy
+        self.chunks: list[AnswerPart] = []
+        self.closing: AnswerPart | None = None
+        self.ended = False
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the whole answer is there."""
+        closing = self.closing
+        return (
+            closing is not None and closing.closing.outcome == pb.OUTCOME_DONE
+        )
+
+    async def read(self, wait_s: float) -> None:
+        """Take in the next part, if one comes in time."""
+        if self.ended:
+            return
+        part = await self.copy.relay.next_part(wait_s)
+        if part is None:
+            return
+        if isinstance(part, Silence):
+            self.ended = True
+        elif part.HasField('closing'):
+            self.closing = part
+            self.ended = True
+        else:
+            self.chunks.append(part)
--- a/packages/core/src/trefoilhaven_core/admission/estimates.py
+++ b/packages/core/src/trefoilhaven_core/admission/estimates.py
@@ -76,6 +76,10 @@
         self._total = 0
         self._reference_s = 0.0
 
+    def set_long_body_bytes(self, long_body_bytes: int) -> None:
+        """Change from which size undeclared bodies count as long."""
+        self._long_body_bytes = long_body_bytes
+
     def classify(self, declared: str, body_bytes: int) -> WorkClass:
         """Return the class of work; a declared class counts first."""
         if declared in WorkClass.__members__:
--- a/packages/core/src/trefoilhaven_core/admission/limits.py
+++ b/packages/core/src/trefoilhaven_core/admission/limits.py
@@ -37,6 +37,12 @@
         """Number of entries that may wait."""
         return int(self._limit)
 
+    def set_highest(self, highest: int) -> None:
+        """Change the upper bound."""
+        self._lowest = min(self._lowest, highest)
+        self._highest = highest
+        self._limit = min(self._limit, highest)
+
     def on_start(self, now: float, sojourn_s: float) -> None:
         """Note the time in seconds that started work had waited."""
         if now >= self._interval_end:
--- a/packages/core/src/trefoilhaven_core/admission/queues.py
+++ b/packages/core/src/trefoilhaven_core/admission/queues.py
@@ -86,6 +86,12 @@
         self._busy_long = 0
         self._sojourn = SojournLimit(max(2, limits.slots), limits.queue_limit)
 
+    def set_limits(self, limits: QueueLimits) -> None:
+        """Change the settings; waiting and started work is kept."""
+        self._limits = limits
+        self._estimates.set_long_body_bytes(limits.long_body_bytes)
+        self._sojourn.set_highest(limits.queue_limit)
+
     def offer(self, now: float, work: Work) -> Started | Queued | Refused:
         """Take in work or refuse it at once.
 
--- a/packages/core/src/trefoilhaven_core/flows/held.py
+++ b/packages/core/src/trefoilhaven_core/flows/held.py
@@ -65,7 +65,7 @@
         self._target = target
         self._incarnation = incarnation
         self._buckets = buckets
-        self._idle_timeout_s = idle_timeout_s
+        self.idle_timeout_s = idle_timeout_s
         self._idle_checked_at = float('-inf')
         self._open: dict[FlowKey, OpenFlow] = {}
         self._ended: dict[FlowKey, EndedFlow] = {}
@@ -106,7 +106,7 @@
         if now - self._idle_checked_at < IDLE_CHECK_S:
             return []
         self._idle_checked_at = now
-        oldest = now - self._idle_timeout_s
+        oldest = now - self.idle_timeout_s
         return [
             flow for flow, held in self._open.items() if held.seen_at <= oldest
         ]
--- a/packages/core/src/trefoilhaven_core/flows/placement.py
+++ b/packages/core/src/trefoilhaven_core/flows/placement.py
@@ -21,7 +21,7 @@
 
     def __init__(self, connection_limit: int) -> None:
         """Start without placements."""
-        self._limit = connection_limit
+        self.connection_limit = connection_limit
         self._loads: dict[str, Load] = {}
         self._placed: dict[str, int] = {}
 
@@ -54,7 +54,7 @@
         # At equal loads the name decides, so that runs can be repeated.
         fewest = min(estimates, key=lambda name: (estimates[name], name))
         flows = estimates[fewest]
-        if flows >= self._limit:
+        if flows >= self.connection_limit:
             return None
         is_ahead = own_flows >= flows + FLOWS_AHEAD and own_flows >= flows * (
             1 + SHARE_AHEAD
--- a/packages/core/src/trefoilhaven_core/flows/resolvers.py
+++ b/packages/core/src/trefoilhaven_core/flows/resolvers.py
@@ -63,6 +63,11 @@
         self._counters = counters
         self._placement = Placement(connection_limit)
 
+    def set_connection_limit(self, connection_limit: int) -> None:
+        """Change the number of flows that a target takes."""
+        self._limit = connection_limit
+        self._placement.connection_limit = connection_limit
+
     def resolve(
         self,
         now: float,
--- a/packages/core/src/trefoilhaven_core/flows/tables.py
+++ b/packages/core/src/trefoilhaven_core/flows/tables.py
@@ -75,6 +75,11 @@
         """Return the number of open flows."""
         return len(self._held)
 
+    def set_limits(self, connection_limit: int, idle_timeout_s: float) -> None:
+        """Change the limits; open flows above a lower limit stay."""
+        self._resolver.set_connection_limit(connection_limit)
+        self._held.idle_timeout_s = idle_timeout_s
+
     def on_packet(
         self,
         now: float,
--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -197,6 +197,10 @@
         """Iterate over the entries of some buckets for the hand-over."""
         return self._store.entries(buckets)
 
+    def set_retention(self, retention_s: float) -> None:
+        """Change the retention in seconds."""
+        self._store.set_retention(retention_s)
+
     def tick(self, now: float, wall: float) -> None:
         """Drop what is past the retention; nothing is dropped earlier."""
         self._store.advance(wall)
--- a/packages/core/src/trefoilhaven_core/requests/stores.py
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -66,6 +66,8 @@
         self._records: dict[int, Record] = {}
         self._kept = KeptAnswers()
         self._wall = 0.0
+        # Nothing issued before this Unix time is remembered any more.
+        self._dropped_before = 0.0
         self.refusals = RefusalTable(limits.refusals)
 
     def __len__(self) -> int:
@@ -96,7 +98,7 @@
         placed: bool,
     ) -> RunHere | Conclude:
         """Write the record of new work, or tell why there is none."""
-        if request.issued_at < self._wall - self._limits.retention_s:
+        if request.issued_at < max(self._oldest(), self._dropped_before):
             return unknown(Reason.past_retention)
         if self._is_full():
             return self.refuse(item, request, Reason.table_full, placed)
@@ -205,9 +207,17 @@
                     refusal.issued_at,
                 )
 
+    def set_retention(self, retention_s: float) -> None:
+        """Change the retention in seconds.
+
+        A longer retention does not bring back what was dropped before.
+        """
+        self._limits = self._limits._replace(retention_s=retention_s)
+
     def drop_expired(self) -> None:
         """Drop what is past the retention; nothing is dropped earlier."""
-        oldest = self._wall - self._limits.retention_s
+        oldest = self._oldest()
+        self._dropped_before = max(self._dropped_before, oldest)
         expired = [
             item
             for item, record in self._records.items()
@@ -218,6 +228,9 @@
             self._kept.drop(item)
         self.refusals.drop_before(oldest)
 
+    def _oldest(self) -> float:
+        return self._wall - self._limits.retention_s
+
     def _is_full(self) -> bool:
         return len(self._records) >= self._limits.records
 
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/wire/channels.py
@@ -0,0 +1,48 @@
+"""Open gRPC channels of a process, one for each address."""
+
+import asyncio
+from typing import Final
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from trefoilhaven_core.membership.messages import Address
+
+# What a call raises when the peer is gone, refuses or stays silent.
+CALL_ERRORS: Final = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    asyncio.TimeoutError,
+)
+
+
+class ChannelPool:
+    """Channels that stay open between calls.
+
+    A channel connects with its first call and again after a broken
+    connection.
+    """
+
+    def __init__(self) -> None:
+        """Start without channels."""
+        self._channels: dict[Address, Channel] = {}
+
+    def get(self, address: Address) -> Channel:
+        """Return the channel of an address."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = Channel(address.host, address.port)
+            self._channels[address] = channel
+        return channel
+
+    def keep_only(self, addresses: frozenset[Address]) -> None:
+        """Close the channels of all other addresses."""
+        for address in tuple(self._channels):
+            if address not in addresses:
+                self._channels.pop(address).close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.keep_only(frozenset())
--- a/packages/core/src/trefoilhaven_core/wire/codec.py
+++ b/packages/core/src/trefoilhaven_core/wire/codec.py
@@ -2,8 +2,7 @@
 
 A datagram is a msgpack array of the message's kind, the sender's hybrid
 logical clock and the message itself, for example
-``[3, 112589990684262400, ["classroom-desk", ...]]``. The kind numbers are
-part of the protocol and never reused.
+``[3, 112589990684262400, ["classroom-desk", ...]]``.
 """
 
 from typing import Final, NamedTuple
@@ -11,28 +10,11 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from trefoilhaven_core.flows.messages import FlowPacket
-from trefoilhaven_core.membership import messages as membership
-from trefoilhaven_core.ownership import messages as ownership
+from trefoilhaven_core.wire.kinds import MESSAGE_KINDS, KindTable
 
 # The largest payload of a UDP datagram over IPv4, in bytes.
 MAX_DATAGRAM_BYTES: Final = 65_507
 
-KindTable = dict[int, type[NamedTuple]]
-
-_KINDS: Final[KindTable] = {
-    1: FlowPacket,
-    2: membership.Heartbeat,
-    3: membership.HeartbeatAck,
-    4: membership.HeartbeatRefused,
-    5: membership.FenceRequest,
-    6: membership.FenceVote,
-    7: membership.Changes,
-    8: membership.Digest,
-    9: ownership.ClaimBuckets,
-    10: ownership.ClaimReply,
-}
-
 
 class Decoded(NamedTuple):
     """A message with the hybrid logical clock of its sender."""
@@ -85,4 +67,4 @@
 
 def make_codec() -> Codec:
     """Return the codec of all messages of the system."""
-    return Codec(_KINDS)
+    return Codec(MESSAGE_KINDS)
--- a/packages/core/src/trefoilhaven_core/wire/endpoints.py
+++ b/packages/core/src/trefoilhaven_core/wire/endpoints.py
@@ -12,6 +12,8 @@
 from typing import Any, Final, NamedTuple
 
 from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.telemetry.metrics import Metrics
+from trefoilhaven_core.telemetry.runtimes import ProcessClock
 from trefoilhaven_core.wire.codec import Codec
 
 logger = logging.getLogger(__name__)
@@ -25,17 +27,6 @@
 Handler = Callable[[Any, Address], None]
 
 
-class Clock:
-    """Clock of a process as the endpoint needs it."""
-
-    def stamp(self) -> int:
-        """Return the hybrid logical clock for an outgoing message."""
-        return 0
-
-    def observe(self, stamp: int) -> None:
-        """Take the hybrid logical clock of an incoming message."""
-
-
 class DatagramCounters:
     """Counts of one socket."""
 
@@ -52,7 +43,7 @@
 class DatagramEndpoint(asyncio.DatagramProtocol):
     """One UDP socket with handlers by message type."""
 
-    def __init__(self, codec: Codec, clock: Clock) -> None:
+    def __init__(self, codec: Codec, clock: ProcessClock) -> None:
         """Prepare an endpoint; ``open_endpoint`` opens its socket."""
         self.counters = DatagramCounters()
         self._codec = codec
@@ -122,7 +113,7 @@
 async def open_endpoint(
     address: Address,
     codec: Codec,
-    clock: Clock,
+    clock: ProcessClock,
 ) -> DatagramEndpoint:
     """Open a UDP socket at an address and return its endpoint.
 
@@ -137,3 +128,18 @@
         sock=sock,
     )
     return protocol
+
+
+def measure_endpoint(
+    metrics: Metrics,
+    name: str,
+    endpoint: DatagramEndpoint,
+) -> None:
+    """Export the counts of a socket under its name."""
+    counters = endpoint.counters
+    metrics.gauge(f'{name}_received', lambda: counters.received)
+    metrics.gauge(f'{name}_received_bytes', lambda: counters.received_bytes)
+    metrics.gauge(f'{name}_sent', lambda: counters.sent)
+    metrics.gauge(f'{name}_sent_bytes', lambda: counters.sent_bytes)
+    metrics.gauge(f'{name}_malformed', lambda: counters.malformed)
+    metrics.gauge(f'{name}_unexpected', lambda: counters.unexpected)
--- a/packages/core/src/trefoilhaven_core/wire/peers.py
+++ b/packages/core/src/trefoilhaven_core/wire/peers.py
@@ -8,8 +8,8 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
+from trefoilhaven_core.telemetry.runtimes import ProcessClock
 from trefoilhaven_core.wire.codec import Codec
-from trefoilhaven_core.wire.endpoints import Clock
 from trefoilhaven_core.wire.proto.calls_grpc import PeersBase
 from trefoilhaven_core.wire.proto.calls_pb2 import Packed
 
@@ -21,7 +21,7 @@
 class PeerService(PeersBase):
     """Answers calls by the type of the packed message."""
 
-    def __init__(self, codec: Codec, clock: Clock) -> None:
+    def __init__(self, codec: Codec, clock: ProcessClock) -> None:
         """Start without handlers."""
         self._codec = codec
         self._clock = clock
