--- a/packages/core/src/trefoilhaven_core/telemetry/kinds.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/kinds.py
@@ -5,7 +5,9 @@
 from trefoilhaven_core.telemetry import messages as telemetry
 from trefoilhaven_core.timeline import messages as timeline
 
-OPERATOR_KINDS: Final[dict[int, type[NamedTuple]]] = {
+_KindTable = dict[int, type[NamedTuple]]
+
+OPERATOR_KINDS: Final[_KindTable] = {
     20: telemetry.StatusRequest,
     21: telemetry.StatusReply,
     22: timeline.TimelineRequest,
