Add the command line

Cause: operators check, publish and inspect from the command line.

Change: check, publish, status, explain, drain, undrain, timeline and balancer, with JSON output and distinct exit codes. The schema files end in .schema.json, since a directory search for service files found service.json among them. The platform errors have one text for operators.

--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operator commands."""
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/commands/acknowledgements.py
@@ -0,0 +1,75 @@
+"""Waits until a published version is in force on every process."""
+
+import asyncio
+import time
+from collections.abc import Mapping
+
+import typer
+
+from trefoilhaven.commands.codes import ExitCode
+from trefoilhaven.commands.printing import print_error
+from trefoilhaven.commands.surveys import ask_all, find_processes
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.settings import defaults
+from trefoilhaven_core.telemetry.messages import StatusReply, StatusRequest
+
+
+async def wait_until_in_force(
+    balancer: Address,
+    wanted: Mapping[str, int],
+    timeout_s: float = defaults.PUBLISH_WAIT_S,
+) -> ExitCode:
+    """Ask all processes until each has the versions by service.
+
+    After the timeout, names each process that has not acknowledged.
+    """
+    started_s = time.monotonic()
+    while True:
+        lagging = await _find_lagging_processes(balancer, wanted)
+        waited_s = time.monotonic() - started_s
+        if not lagging:
+            typer.echo(f'in force on every process after {waited_s:.1f} s')
+            return ExitCode.ok
+        if waited_s > timeout_s:
+            for line in lagging:
+                print_error(line)
+            return ExitCode.unknown
+        await asyncio.sleep(defaults.PUBLISH_POLL_S)
+
+
+async def _find_lagging_processes(
+    balancer: Address,
+    wanted: Mapping[str, int],
+) -> list[str]:
+    processes = await find_processes(balancer)
+    replies, unreachable = await ask_all(
+        processes,
+        StatusRequest(),
+        StatusReply,
+    )
+    silent = [
+        f'{failure.process} has not acknowledged: {failure.reason}'
+        for failure in unreachable
+    ]
+    return find_lagging(replies, wanted) + silent
+
+
+def find_lagging(
+    replies: list[StatusReply],
+    wanted: Mapping[str, int],
+) -> list[str]:
+    """Return a line for each process that has an older version.
+
+    Balancers need the versions of all services, agents that of their own.
+    """
+    lines = []
+    for reply in replies:
+        for service, version in wanted.items():
+            held = reply.versions.get(service, 0)
+            concerned = reply.role == 'balancer' or service in reply.versions
+            if concerned and held < version:
+                lines.append(
+                    f'{reply.process} has version {held} of {service}, not '
+                    f'{version}',
+                )
+    return lines
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/commands/explanations.py
@@ -0,0 +1,142 @@
+"""The command ``explain``: where a flow or request key is decided."""
+
+import asyncio
+from typing import Annotated, Any, NamedTuple
+
+import typer
+
+from trefoilhaven.commands.options import (
+    Balancer,
+    Output,
+    OutputFormat,
+    read_address,
+    read_flow,
+)
+from trefoilhaven.commands.printing import print_json
+from trefoilhaven.commands.surveys import ask, ask_balancer
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.routing.routes import flow_item
+from trefoilhaven_core.routing.tables import bucket_of, hash_item
+from trefoilhaven_core.settings import defaults
+from trefoilhaven_core.telemetry.messages import (
+    ExplainReply,
+    ExplainRequest,
+    StatusReply,
+    StatusRequest,
+)
+
+
+class Explanation(NamedTuple):
+    """What the asked processes know; unknown names are empty."""
+
+    service: str
+    subject: str
+    item: int
+    bucket: int
+    first: str
+    second: str
+    owner: str
+    holder: str
+    steps: tuple[str, ...]
+
+
+def explain(
+    balancer: Balancer,
+    service: Annotated[str, typer.Option(help='Name of the service.')],
+    flow: Annotated[
+        str,
+        typer.Option(
+            metavar='PROTOCOL,IP,PORT,IP,PORT',
+            help='Five-tuple of a flow.',
+        ),
+    ] = '',
+    key: Annotated[str, typer.Option(help='Key of a request.')] = '',
+    output: Output = OutputFormat.text,
+) -> None:
+    """Show the bucket, the table's choices and the owner, step by step.
+
+    Example: trefoilhaven explain --balancer 127.0.1.1:9002
+    --service certify --key receipt-17
+    """
+    if bool(flow) == bool(key):
+        raise typer.BadParameter('give either --flow or --key')
+    if flow:
+        item = flow_item(service, read_flow(flow))
+    else:
+        item = hash_item(service, key.encode())
+    question = ExplainRequest(service, bucket_of(item), item)
+    address = read_address(balancer)
+    found = asyncio.run(_follow(address, question, flow or key))
+    if output is OutputFormat.json:
+        print_json(found._asdict())
+        return
+    for number, step in enumerate(found.steps, start=1):
+        typer.echo(f'{number}. {step}')
+    typer.echo(f'owner: {found.owner or "not known"}')
+
+
+async def _follow(
+    balancer: Address,
+    question: ExplainRequest,
+    subject: str,
+) -> Explanation:
+    first = await ask_balancer(balancer, question, ExplainReply)
+    status = await ask_balancer(balancer, StatusRequest(), StatusReply)
+    steps = [
+        f'{subject} of {question.service} is in bucket {question.bucket}',
+        f'{first.process}: the table names {first.first or "no target"} '
+        f'first and {first.second or "no target"} second',
+    ]
+    owner, holder = '', ''
+    target, asked = first.first, set[str]()
+    while target and target not in asked and len(asked) < defaults.HOP_LIMIT:
+        asked.add(target)
+        reply = await _ask_agent(status, question, target)
+        if isinstance(reply, str):
+            steps.append(reply)
+            break
+        steps.append(_describe(reply))
+        holder = reply.holder or holder
+        owner = target if reply.owns else ''
+        target = reply.owner
+    return Explanation(
+        question.service,
+        subject,
+        question.item,
+        question.bucket,
+        first.first,
+        first.second,
+        owner,
+        holder,
+        tuple(steps),
+    )
+
+
+async def _ask_agent(
+    status: StatusReply,
+    question: ExplainRequest,
+    target: str,
+) -> Any:
+    for each in status.members:
+        member = each.member
+        if (member.service, member.target) == (question.service, target):
+            answer = await ask(member.rpc, question, ExplainReply)
+            if answer.is_ok():
+                return answer.ok
+            return f'{target}: {answer.error}'
+    return f'{target}: {status.process} does not know its address'
+
+
+def _describe(reply: ExplainReply) -> str:
+    if reply.owns:
+        owned = 'owns the bucket'
+    elif reply.owner:
+        owned = f'takes {reply.owner} for the owner'
+    else:
+        owned = 'knows no owner'
+    parts = [f'{reply.process}: {owned}']
+    if reply.holder:
+        parts.append(f'the item is held by {reply.holder}')
+    if reply.detail:
+        parts.append(reply.detail)
+    return '; '.join(parts)
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/commands/surveys.py
@@ -0,0 +1,109 @@
+"""Questions to the processes of the system."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any, NamedTuple, TypeVar
+
+from expression import Error, Ok, Result
+
+from trefoilhaven.commands.codes import ExitCode
+from trefoilhaven.commands.printing import fail
+from trefoilhaven_core.membership.messages import Address, MemberState
+from trefoilhaven_core.telemetry.messages import StatusReply, StatusRequest
+from trefoilhaven_core.wire.calls import (
+    CallError,
+    call_peer,
+    make_operator_codec,
+)
+
+# Calls that are open at once, to stay below usual limits of open files.
+MAX_OPEN_CALLS = 64
+
+_CODEC = make_operator_codec()
+_GONE = frozenset((MemberState.dead, MemberState.left))
+
+_Reply = TypeVar('_Reply', bound=tuple)
+
+
+class Process(NamedTuple):
+    """A process as a balancer knows it."""
+
+    name: str
+    rpc: Address
+
+
+class Unreachable(NamedTuple):
+    """A process that gave no answer."""
+
+    process: str
+    reason: str
+
+
+async def ask(
+    address: Address,
+    message: Any,
+    kind: type[_Reply],
+) -> Result[_Reply, CallError]:
+    """Send a message and return the answer of the expected kind."""
+    answer = await call_peer(address, message, codec=_CODEC)
+    if answer.is_error():
+        return Error(answer.error)
+    reply = answer.ok.message
+    if isinstance(reply, kind):
+        return Ok(reply)
+    return Error(CallError(address, f'answered with {type(reply).__name__}'))
+
+
+async def ask_balancer(
+    address: Address,
+    message: Any,
+    kind: type[_Reply],
+) -> _Reply:
+    """Ask the balancer of the command line; ends the command on failure."""
+    answer = await ask(address, message, kind)
+    if answer.is_error():
+        fail(ExitCode.unreachable, f'balancer {answer.error}')
+    return answer.ok
+
+
+async def ask_all(
+    processes: Iterable[Process],
+    message: Any,
+    kind: type[_Reply],
+) -> tuple[list[_Reply], list[Unreachable]]:
+    """Ask processes at the same time; return answers and failures."""
+    gate = asyncio.Semaphore(MAX_OPEN_CALLS)
+    listing = list(processes)
+
+    async def ask_one(process: Process) -> Result[_Reply, CallError]:
+        async with gate:
+            return await ask(process.rpc, message, kind)
+
+    answers = await asyncio.gather(*map(ask_one, listing))
+    replies = [answer.ok for answer in answers if answer.is_ok()]
+    failures = [
+        Unreachable(process.name, str(answer.error))
+        for process, answer in zip(listing, answers, strict=True)
+        if answer.is_error()
+    ]
+    return replies, failures
+
+
+async def find_processes(balancer: Address) -> list[Process]:
+    """Return all processes that a balancer knows and that are not gone."""
+    status = await ask_balancer(balancer, StatusRequest(), StatusReply)
+    return known_processes(status, balancer)
+
+
+def known_processes(status: StatusReply, balancer: Address) -> list[Process]:
+    """Return the processes in a balancer's status, itself included."""
+    known = {status.process: Process(status.process, balancer)}
+    for record in status.balancers:
+        if record.state not in _GONE:
+            known.setdefault(record.name, Process(record.name, record.rpc))
+    for each in status.members:
+        member = each.member
+        if member.state not in _GONE:
+            name = f'{member.service}/{member.target}'
+            known.setdefault(name, Process(name, member.rpc))
+    return list(known.values())
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/commands/tests/support.py
@@ -0,0 +1,198 @@
+"""Processes and a platform in memory, for tests of the commands."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from trefoilhaven_core.membership.messages import (
+    Address,
+    BalancerRecord,
+    Load,
+    Member,
+    MemberState,
+)
+from trefoilhaven_core.platform import errors
+from trefoilhaven_core.platform.clients import (
+    Changes,
+    Listing,
+    PlatformClient,
+    PlatformObject,
+)
+from trefoilhaven_core.platform.errors import PlatformError
+from trefoilhaven_core.telemetry import messages as telemetry
+from trefoilhaven_core.timeline.messages import (
+    TimelineEvent,
+    TimelineReply,
+    TimelineRequest,
+)
+from trefoilhaven_core.timeline.rings import EventRing
+from trefoilhaven_core.wire.calls import CallError
+from trefoilhaven_core.wire.codec import Codec, Decoded
+
+ENTRY = Address('127.0.1.1', 9002)
+SECOND_ENTRY = Address('127.0.1.2', 9002)
+
+
+def make_member(number: int, state: MemberState = MemberState.alive) -> Member:
+    """Return the member ``certify-<number>``."""
+    host = f'127.0.2.{number}'
+    return Member(
+        'certify',
+        f'certify-{number}',
+        f'host-{number}',
+        'tt-south-a',
+        1000 + number,
+        1,
+        state,
+        Address(host, 9000),
+        Address(host, 9001),
+        Address(host, 9002),
+        3,
+    )
+
+
+class Peers:
+    """Processes that answer the messages of operator commands."""
+
+    def __init__(self, members: list[Member]) -> None:
+        """Start two balancers and the agents of some members."""
+        self.members = members
+        self.silent: set[Address] = set()
+        self.versions = {'certify': 1}
+        self.owner = 'certify-2'
+        self.drains: list[telemetry.DrainRequest] = []
+        self._processes = {ENTRY: 'entry-1', SECOND_ENTRY: 'entry-2'} | {
+            member.rpc: member.target for member in members
+        }
+
+    async def call(
+        self,
+        address: Address,
+        message: Any,
+        *,
+        codec: Codec,
+    ) -> Result[Decoded, CallError]:
+        """Answer a call as ``call_peer`` does, through the codec."""
+        if address in self.silent or address not in self._processes:
+            return Error(CallError(address, 'no answer within 2 s'))
+        asked = codec.decode(codec.encode(message)).ok.message
+        reply = self._answer(self._processes[address], asked)
+        return Ok(codec.decode(codec.encode(reply)).ok)
+
+    def _answer(self, process: str, message: Any) -> Any:
+        match message:
+            case telemetry.StatusRequest():
+                return self._status(process)
+            case TimelineRequest():
+                return self._timeline(process, message)
+            case telemetry.DrainRequest():
+                self.drains.append(message)
+                refused = process == 'certify-3'
+                return telemetry.DrainReply(
+                    not refused,
+                    'the last target' if refused else '',
+                )
+        return telemetry.ExplainReply(
+            process,
+            'certify-1',
+            'certify-2',
+            self.owner,
+            owns=process == self.owner,
+            holder='certify-3' if process == self.owner else '',
+            detail='',
+        )
+
+    def _status(self, process: str) -> telemetry.StatusReply:
+        second = BalancerRecord(
+            'entry-2',
+            'tt-south-b',
+            2,
+            1,
+            MemberState.alive,
+            Address('127.0.1.2', 9001),
+            SECOND_ENTRY,
+        )
+        return telemetry.StatusReply(
+            process,
+            'balancer' if process.startswith('entry') else 'agent',
+            'tt-south-a',
+            1,
+            self.versions,
+            {'certify': tuple(each.target for each in self.members)},
+            tuple(
+                telemetry.MemberStatus(each, Load(open_flows=5), 0.1)
+                for each in self.members
+            ),
+            (second,),
+            {},
+        )
+
+    def _timeline(
+        self,
+        process: str,
+        request: TimelineRequest,
+    ) -> TimelineReply:
+        ring = EventRing(process)
+        clock = 100 - len(process)
+        ring.add(TimelineEvent(clock, process, 'claim', 'certify'))
+        ring.add(TimelineEvent(clock + 5, process, 'claim', 'collect'))
+        return ring.answer(request)
+
+
+class _Writes(NamedTuple):
+    path: str
+    content: Any
+
+
+class MemoryPlatform(PlatformClient):
+    """Platform objects in memory."""
+
+    def __init__(self) -> None:
+        """Start without objects."""
+        self.objects: dict[str, PlatformObject] = {}
+        self.writes: list[_Writes] = []
+        self.is_down = False
+
+    async def get(self, path: str) -> Result[PlatformObject, PlatformError]:
+        """Return an object."""
+        found = self.objects.get(path)
+        return Ok(found) if found else Error(errors.NotFound(path))
+
+    async def put(
+        self,
+        path: str,
+        content: Any,
+        expected_version: int,
+    ) -> Result[int, PlatformError]:
+        """Write an object of the expected version."""
+        current = self.objects.get(path, PlatformObject(path, 0, None))
+        if current.version != expected_version:
+            return Error(errors.Conflict(*current))
+        self.writes.append(_Writes(path, content))
+        self.objects[path] = PlatformObject(
+            path,
+            expected_version + 1,
+            content,
+        )
+        return Ok(expected_version + 1)
+
+    async def delete(self, path: str, expected_version: int) -> Any:
+        """Not used by commands."""
+        raise NotImplementedError
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Return all objects."""
+        if self.is_down:
+            return Error(errors.Unavailable(False, 'connection refused'))
+        return Ok(Listing(1, tuple(self.objects.values())))
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        timeout_s: float,
+    ) -> Result[Changes, PlatformError]:
+        """Not used by commands."""
+        await asyncio.sleep(0)
+        raise NotImplementedError
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
@@ -0,0 +1,304 @@
+"""Tests of the commands: output, errors and exit codes."""
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from xml.etree import ElementTree
+
+import pytest
+
+from typer.testing import CliRunner, Result
+
+from trefoilhaven.cli import app
+from trefoilhaven.commands import acknowledgements, publishes, surveys
+from trefoilhaven.commands.tests.support import (
+    SECOND_ENTRY,
+    MemoryPlatform,
+    Peers,
+    make_member,
+)
+from trefoilhaven_core.membership.messages import MemberState
+
+_BALANCER = ('--balancer', '127.0.1.1:9002')
+_FLOW = '17,127.0.0.1,4000,127.1.0.1,7000'
+
+
+def _run(*arguments: str) -> Result:
+    return CliRunner().invoke(app, list(arguments))
+
+
+@pytest.fixture(name='peers')
+def _peers(monkeypatch: pytest.MonkeyPatch) -> Peers:
+    peers = Peers([make_member(number) for number in (1, 2, 3)])
+    monkeypatch.setattr(surveys, 'call_peer', peers.call)
+    return peers
+
+
+@pytest.fixture(name='platform')
+def _platform(monkeypatch: pytest.MonkeyPatch) -> MemoryPlatform:
+    platform = MemoryPlatform()
+    factory: Callable[..., Any] = lambda *_: platform  # noqa: E731
+    monkeypatch.setattr(publishes, 'HttpPlatformClient', factory)
+    return platform
+
+
+def _write(directory: Path, **changes: Any) -> Path:
+    content = {
+        'service': 'certify',
+        'address': '127.1.0.1:7000',
+        'operator': 'tincycle',
+    }
+    path = directory / 'service.json'
+    path.write_text(json.dumps(content | changes, indent=1))
+    return path
+
+
+def _publish(path: Path, *more: str) -> Result:
+    return _run(
+        'publish',
+        str(path),
+        '--platform=http://127.0.0.1:8000',
+        '--publisher=ann',
+        *more,
+    )
+
+
+class TestCheck:
+    """Findings and exit codes."""
+
+    def test_findings(self, tmp_path: Path) -> None:
+        """Guards against a faulty file that passes in a build."""
+        path = _write(tmp_path, warm_up_s=-1, adress='x')
+        outcome = _run('check', str(tmp_path))
+        assert outcome.exit_code == 1
+        assert f'{path}:5: $.warm_up_s: -1 is outside' in outcome.stderr
+        assert 'did you mean "address"?' in outcome.stderr
+
+    def test_json(self, tmp_path: Path) -> None:
+        """Guards against output that scripts can't read."""
+        path = _write(tmp_path, operator=1)
+        outcome = _run('check', str(path), '--output=json')
+        assert json.loads(outcome.stdout)[0]['path'] == '$.operator'
+        assert _run('check', str(_write(tmp_path))).exit_code == 0
+
+
+class TestPublish:
+    """Versions, conflicts and acknowledgement."""
+
+    def test_lock_and_conflict(
+        self,
+        tmp_path: Path,
+        platform: MemoryPlatform,
+    ) -> None:
+        """Guards against a file that overwrites a newer version."""
+        path = _write(tmp_path)
+        assert _publish(path).exit_code == 0
+        assert _publish(_write(tmp_path, warm_up_s=7)).exit_code == 0
+        (tmp_path / 'trefoilhaven.lock.json').unlink()
+        outcome = _publish(_write(tmp_path, warm_up_s=9))
+        assert outcome.exit_code == 3
+        assert '-  "warm_up_s": 7' in outcome.stdout
+        assert len(platform.writes) == 2
+
+    def test_dry_run(self, tmp_path: Path, platform: MemoryPlatform) -> None:
+        """Guards against a dry run that publishes or records."""
+        outcome = _publish(_write(tmp_path), '--dry-run')
+        assert '+  "service": "certify"' in outcome.stdout
+        assert not platform.writes
+        assert not (tmp_path / 'trefoilhaven.lock.json').exists()
+
+    def test_address_of_published_service(
+        self,
+        tmp_path: Path,
+        platform: MemoryPlatform,
+    ) -> None:
+        """Guards against two services on one address."""
+        _publish(_write(tmp_path))
+        outcome = _publish(_write(tmp_path, service='collect'))
+        assert outcome.exit_code == 1
+        assert 'the published service certify has this' in outcome.stderr
+        assert len(platform.writes) == 1
+
+    def test_platform_down(
+        self,
+        tmp_path: Path,
+        platform: MemoryPlatform,
+    ) -> None:
+        """Guards against a traceback or a wrong code in an outage."""
+        platform.is_down = True
+        outcome = _publish(_write(tmp_path))
+        assert outcome.exit_code == 4
+        assert len(outcome.stderr.splitlines()) == 1
+
+    @pytest.mark.parametrize(
+        ('version', 'silent', 'code'),
+        [(1, False, 0), (0, False, 5), (1, True, 5)],
+    )
+    def test_wait(
+        self,
+        tmp_path: Path,
+        platform: MemoryPlatform,
+        peers: Peers,
+        monkeypatch: pytest.MonkeyPatch,
+        version: int,
+        silent: bool,
+        code: int,
+    ) -> None:
+        """Guards against success before every process has the version."""
+        monkeypatch.setattr(
+            acknowledgements.wait_until_in_force,
+            '__defaults__',
+            (0.0,),
+        )
+        peers.versions = {'certify': version}
+        if silent:
+            peers.silent.add(SECOND_ENTRY)
+        outcome = _publish(_write(tmp_path), '--wait', *_BALANCER)
+        assert outcome.exit_code == code
+        assert ('entry-2' in outcome.stderr) is bool(code)
+
+    def test_wait_needs_balancer(self, tmp_path: Path) -> None:
+        """Guards against a publication whose wait can't start."""
+        assert _publish(_write(tmp_path), '--wait').exit_code == 2
+        bad_url = _run('publish', 'x', '--platform=x', '--publisher=a')
+        assert bad_url.exit_code == 2
+
+
+class TestStatus:
+    """Members and unreachable processes."""
+
+    def test_all_processes(self, peers: Peers) -> None:
+        """Guards against a process that is missing without a word."""
+        peers.silent.add(make_member(2).rpc)
+        outcome = _run('status', *_BALANCER, '--all', '--output=json')
+        found = json.loads(outcome.stdout)
+        assert [each['process'] for each in found['processes']] == [
+            'entry-1',
+            'entry-2',
+            'certify-1',
+            'certify-3',
+        ]
+        assert found['unreachable'][0]['process'] == 'certify/certify-2'
+        assert found['processes'][0]['members'][0]['state'] == 'alive'
+
+    def test_text(self, peers: Peers) -> None:
+        """Guards against a table without the members' states."""
+        peers.members[1] = make_member(2, MemberState.draining)
+        outcome = _run('status', *_BALANCER)
+        assert 'certify  certify-2  draining  host-2' in outcome.stdout
+
+    def test_unreachable_balancer(self, peers: Peers) -> None:
+        """Guards against an error that does not name the process."""
+        outcome = _run('status', '--balancer', '127.0.9.9:1')
+        assert outcome.exit_code == 4
+        assert '127.0.9.9:1 is unreachable' in outcome.stderr
+
+
+class TestExplain:
+    """The way from an item to its owner."""
+
+    @pytest.mark.parametrize(
+        'subject',
+        [('--key', 'receipt-17'), ('--flow', _FLOW)],
+    )
+    def test_follows_the_owner(
+        self,
+        peers: Peers,
+        subject: tuple[str, str],
+    ) -> None:
+        """Guards against taking the table's choice for the owner."""
+        outcome = _run(
+            'explain',
+            *_BALANCER,
+            '--service=certify',
+            *subject,
+            '--output=json',
+        )
+        found = json.loads(outcome.stdout)
+        assert (found['first'], found['owner']) == ('certify-1', 'certify-2')
+        assert found['holder'] == 'certify-3'
+        assert len(found['steps']) == 4
+
+    def test_unreachable_owner(self, peers: Peers) -> None:
+        """Guards against an owner that nobody confirmed."""
+        peers.silent.add(make_member(2).rpc)
+        arguments = ('--service=certify', '--key=k')
+        outcome = _run('explain', *_BALANCER, *arguments)
+        assert 'certify-2: 127.0.2.2:9002 is unreachable' in outcome.stdout
+        assert 'owner: not known' in outcome.stdout
+
+    @pytest.mark.parametrize(
+        'subject',
+        [(), ('--key=k', f'--flow={_FLOW}'), ('--flow=17,a,1,b,2',)],
+    )
+    def test_usage(self, peers: Peers, subject: tuple[str, ...]) -> None:
+        """Guards against an explanation of something else."""
+        arguments = ('--service=certify', *subject)
+        assert _run('explain', *_BALANCER, *arguments).exit_code == 2
+
+
+class TestDrain:
+    """Requests to the agent of a target."""
+
+    def test_drain_and_undrain(self, peers: Peers) -> None:
+        """Guards against a request for another target or direction."""
+        assert _run('drain', 'certify-1', *_BALANCER).exit_code == 0
+        assert _run('undrain', 'certify-2', *_BALANCER).exit_code == 0
+        assert [each[1:] for each in peers.drains] == [
+            ('certify-1', True),
+            ('certify-2', False),
+        ]
+
+    def test_refused(self, peers: Peers) -> None:
+        """Guards against success although the agent refused."""
+        outcome = _run('drain', 'certify-3', *_BALANCER)
+        assert outcome.exit_code == 1
+        assert 'refuses: the last target' in outcome.stderr
+
+    def test_unknown_and_unreachable(self, peers: Peers) -> None:
+        """Guards against success for a target that was not asked."""
+        assert _run('drain', 'absent', *_BALANCER).exit_code == 1
+        peers.silent.add(make_member(1).rpc)
+        assert _run('drain', 'certify-1', *_BALANCER).exit_code == 4
+
+
+class TestTimeline:
+    """Events of all processes."""
+
+    def test_order_filter_and_picture(
+        self,
+        peers: Peers,
+        tmp_path: Path,
+    ) -> None:
+        """Guards against events out of order or of other services."""
+        peers.silent.add(SECOND_ENTRY)
+        picture = tmp_path / 'timeline.svg'
+        outcome = _run(
+            'timeline',
+            *_BALANCER,
+            '--service=certify',
+            f'--picture={picture}',
+            '--output=json',
+        )
+        found = json.loads(outcome.stdout)
+        assert [each['process'] for each in found['events']] == [
+            'certify-1',
+            'certify-2',
+            'certify-3',
+            'entry-1',
+        ]
+        assert 'entry-2' in outcome.stderr
+        assert ElementTree.parse(picture).getroot().tag.endswith('svg')
+
+
+class TestBalancer:
+    """Settings of the process."""
+
+    def test_faulty_settings(self, tmp_path: Path) -> None:
+        """Guards against a process that starts with faulty settings."""
+        path = tmp_path / 'balancer.json'
+        path.write_text('{"name": 1}')
+        outcome = _run('balancer', f'--settings={path}')
+        assert outcome.exit_code == 1
+        assert '$.name: expected a string' in outcome.stderr
--- a/packages/core/src/trefoilhaven_core/configuration/locks.py
+++ b/packages/core/src/trefoilhaven_core/configuration/locks.py
@@ -12,7 +12,7 @@
 from expression import Error, Ok, Result
 
 from trefoilhaven_core.settings.documents import Document, read_document
-from trefoilhaven_core.settings.findings import Findings
+from trefoilhaven_core.settings.findings import Finding, Findings
 
 LOCK_FILE: Final = 'trefoilhaven.lock.json'
 
@@ -36,7 +36,11 @@
         return known.error
     versions = known.ok | {service: version}
     text = json.dumps({'services': versions}, indent=2, sort_keys=True)
-    path.write_text(f'{text}\n', encoding='utf-8')
+    try:
+        path.write_text(f'{text}\n', encoding='utf-8')
+    except OSError as exc:
+        message = f'the file cannot be written: {exc.strerror}'
+        return (Finding(str(path), 0, '$', message),)
     return ()
 
 
--- a/packages/core/src/trefoilhaven_core/configuration/publishing.py
+++ b/packages/core/src/trefoilhaven_core/configuration/publishing.py
@@ -212,17 +212,9 @@
         )
 
     def _failed(self, error: PlatformError) -> Step:
-        match error:
-            case errors.RateLimited():
-                message = 'the platform is at its rate limit'
-            case errors.TooLarge(limit_bytes=limit):
-                message = f'the file is larger than {limit} bytes'
-                return self._report(PublishOutcome.refused, 0, message)
-            case errors.Unavailable(reason=reason):
-                message = f'the platform is unavailable: {reason}'
-            case _:
-                message = f'unexpected answer of the platform: {error}'
-        message = f'not published: {message}'
+        message = f'not published: {errors.describe_error(error)}'
+        if isinstance(error, errors.TooLarge):
+            return self._report(PublishOutcome.refused, 0, message)
         return self._report(PublishOutcome.unreachable, 0, message)
 
     def _report(
--- a/packages/core/src/trefoilhaven_core/platform/errors.py
+++ b/packages/core/src/trefoilhaven_core/platform/errors.py
@@ -45,3 +45,17 @@
 
 
 PlatformError = NotFound | Conflict | RateLimited | Unavailable | TooLarge
+
+
+def describe_error(error: PlatformError) -> str:
+    """Return an error as one line for operators."""
+    match error:
+        case NotFound(path):
+            return f'{path} does not exist'
+        case Conflict(path, version):
+            return f'{path} has version {version}'
+        case RateLimited(retry_after_s):
+            return f'the platform asks to wait {retry_after_s:g} s'
+        case TooLarge(path, limit_bytes):
+            return f'{path} is larger than {limit_bytes} bytes'
+    return f'the platform is unavailable: {error.reason}'
--- a/packages/core/src/trefoilhaven_core/settings/printing.py
+++ b/packages/core/src/trefoilhaven_core/settings/printing.py
@@ -6,7 +6,7 @@
 from trefoilhaven_core.membership.messages import Address
 
 
-def to_json_value(record: Any) -> Any:
+def json_value(record: Any) -> Any:
     """Return a settings record as plain JSON values.
 
     Addresses become ``ip:port`` text and records become objects.
@@ -14,14 +14,12 @@
     if isinstance(record, Address):
         return f'{record.host}:{record.port}'
     if isinstance(record, tuple) and hasattr(record, '_asdict'):
-        return {
-            key: to_json_value(each) for key, each in record._asdict().items()
-        }
+        return {key: json_value(each) for key, each in record._asdict().items()}
     if isinstance(record, tuple):
-        return [to_json_value(each) for each in record]
+        return [json_value(each) for each in record]
     return record
 
 
 def format_settings(settings: Any) -> str:
     """Return the effective settings, defaults included, as JSON text."""
-    return json.dumps(to_json_value(settings), indent=2)
+    return json.dumps(json_value(settings), indent=2)
--- a/packages/core/src/trefoilhaven_core/settings/readers.py
+++ b/packages/core/src/trefoilhaven_core/settings/readers.py
@@ -66,6 +66,15 @@
     return Address(host, number) if 0 < number <= MAX_PORT else None
 
 
+def is_platform_url(text: str) -> bool:
+    """Tell whether text is a URL such as ``http://127.0.0.1:8000``."""
+    try:
+        parts = urlsplit(text)
+    except ValueError:
+        return False
+    return parts.scheme == 'http' and bool(parse_address(parts.netloc))
+
+
 class _Reader:
     """Checks the values of one document."""
 
@@ -152,11 +161,7 @@
         text = self._text(path, raw, field)
         if text is _FAULTY:
             return text
-        try:
-            parts = urlsplit(text)
-        except ValueError:
-            parts = urlsplit('')
-        if parts.scheme == 'http' and parse_address(parts.netloc):
+        if is_platform_url(text):
             return text.rstrip('/')
         return self._fault(
             path,
--- a/packages/core/src/trefoilhaven_core/settings/schemas.py
+++ b/packages/core/src/trefoilhaven_core/settings/schemas.py
@@ -40,7 +40,7 @@
 def write_schemas() -> None:
     """Write all schemas into the schemas directory."""
     for kind in SCHEMA_TABLES:
-        target = SCHEMAS_DIRECTORY / f'{kind}.json'
+        target = SCHEMAS_DIRECTORY / f'{kind}.schema.json'
         target.write_text(format_schema(kind), encoding='utf-8')
 
 
--- a/packages/core/src/trefoilhaven_core/settings/tests/test_loader.py
+++ b/packages/core/src/trefoilhaven_core/settings/tests/test_loader.py
@@ -164,7 +164,7 @@
     @pytest.mark.parametrize('kind', sorted(schemas.SCHEMA_TABLES))
     def test_committed_file_is_fresh(self, kind: str) -> None:
         """Guards against a field that the published schema lacks."""
-        committed = schemas.SCHEMAS_DIRECTORY / f'{kind}.json'
+        committed = schemas.SCHEMAS_DIRECTORY / f'{kind}.schema.json'
         assert committed.read_text() == schemas.format_schema(kind)
 
     def test_schema_accepts_valid_files(self) -> None:
--- a/packages/core/src/trefoilhaven_core/telemetry/endpoints.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/endpoints.py
@@ -9,7 +9,7 @@
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.telemetry.metrics import Metrics
 
-_LOG: Final = logging.getLogger(__name__)
+logger = logging.getLogger(__name__)
 _CONTENT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 
 
@@ -39,7 +39,7 @@
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, address.host, address.port).start()
-        _LOG.info('metrics endpoint listens on %s:%d', *address)
+        logger.info('metrics endpoint listens on %s:%d', *address)
 
     async def stop(self) -> None:
         """Close the endpoint."""
--- a/packages/core/src/trefoilhaven_core/telemetry/events.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/events.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from reactivex import operators
 from reactivex.abc import DisposableBase
@@ -17,7 +17,7 @@
 from trefoilhaven_core.timeline.messages import TimelineEvent
 from trefoilhaven_core.timeline.rings import EventRing
 
-_LOG: Final = logging.getLogger(__name__)
+logger = logging.getLogger(__name__)
 
 
 class ProcessEvent(NamedTuple):
@@ -95,6 +95,6 @@
         try:
             handler(event)
         except Exception:  # noqa: BLE001
-            _LOG.exception('a subscriber of "%s" events failed', event.kind)
+            logger.exception('a subscriber of "%s" events failed', event.kind)
 
     return call
