--- a/packages/bench/src/trefoilhaven_bench/caller/__main__.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/__main__.py
@@ -11,7 +11,11 @@
 from trefoilhaven_bench.caller.flows import FlowLoad
 from trefoilhaven_bench.caller.plans import FlowPlan, RequestPlan
 from trefoilhaven_bench.caller.requests import RequestLoad
-from trefoilhaven_bench.processes import read_settings, run_process
+from trefoilhaven_bench.processes import (
+    SettingsOption,
+    read_settings,
+    run_process,
+)
 
 
 class CallerSettings(NamedTuple):
@@ -50,7 +54,7 @@
     return report
 
 
-def main(settings: Path) -> None:
+def main(settings: SettingsOption) -> None:
     """Run the loads and write their report."""
     cfg = read_settings(settings, CallerSettings)
 
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/deployments/running.py
@@ -0,0 +1,290 @@
+"""A deployment that runs: its processes, faults and observations."""
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from aiohttp import ClientSession
+
+from trefoilhaven_bench.caller.plans import FlowPlan, RequestPlan
+from trefoilhaven_bench.deployments.children import Child, stop_all
+from trefoilhaven_bench.deployments.descriptions import (
+    DeploymentDescription,
+)
+from trefoilhaven_bench.deployments.layouts import Layout, ProcessPlan
+
+
+class CommandOutcome(NamedTuple):
+    """Exit code and output of an operator command."""
+
+    code: int
+    output: str
+
+
+class Deployment:
+    """Starts, changes and stops all processes of one description.
+
+    Settings files and logs go to ``directory``. Use it as an asynchronous
+    context manager, so that no process outlives it.
+    """
+
+    def __init__(
+        self,
+        description: DeploymentDescription,
+        directory: Path,
+    ) -> None:
+        """Choose addresses; nothing runs before ``start``."""
+        self.description = description
+        self.layout = Layout(description)
+        self.children: dict[str, Child] = {}
+        self.directory = directory
+        self._session: ClientSession | None = None
+
+    async def __aenter__(self) -> 'Deployment':
+        """Return the deployment; call ``start`` to run it."""
+        self._session = ClientSession()
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        """Stop all processes."""
+        await self.stop()
+
+    @property
+    def session(self) -> ClientSession:
+        """HTTP session for the endpoints of all processes."""
+        if self._session is None:
+            raise RuntimeError('the deployment is not entered')
+        return self._session
+
+    async def start(self, service_files: Iterable[Path] = ()) -> None:
+        """Start the platform, publish the services, start the rest."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        layout = self.layout
+        balancers = [
+            layout.plan_balancer(number)
+            for number in range(1, self.description.balancers + 1)
+        ]
+        pairs = [
+            layout.plan_target(service, number)
+            for service in self.description.services
+            for number in range(1, service.targets + 1)
+        ]
+        outside = [layout.plan_platform(), layout.plan_fabric()]
+        if self.description.proxied:
+            outside.append(layout.plan_proxy())
+        await self.run(outside)
+        files = list(service_files)
+        if files:
+            await self.publish(files)
+        targets, agents = zip(*pairs, strict=True)
+        await self.run((*balancers, *targets))
+        await self.run(agents)
+
+    async def run(self, plans: Iterable[ProcessPlan]) -> None:
+        """Start processes and wait until all of them are ready."""
+        started = [Child(plan, self.directory) for plan in plans]
+        for child in started:
+            self.children[child.plan.name] = child
+        await asyncio.gather(*[child.start() for child in started])
+        await asyncio.gather(
+            *[child.until_ready(self.session) for child in started],
+        )
+
+    async def stop(self) -> list[str]:
+        """Stop all processes; return those that had to be killed."""
+        by_role: dict[bool, list[Child]] = {True: [], False: []}
+        for child in self.children.values():
+            is_product = child.plan.role in {'balancer', 'agent'}
+            by_role[is_product].append(child)
+        late = await stop_all(by_role[True])
+        late.extend(await stop_all(by_role[False]))
+        if self._session is not None:
+            await self._session.close()
+        return late
+
+    async def kill(self, name: str) -> None:
+        """End a process with SIGKILL."""
+        await self.children[name].kill()
+
+    def pause(self, name: str) -> None:
+        """Stop a process with SIGSTOP."""
+        self.children[name].send(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a paused process with SIGCONT."""
+        self.children[name].send(signal.SIGCONT)
+
+    async def restart(self, name: str) -> None:
+        """Stop a process gracefully and start it with its settings."""
+        child = self.children[name]
+        await child.stop()
+        await child.start()
+        await child.until_ready(self.session)
+
+    async def add_balancer(self) -> str:
+        """Start one more balancer and list it at the fabric."""
+        number = 1 + sum(
+            1
+            for child in self.children.values()
+            if child.plan.role == 'balancer'
+        )
+        plan = self.layout.plan_balancer(number)
+        await self._add_links_of(plan)
+        await self.run((plan,))
+        await self.spray_over_running()
+        return plan.name
+
+    async def add_target(self, service: str) -> str:
+        """Start one more target of a service with its agent."""
+        numbers = [
+            int(name.rpartition('-')[2]) for name in self.targets(service)
+        ]
+        target, agent = self.layout.plan_target(
+            self.description.service(service),
+            max(numbers) + 1,
+        )
+        await self._add_links_of(agent)
+        await self.run((target, agent))
+        return target.name
+
+    async def spray_over_running(self) -> None:
+        """Tell the fabric which balancers run now."""
+        addresses = self.layout.flow_addresses()
+        running = [addresses[name] for name in self.running_balancers()]
+        url = f'http://{self.layout.fabric_control}/balancers'
+        await self.send('PUT', url, {'balancers': running})
+
+    async def set_cut(self, one: str, other: str, *, cut: bool) -> None:
+        """Cut or heal a pair of failure domains in the fault proxy."""
+        url = f'http://{self.layout.proxy_control}/domains/{one}/{other}'
+        await self.send('PUT', url, {'cut': cut})
+
+    async def set_platform_faults(self, **faults: Any) -> None:
+        """Change the faults of the platform stand-in."""
+        url = f'http://{self.layout.platform}/faults'
+        await self.send('POST', url, faults)
+
+    async def set_behaviour(self, target: str, **changes: Any) -> None:
+        """Change the behaviour of a target."""
+        await self.send('POST', self._target_url(target, 'behaviour'), changes)
+
+    async def publish(self, files: Iterable[Path]) -> CommandOutcome:
+        """Publish service files; raise ``RuntimeError`` when it fails."""
+        outcome = await self.command(
+            'publish',
+            '--platform',
+            f'http://{self.layout.platform}',
+            *[str(path) for path in files],
+        )
+        if outcome.code:
+            raise RuntimeError(f'publish failed: {outcome.output}')
+        return outcome
+
+    async def drain(self, target: str) -> float:
+        """Drain a target; return the Unix time of the announcement."""
+        outcome = await self.command(
+            'drain',
+            '--balancer',
+            next(iter(self.running_rpc().values())),
+            target,
+        )
+        if outcome.code:
+            raise RuntimeError(f'drain failed: {outcome.output}')
+        return time.time()
+
+    async def command(self, *arguments: str) -> CommandOutcome:
+        """Run an operator command of the ``trefoilhaven`` binary."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'trefoilhaven.cli',
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return CommandOutcome(process.returncode or 0, output.decode())
+
+    def targets(self, service: str) -> list[str]:
+        """Return the names of a service's targets."""
+        return [
+            child.plan.name
+            for child in self.children.values()
+            if child.plan.role == 'target'
+            and child.plan.settings['service'] == service
+        ]
+
+    def running_balancers(self) -> list[str]:
+        """Return the names of the balancers that run."""
+        return [
+            child.plan.name
+            for child in self.children.values()
+            if child.plan.role == 'balancer' and child.running
+        ]
+
+    def running_rpc(self) -> dict[str, str]:
+        """Return the rpc address of each balancer that runs."""
+        addresses = self.layout.rpc_addresses()
+        return {name: addresses[name] for name in self.running_balancers()}
+
+    def flow_plan(self, service: str, **changes: Any) -> FlowPlan:
+        """Return a plan of flows to a service of this deployment."""
+        plan = FlowPlan(
+            service,
+            self.description.service(service).address,
+            self.layout.fabric_caller,
+            seed=self.description.seed,
+        )
+        return plan._replace(**changes)
+
+    def request_plan(self, service: str, **changes: Any) -> RequestPlan:
+        """Return a plan of requests to a service of this deployment."""
+        plan = RequestPlan(
+            service,
+            tuple(self.running_rpc().values()),
+            service_time_s=self.description.service(service).service_time_s,
+            seed=self.description.seed,
+        )
+        return plan._replace(**changes)
+
+    async def observe(self, service: str, page: str) -> list[dict[str, Any]]:
+        """Return a page (``ran`` or ``flows``) of each running target."""
+        names = [
+            name
+            for name in self.targets(service)
+            if self.children[name].running
+        ]
+        return list(
+            await asyncio.gather(
+                *[self.fetch(self._target_url(name, page)) for name in names],
+            ),
+        )
+
+    async def fetch(self, url: str) -> Any:
+        """Return the JSON body of a URL."""
+        async with self.session.get(url) as answer:
+            answer.raise_for_status()
+            return await answer.json()
+
+    async def send(self, method: str, url: str, body: Any) -> Any:
+        """Send a JSON body and return the JSON answer."""
+        async with self.session.request(method, url, json=body) as answer:
+            answer.raise_for_status()
+            return await answer.json()
+
+    def _target_url(self, target: str, page: str) -> str:
+        control = self.children[target].plan.settings['control']
+        return f'http://{control}/{page}'
+
+    async def _add_links_of(self, plan: ProcessPlan) -> None:
+        """Open the proxy links of a process that joins later."""
+        if not self.description.proxied:
+            return
+        for link in self.layout.links:
+            if link.name.startswith(f'{plan.settings["name"]}-'):
+                url = f'http://{self.layout.proxy_control}/links/{link.name}'
+                await self.send('PUT', url, link._asdict())
--- a/packages/bench/src/trefoilhaven_bench/fabric.py
+++ b/packages/bench/src/trefoilhaven_bench/fabric.py
@@ -9,13 +9,13 @@
 import asyncio
 import random
 from collections import Counter, OrderedDict
-from pathlib import Path
 from typing import Any, NamedTuple
 
 import typer
 from aiohttp import web
 
 from trefoilhaven_bench.processes import (
+    SettingsOption,
     format_address,
     open_datagram_socket,
     parse_address,
@@ -144,7 +144,7 @@
             self._transport.close()
 
 
-def main(settings: Path) -> None:
+def main(settings: SettingsOption) -> None:
     """Serve the fabric until SIGTERM."""
     cfg = read_settings(settings, FabricSettings)
 
--- a/packages/bench/src/trefoilhaven_bench/fault_proxy/__main__.py
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/__main__.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from pathlib import Path
 from typing import Any
 
 import typer
@@ -16,6 +15,7 @@
 )
 from trefoilhaven_bench.fault_proxy.streams import StreamLink
 from trefoilhaven_bench.processes import (
+    SettingsOption,
     parse_address,
     read_settings,
     run_process,
@@ -99,7 +99,7 @@
         return web.json_response({'cuts': self.network.cuts()})
 
 
-def main(settings: Path) -> None:
+def main(settings: SettingsOption) -> None:
     """Serve the links until SIGTERM."""
     cfg = read_settings(settings, ProxySettings)
 
--- a/packages/bench/src/trefoilhaven_bench/platform_service/__main__.py
+++ b/packages/bench/src/trefoilhaven_bench/platform_service/__main__.py
@@ -1,7 +1,6 @@
 """Command line of the platform stand-in."""
 
 import asyncio
-from pathlib import Path
 
 import typer
 
@@ -9,10 +8,14 @@
     PlatformService,
     PlatformSettings,
 )
-from trefoilhaven_bench.processes import read_settings, run_process
+from trefoilhaven_bench.processes import (
+    SettingsOption,
+    read_settings,
+    run_process,
+)
 
 
-def main(settings: Path) -> None:
+def main(settings: SettingsOption) -> None:
     """Serve the object API until SIGTERM."""
     cfg = read_settings(settings, PlatformSettings)
 
--- a/packages/bench/src/trefoilhaven_bench/processes.py
+++ b/packages/bench/src/trefoilhaven_bench/processes.py
@@ -7,9 +7,10 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
+import typer
 import uvloop
 from aiohttp import web
 
@@ -19,6 +20,7 @@
 
 SettingsT = TypeVar('SettingsT')
 ProtocolT = TypeVar('ProtocolT', bound=asyncio.DatagramProtocol)
+SettingsOption = Annotated[Path, typer.Option(help='Settings file, JSON.')]
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
--- a/packages/bench/src/trefoilhaven_bench/target/__main__.py
+++ b/packages/bench/src/trefoilhaven_bench/target/__main__.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import deque
-from pathlib import Path
 from typing import Any
 
 import typer
@@ -10,6 +9,7 @@
 from grpclib.server import Server
 
 from trefoilhaven_bench.processes import (
+    SettingsOption,
     open_datagram_socket,
     parse_address,
     read_settings,
@@ -123,7 +123,7 @@
         return web.json_response(self.work.behaviour._asdict())
 
 
-def main(settings: Path) -> None:
+def main(settings: SettingsOption) -> None:
     """Serve flows and requests until SIGTERM."""
     cfg = read_settings(settings, TargetSettings)
 
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/tests/test_deployments.py
@@ -0,0 +1,108 @@
+"""Tests of the deployment helper with the stand-ins alone."""
+
+from pathlib import Path
+
+import pytest
+from aiohttp import ClientError
+
+from trefoilhaven_bench.caller.reports import RefusedAttempt
+from trefoilhaven_bench.deployments.children import Child, ChildFailedError
+from trefoilhaven_bench.deployments.descriptions import (
+    DeploymentDescription,
+    ServiceDescription,
+    read_description,
+)
+from trefoilhaven_bench.deployments.layouts import ProcessPlan
+from trefoilhaven_bench.deployments.running import Deployment
+from trefoilhaven_bench.verdicts import (
+    find_refused_but_ran,
+    find_run_twice,
+    imbalance,
+)
+
+_EXAMPLES = Path(__file__).parents[5] / 'examples/deployments'
+_SMALL = DeploymentDescription(
+    'small',
+    'lin',
+    'tw-south',
+    ('tainan-a', 'kaohsiung-b', 'pingtung-c'),
+    (ServiceDescription('certify', '127.1.1.2:7000', 2, 3),),
+    proxied=True,
+)
+
+
+class TestDeployment:
+    """Starting, observing and stopping processes."""
+
+    async def test_stand_ins(self, tmp_path: Path) -> None:
+        """Guards against stand-ins that don't start from their files."""
+        async with Deployment(_SMALL, tmp_path) as deployment:
+            layout = deployment.layout
+            target, agent = layout.plan_target(_SMALL.services[0], 1)
+            await deployment.run(
+                (
+                    layout.plan_platform(),
+                    layout.plan_fabric(),
+                    layout.plan_proxy(),
+                    target,
+                ),
+            )
+            await deployment.set_cut('tainan-a', '*', cut=True)
+            await deployment.set_platform_faults(down=True)
+            await deployment.set_behaviour(target.name, shedding=True)
+            pages = await deployment.observe('certify', 'ran')
+            assert pages[0]['target'] == target.name == agent.settings['name']
+            assert not await deployment.stop()
+        running = [child.running for child in deployment.children.values()]
+        assert running == [False] * 4
+
+    async def test_early_end(self, tmp_path: Path) -> None:
+        """Guards against a long wait for a process that has ended."""
+        plan = ProcessPlan('none', 'target', '', ('no_such_module',), {}, '')
+        async with Deployment(_SMALL, tmp_path) as deployment:
+            child = Child(plan, tmp_path)
+            await child.start()
+            await child.wait()
+            with pytest.raises(ChildFailedError, match='no_such_module'):
+                await child.until_ready(deployment.session)
+
+    async def test_paused(self, tmp_path: Path) -> None:
+        """Guards against a pause that leaves the process answering."""
+        async with Deployment(_SMALL, tmp_path) as deployment:
+            plan = deployment.layout.plan_platform()
+            await deployment.run((plan,))
+            deployment.pause(plan.name)
+            child = deployment.children[plan.name]
+            with pytest.raises(ChildFailedError, match='not ready'):
+                await child.until_ready(deployment.session, timeout_s=0.3)
+            deployment.resume(plan.name)
+            await child.until_ready(deployment.session)
+            await deployment.kill(plan.name)
+            with pytest.raises(ClientError):
+                await deployment.fetch(plan.ready)
+
+    @pytest.mark.parametrize('name', ['lin', 'tincycle'])
+    def test_examples(self, name: str) -> None:
+        """Guards against example files that no longer match the types."""
+        description = read_description(_EXAMPLES / f'{name}.json')
+        layout = Deployment(description, Path()).layout
+        balancer = layout.plan_balancer(1)
+        assert balancer.settings['name'] in balancer.settings['witnesses']
+
+
+class TestVerdicts:
+    """Judging requests by what the targets ran."""
+
+    def test_run_twice(self) -> None:
+        """Guards against a second start at another target that is missed."""
+        pages = [
+            {'ran': {'a': [{'attempt': 1}], 'b': [{'attempt': 2}]}},
+            {'ran': {'a': [{'attempt': 1}]}},
+        ]
+        assert find_run_twice(pages, ['a', 'b']) == ['a']
+        refused = [RefusedAttempt('b', 1), RefusedAttempt('b', 2)]
+        assert find_refused_but_ran(pages, refused) == refused[1:]
+
+    def test_imbalance(self) -> None:
+        """Guards against an idle target that is left out of the mean."""
+        assert imbalance({'a': 30, 'b': 30}, 3) == 1.5
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/verdicts.py
@@ -0,0 +1,106 @@
+"""Verdicts on a run, from the callers' reports and the targets' records."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from trefoilhaven_bench.caller.reports import (
+    FlowReport,
+    RefusedAttempt,
+    RequestReport,
+)
+
+RunPages = list[dict[str, Any]]
+
+
+class ServiceVerdict(NamedTuple):
+    """What a run showed for one service; times are in seconds."""
+
+    service: str
+    flows_opened: int
+    flows_unopened: int
+    flows_broken: int
+    done: int
+    not_run: int
+    unknown: int
+    wrong: int
+    run_twice: list[str]
+    refused_but_ran: list[RefusedAttempt]
+    cross_service: int
+    short_p50_s: float
+    short_p99_s: float
+    imbalance: float
+
+    @property
+    def is_clean(self) -> bool:
+        """Say whether no flow broke and every request's rule held."""
+        return not (
+            self.flows_broken
+            or self.wrong
+            or self.run_twice
+            or self.refused_but_ran
+            or self.cross_service
+        )
+
+
+def judge_service(
+    flows: FlowReport,
+    requests: RequestReport,
+    ran_pages: RunPages,
+    flow_pages: RunPages,
+) -> ServiceVerdict:
+    """Combine the reports with the targets' ``/ran`` and ``/flows``."""
+    cross_service = sum(
+        page['counts'].get('cross_service', 0)
+        for page in (*ran_pages, *flow_pages)
+    )
+    return ServiceVerdict(
+        flows['service'],
+        flows['opened'],
+        flows['unopened'],
+        flows['broken'],
+        requests['done'],
+        requests['not_run'],
+        requests['unknown'],
+        flows['wrong'] + requests['wrong'],
+        find_run_twice(ran_pages, requests['run_once_keys']),
+        find_refused_but_ran(ran_pages, requests['refused']),
+        cross_service,
+        requests['short']['p50_s'],
+        requests['short']['p99_s'],
+        imbalance(flows['by_target'], len(flow_pages)),
+    )
+
+
+def find_run_twice(
+    ran_pages: RunPages,
+    run_once_keys: Iterable[str],
+) -> list[str]:
+    """Return non-idempotent keys that started more than once."""
+    starts: Counter[str] = Counter()
+    for page in ran_pages:
+        for key, entries in page['ran'].items():
+            starts[key] += len(entries)
+    return [key for key in run_once_keys if starts[key] > 1]
+
+
+def find_refused_but_ran(
+    ran_pages: RunPages,
+    refused: Iterable[RefusedAttempt],
+) -> list[RefusedAttempt]:
+    """Return attempts that were answered *not run* and ran all the same."""
+    started = {
+        RefusedAttempt(key, entry['attempt'])
+        for page in ran_pages
+        for key, entries in page['ran'].items()
+        for entry in entries
+    }
+    return sorted(started.intersection(refused))
+
+
+def imbalance(by_target: dict[str, int], targets: int) -> float:
+    """Return the largest share over the mean of open flows, 0 if none."""
+    total = sum(by_target.values())
+    if not total or not targets:
+        return 0
+    return max(by_target.values()) * targets / total
