--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/deployments/commands.py
@@ -0,0 +1,164 @@
+"""What operators do with a running deployment: publish, drain, ask."""
+
+import asyncio
+import json
+import sys
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from trefoilhaven_bench.deployments.running import Deployment
+from trefoilhaven_bench.settings import POLL_S
+from trefoilhaven_core.telemetry.messages import (
+    DrainReply,
+    DrainRequest,
+    StatusReply,
+    StatusRequest,
+)
+from trefoilhaven_core.wire.calls import call_peer, make_operator_codec
+
+
+class CommandError(Exception):
+    """An operator command failed; the text is its output."""
+
+
+class InForce(NamedTuple):
+    """A configuration version and the time until all processes had it."""
+
+    version: int
+    seconds: float
+
+
+class OperatorCommands:
+    """Commands of the operator against one deployment.
+
+    Service files are copied to the deployment's directory, since the lock
+    file that publishing keeps beside them belongs to this platform only.
+    """
+
+    def __init__(self, deployment: Deployment, sources: Path) -> None:
+        """Read service files from ``sources``, one for each service."""
+        self._deployment = deployment
+        self._sources = sources
+        self._files = deployment.directory / 'services'
+        self._codec = make_operator_codec()
+
+    async def publish_all(self) -> None:
+        """Publish the files of all services of the deployment."""
+        self._files.mkdir(parents=True, exist_ok=True)
+        copies = []
+        for service in self._deployment.description.services:
+            copy = self._file(service.name)
+            source = self._sources / f'{service.name}.json'
+            copy.write_text(source.read_text())
+            copies.append(copy)
+        await self.publish(copies)
+
+    async def publish(self, files: Iterable[Path]) -> str:
+        """Publish service files; raise ``CommandError`` when it fails."""
+        platform = f'http://{self._deployment.layout.platform}'
+        paths = [str(path) for path in files]
+        return await self.run('publish', '--platform', platform, *paths)
+
+    async def change_service(self, service: str, **changes: Any) -> int:
+        """Publish changed top-level values; return the new version."""
+        path = self._file(service)
+        content = json.loads(path.read_text())
+        path.write_text(json.dumps({**content, **changes}, indent=2))
+        await self.publish([path])
+        return await self.published_version(service)
+
+    async def published_version(self, service: str) -> int:
+        """Return the platform's version of a service's configuration."""
+        platform = self._deployment.layout.platform
+        url = f'http://{platform}/objects/services/{service}'
+        stored = await self._deployment.fetch(url)
+        return int(stored['version'])
+
+    async def drain(self, service: str, target: str) -> float:
+        """Drain a target; return the Unix time of its agreement."""
+        address = self._deployment.product_rpc()[f'agent-{target}']
+        request = DrainRequest(service, target, drain=True)
+        reply = await call_peer(address, request, codec=self._codec)
+        if reply.is_error():
+            raise CommandError(str(reply.error))
+        message = reply.ok.message
+        if not isinstance(message, DrainReply) or not message.accepted:
+            raise CommandError(f'{target} does not drain: {message}')
+        return time.time()
+
+    async def statuses(self) -> dict[str, StatusReply]:
+        """Return the status of each product process that answers."""
+        addresses = self._deployment.product_rpc()
+        replies = await asyncio.gather(
+            *[
+                call_peer(address, StatusRequest(), codec=self._codec)
+                for address in addresses.values()
+            ],
+        )
+        return {
+            name: reply.ok.message
+            for name, reply in zip(addresses, replies, strict=True)
+            if reply.is_ok() and isinstance(reply.ok.message, StatusReply)
+        }
+
+    async def until_in_force(
+        self,
+        service: str,
+        version: int,
+        timeout_s: float,
+    ) -> InForce:
+        """Wait until all processes that serve a service have a version.
+
+        Raises ``CommandError`` that names the late processes.
+        """
+        started_at = time.monotonic()
+        late = await self._late(service, version)
+        while late:
+            if time.monotonic() - started_at > timeout_s:
+                raise CommandError(f'version {version} not in force: {late}')
+            await asyncio.sleep(POLL_S)
+            late = await self._late(service, version)
+        return InForce(version, time.monotonic() - started_at)
+
+    async def run(self, *arguments: str) -> str:
+        """Run a command of the ``trefoilhaven`` binary; return its output.
+
+        Raises ``CommandError`` for an exit code other than 0.
+        """
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'trefoilhaven.cli',
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        if process.returncode:
+            raise CommandError(f'{arguments[0]} failed: {output.decode()}')
+        return output.decode()
+
+    async def _late(self, service: str, version: int) -> list[str]:
+        concerned = {
+            name
+            for name, child in self._deployment.children.items()
+            if child.running
+            and (
+                child.plan.role == 'balancer'
+                or (
+                    child.plan.role == 'agent'
+                    and child.plan.settings['service'] == service
+                )
+            )
+        }
+        current = {
+            name
+            for name, status in (await self.statuses()).items()
+            if status.versions.get(service, 0) >= version
+        }
+        return sorted(concerned - current)
+
+    def _file(self, service: str) -> Path:
+        return self._files / f'{service}.json'
--- a/packages/bench/src/trefoilhaven_bench/deployments/running.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/running.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import signal
-import sys
-import time
 from collections.abc import Iterable
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from aiohttp import ClientSession
 
@@ -16,13 +14,8 @@
     DeploymentDescription,
 )
 from trefoilhaven_bench.deployments.layouts import Layout, ProcessPlan
-
-
-class CommandOutcome(NamedTuple):
-    """Exit code and output of an operator command."""
-
-    code: int
-    output: str
+from trefoilhaven_bench.processes import parse_address
+from trefoilhaven_core.membership.messages import Address
 
 
 class Deployment:
@@ -43,6 +36,8 @@
         self.children: dict[str, Child] = {}
         self.directory = directory
         self._session: ClientSession | None = None
+        self._balancers: list[ProcessPlan] = []
+        self._pairs: list[tuple[ProcessPlan, ProcessPlan]] = []
 
     async def __aenter__(self) -> 'Deployment':
         """Return the deployment; call ``start`` to run it."""
@@ -60,28 +55,20 @@
             raise RuntimeError('the deployment is not entered')
         return self._session
 
-    async def start(self, service_files: Iterable[Path] = ()) -> None:
-        """Start the platform, publish the services, start the rest."""
+    async def start_outside(self) -> None:
+        """Start platform, fabric and, where asked for, the fault proxy."""
         self.directory.mkdir(parents=True, exist_ok=True)
         layout = self.layout
-        balancers = [
-            layout.plan_balancer(number)
-            for number in range(1, self.description.balancers + 1)
-        ]
-        pairs = [
-            layout.plan_target(service, number)
-            for service in self.description.services
-            for number in range(1, service.targets + 1)
-        ]
+        self._plan_all()
         outside = [layout.plan_platform(), layout.plan_fabric()]
         if self.description.proxied:
             outside.append(layout.plan_proxy())
         await self.run(outside)
-        files = list(service_files)
-        if files:
-            await self.publish(files)
-        targets, agents = zip(*pairs, strict=True)
-        await self.run((*balancers, *targets))
+
+    async def start_product(self) -> None:
+        """Start balancers and targets, then the agents."""
+        targets, agents = zip(*self._pairs, strict=True)
+        await self.run((*self._balancers, *targets))
         await self.run(agents)
 
     async def run(self, plans: Iterable[ProcessPlan]) -> None:
@@ -172,43 +159,6 @@
         """Change the behaviour of a target."""
         await self.send('POST', self._target_url(target, 'behaviour'), changes)
 
-    async def publish(self, files: Iterable[Path]) -> CommandOutcome:
-        """Publish service files; raise ``RuntimeError`` when it fails."""
-        outcome = await self.command(
-            'publish',
-            '--platform',
-            f'http://{self.layout.platform}',
-            *[str(path) for path in files],
-        )
-        if outcome.code:
-            raise RuntimeError(f'publish failed: {outcome.output}')
-        return outcome
-
-    async def drain(self, target: str) -> float:
-        """Drain a target; return the Unix time of the announcement."""
-        outcome = await self.command(
-            'drain',
-            '--balancer',
-            next(iter(self.running_rpc().values())),
-            target,
-        )
-        if outcome.code:
-            raise RuntimeError(f'drain failed: {outcome.output}')
-        return time.time()
-
-    async def command(self, *arguments: str) -> CommandOutcome:
-        """Run an operator command of the ``trefoilhaven`` binary."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'trefoilhaven.cli',
-            *arguments,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        output, _ = await process.communicate()
-        return CommandOutcome(process.returncode or 0, output.decode())
-
     def targets(self, service: str) -> list[str]:
         """Return the names of a service's targets."""
         return [
@@ -218,6 +168,14 @@
             and child.plan.settings['service'] == service
         ]
 
+    def product_rpc(self) -> dict[str, Address]:
+        """Return the bound rpc address of each running product process."""
+        return {
+            child.plan.name: parse_address(child.plan.settings['rpc'])
+            for child in self.children.values()
+            if child.plan.role in {'balancer', 'agent'} and child.running
+        }
+
     def running_balancers(self) -> list[str]:
         """Return the names of the balancers that run."""
         return [
@@ -276,6 +234,18 @@
             answer.raise_for_status()
             return await answer.json()
 
+    def _plan_all(self) -> None:
+        """Choose all addresses, since the proxy's links need them."""
+        self._balancers = [
+            self.layout.plan_balancer(number)
+            for number in range(1, self.description.balancers + 1)
+        ]
+        self._pairs = [
+            self.layout.plan_target(service, number)
+            for service in self.description.services
+            for number in range(1, service.targets + 1)
+        ]
+
     def _target_url(self, target: str, page: str) -> str:
         control = self.children[target].plan.settings['control']
         return f'http://{control}/{page}'
--- a/packages/bench/src/trefoilhaven_bench/tests/test_deployments.py
+++ b/packages/bench/src/trefoilhaven_bench/tests/test_deployments.py
@@ -1,5 +1,6 @@
 """Tests of the deployment helper with the stand-ins alone."""
 
+import json
 from pathlib import Path
 
 import pytest
@@ -12,15 +13,20 @@
     ServiceDescription,
     read_description,
 )
-from trefoilhaven_bench.deployments.layouts import ProcessPlan
+from trefoilhaven_bench.deployments.layouts import Layout, ProcessPlan
 from trefoilhaven_bench.deployments.running import Deployment
 from trefoilhaven_bench.verdicts import (
     find_refused_but_ran,
     find_run_twice,
     imbalance,
 )
+from trefoilhaven_core.configuration.files import read_service_files
+from trefoilhaven_core.settings.loader import (
+    load_agent_settings,
+    load_balancer_settings,
+)
 
-_EXAMPLES = Path(__file__).parents[5] / 'examples/deployments'
+_EXAMPLES = Path(__file__).parents[5] / 'examples'
 _SMALL = DeploymentDescription(
     'small',
     'lin',
@@ -82,12 +88,28 @@
                 await deployment.fetch(plan.ready)
 
     @pytest.mark.parametrize('name', ['lin', 'tincycle'])
-    def test_examples(self, name: str) -> None:
-        """Guards against example files that no longer match the types."""
-        description = read_description(_EXAMPLES / f'{name}.json')
-        layout = Deployment(description, Path()).layout
-        balancer = layout.plan_balancer(1)
-        assert balancer.settings['name'] in balancer.settings['witnesses']
+    @pytest.mark.parametrize('proxied', [False, True])
+    def test_examples(
+        self,
+        name: str,
+        proxied: bool,  # noqa: FBT001
+        tmp_path: Path,
+    ) -> None:
+        """Guards against settings that the product's loader refuses."""
+        description = read_description(_EXAMPLES / f'deployments/{name}.json')
+        layout = Layout(description._replace(proxied=proxied))
+        path = tmp_path / 'settings.json'
+        path.write_text(json.dumps(layout.plan_balancer(4).settings))
+        assert load_balancer_settings(path).is_ok()
+        for service in description.services:
+            _, agent = layout.plan_target(service, 1)
+            path.write_text(json.dumps(agent.settings))
+            assert load_agent_settings(path).is_ok()
+        files = [
+            _EXAMPLES / f'services/{service.name}.json'
+            for service in description.services
+        ]
+        assert read_service_files(files).is_ok()
 
 
 class TestVerdicts:
