Name the obstacle of a process that is not ready

Cause: a late start showed two screens of log and not the reason. Change: the text of the readiness endpoint and the log's path are shown; the demo's table fits 80 columns.

--- a/packages/bench/src/trefoilhaven_bench/demo/tables.py
+++ b/packages/bench/src/trefoilhaven_bench/demo/tables.py
@@ -7,15 +7,15 @@
 from trefoilhaven_bench.verdicts import ServiceVerdict
 
 _COLUMNS: Final = (
-    'flows opened',
-    'broken',
-    'requests done',
-    'not run',
-    'unknown',
-    'run twice',
-    'p50 ms',
-    'p99 ms',
-    'imbalance',
+    'flows\nopened',
+    'flows\nbroken',
+    'done',
+    'not\nrun',
+    'un-\nknown',
+    'run\ntwice',
+    'p50\nms',
+    'p99\nms',
+    'imba-\nlance',
 )
 _MS_PER_S: Final = 1000
 
@@ -23,7 +23,7 @@
 def closing_table(verdicts: list[ServiceVerdict]) -> Table:
     """Return one row for each service."""
     table = Table(title='trefoilhaven demo')
-    table.add_column('service')
+    table.add_column('service', no_wrap=True)
     for column in _COLUMNS:
         table.add_column(column, justify='right')
     for verdict in verdicts:
--- a/packages/bench/src/trefoilhaven_bench/deployments/children.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/children.py
@@ -38,6 +38,7 @@
         self.log = directory / f'{plan.name}.log'
         self._settings = directory / f'{plan.name}.json'
         self._process: asyncio.subprocess.Process | None = None
+        self._obstacle = 'not asked yet'
 
     @property
     def running(self) -> bool:
@@ -78,7 +79,9 @@
                     await asyncio.sleep(POLL_S)
         except TimeoutError:
             reason = f'{self.plan.name} not ready in {timeout_s:g} s'
-            raise ChildFailedError(f'{reason}: {self.log_tail()}') from None
+            raise ChildFailedError(
+                f'{reason}: {self._obstacle}; log: {self.log}',
+            ) from None
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -127,8 +130,10 @@
                 self.plan.ready,
                 timeout=_PROBE_TIMEOUT,
             ) as answer:
+                self._obstacle = (await answer.text()).strip()
                 return answer.status == 200
-        except (ClientError, OSError, TimeoutError):
+        except (ClientError, OSError, TimeoutError) as exc:
+            self._obstacle = str(exc) or type(exc).__name__
             return False
 
 
