Run the whole path in the demo

Cause: the first run of the demo failed twice: publish needs a publisher, and asyncio's datagram transport is not a subclass of the abstract one.

--- a/packages/bench/src/trefoilhaven_bench/deployments/commands.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/commands.py
@@ -59,7 +59,14 @@
         """Publish service files; raise ``CommandError`` when it fails."""
         platform = f'http://{self._deployment.layout.platform}'
         paths = [str(path) for path in files]
-        return await self.run('publish', '--platform', platform, *paths)
+        return await self.run(
+            'publish',
+            '--platform',
+            platform,
+            '--publisher',
+            'bench',
+            *paths,
+        )
 
     async def change_service(self, service: str, **changes: Any) -> int:
         """Publish changed top-level values; return the new version."""
