--- a/packages/balancer/src/trefoilhaven/commands/acknowledgements.py
+++ b/packages/balancer/src/trefoilhaven/commands/acknowledgements.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import typer
 
 from trefoilhaven.commands.codes import ExitCode
 from trefoilhaven.commands.printing import print_error
-from trefoilhaven.commands.surveys import ask_all, find_processes
+from trefoilhaven.commands.surveys import Process, ask_all, find_processes
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.settings import defaults
 from trefoilhaven_core.telemetry.messages import StatusReply, StatusRequest
@@ -42,34 +42,27 @@
     wanted: Mapping[str, int],
 ) -> list[str]:
     processes = await find_processes(balancer)
-    replies, unreachable = await ask_all(
-        processes,
-        StatusRequest(),
-        StatusReply,
-    )
+    answers = await ask_all(processes, StatusRequest(), StatusReply)
     silent = [
         f'{failure.process} has not acknowledged: {failure.reason}'
-        for failure in unreachable
+        for failure in answers.unreachable
     ]
-    return find_lagging(replies, wanted) + silent
+    return find_lagging(answers.given, wanted) + silent
 
 
 def find_lagging(
-    replies: list[StatusReply],
+    given: Iterable[tuple[Process, StatusReply]],
     wanted: Mapping[str, int],
 ) -> list[str]:
     """Return a line for each process that has an older version.
 
     Balancers need the versions of all services, agents that of their own.
     """
-    lines = []
-    for reply in replies:
-        for service, version in wanted.items():
-            held = reply.versions.get(service, 0)
-            concerned = reply.role == 'balancer' or service in reply.versions
-            if concerned and held < version:
-                lines.append(
-                    f'{reply.process} has version {held} of {service}, not '
-                    f'{version}',
-                )
-    return lines
+    return [
+        f'{process.name} has version {reply.versions.get(service, 0)} of '
+        f'{service}, not {version}'
+        for process, reply in given
+        for service, version in wanted.items()
+        if process.service in {'', service}
+        and reply.versions.get(service, 0) < version
+    ]
--- a/packages/balancer/src/trefoilhaven/commands/explanations.py
+++ b/packages/balancer/src/trefoilhaven/commands/explanations.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from trefoilhaven.commands.codes import ExitCode
 from trefoilhaven.commands.options import (
     Balancer,
     Output,
@@ -27,7 +28,10 @@
 
 
 class Explanation(NamedTuple):
-    """What the asked processes know; unknown names are empty."""
+    """What the asked processes know; unknown names are empty.
+
+    ``complete`` is false when an agent on the way gave no answer.
+    """
 
     service: str
     subject: str
@@ -38,6 +42,7 @@
     owner: str
     holder: str
     steps: tuple[str, ...]
+    complete: bool
 
 
 def explain(
@@ -69,10 +74,12 @@
     found = asyncio.run(_follow(address, question, flow or key))
     if output is OutputFormat.json:
         print_json(found._asdict())
-        return
-    for number, step in enumerate(found.steps, start=1):
-        typer.echo(f'{number}. {step}')
-    typer.echo(f'owner: {found.owner or "not known"}')
+    else:
+        for number, step in enumerate(found.steps, start=1):
+            typer.echo(f'{number}. {step}')
+        typer.echo(f'owner: {found.owner or "not known"}')
+    if not found.complete:
+        raise typer.Exit(ExitCode.unreachable)
 
 
 async def _follow(
@@ -87,13 +94,14 @@
         f'{first.process}: the table names {first.first or "no target"} '
         f'first and {first.second or "no target"} second',
     ]
-    owner, holder = '', ''
+    owner, holder, complete = '', '', True
     target, asked = first.first, set[str]()
     while target and target not in asked and len(asked) < defaults.HOP_LIMIT:
         asked.add(target)
         reply = await _ask_agent(status, question, target)
         if isinstance(reply, str):
             steps.append(reply)
+            complete = False
             break
         steps.append(_describe(reply))
         holder = reply.holder or holder
@@ -109,6 +117,7 @@
         owner,
         holder,
         tuple(steps),
+        complete,
     )
 
 
--- a/packages/balancer/src/trefoilhaven/commands/statuses.py
+++ b/packages/balancer/src/trefoilhaven/commands/statuses.py
@@ -53,6 +53,10 @@
         bool,
         typer.Option('--all', help='Ask every process, not one balancer.'),
     ] = False,
+    service: Annotated[
+        str,
+        typer.Option(help='Only members of a service.'),
+    ] = '',
     output: Output = OutputFormat.text,
 ) -> None:
     """Show members, loads and configuration versions.
@@ -60,7 +64,9 @@
     Example: trefoilhaven status --balancer 127.0.1.1:9002 --all
     """
     address = read_address(balancer)
-    replies, unreachable = asyncio.run(_collect(address, everywhere=everywhere))
+    replies, unreachable = asyncio.run(
+        _collect(address, service, everywhere=everywhere),
+    )
     for failure in unreachable:
         print_error(f'{failure.process}: {failure.reason}')
     if output is OutputFormat.json:
@@ -77,8 +83,14 @@
     typer.echo(format_table([_MEMBER_COLUMNS, *map(_member_row, members)]))
 
 
-async def _collect(address: Address, *, everywhere: bool) -> _Statuses:
-    first = await ask_balancer(address, StatusRequest(), StatusReply)
+async def _collect(
+    address: Address,
+    service: str,
+    *,
+    everywhere: bool,
+) -> _Statuses:
+    question = StatusRequest(service)
+    first = await ask_balancer(address, question, StatusReply)
     if not everywhere:
         return [first], []
     others = [
@@ -86,8 +98,8 @@
         for process in known_processes(first, address)
         if process.name != first.process
     ]
-    replies, unreachable = await ask_all(others, StatusRequest(), StatusReply)
-    return [first, *replies], unreachable
+    answers = await ask_all(others, question, StatusReply)
+    return [first, *answers.replies], answers.unreachable
 
 
 def _to_json(reply: StatusReply) -> dict[str, object]:
--- a/packages/balancer/src/trefoilhaven/commands/surveys.py
+++ b/packages/balancer/src/trefoilhaven/commands/surveys.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, Generic, NamedTuple, TypeVar
 
 from expression import Error, Ok, Result
 
@@ -26,10 +26,14 @@
 
 
 class Process(NamedTuple):
-    """A process as a balancer knows it."""
+    """A process as a balancer knows it.
+
+    ``service`` is that of an agent and empty for a balancer.
+    """
 
     name: str
     rpc: Address
+    service: str = ''
 
 
 class Unreachable(NamedTuple):
@@ -39,6 +43,18 @@
     reason: str
 
 
+class Answers(NamedTuple, Generic[_Reply]):
+    """Answers with their processes, and the processes without one."""
+
+    given: list[tuple[Process, _Reply]]
+    unreachable: list[Unreachable]
+
+    @property
+    def replies(self) -> list[_Reply]:
+        """The answers alone."""
+        return [reply for _, reply in self.given]
+
+
 async def ask(
     address: Address,
     message: Any,
@@ -51,7 +67,7 @@
     reply = answer.ok.message
     if isinstance(reply, kind):
         return Ok(reply)
-    return Error(CallError(address, f'answered with {type(reply).__name__}'))
+    return Error(CallError(address, f'sent a {type(reply).__name__}'))
 
 
 async def ask_balancer(
@@ -70,8 +86,8 @@
     processes: Iterable[Process],
     message: Any,
     kind: type[_Reply],
-) -> tuple[list[_Reply], list[Unreachable]]:
-    """Ask processes at the same time; return answers and failures."""
+) -> Answers[_Reply]:
+    """Ask processes at the same time."""
     gate = asyncio.Semaphore(MAX_OPEN_CALLS)
     listing = list(processes)
 
@@ -80,13 +96,15 @@
             return await ask(process.rpc, message, kind)
 
     answers = await asyncio.gather(*map(ask_one, listing))
-    replies = [answer.ok for answer in answers if answer.is_ok()]
-    failures = [
-        Unreachable(process.name, str(answer.error))
-        for process, answer in zip(listing, answers, strict=True)
-        if answer.is_error()
-    ]
-    return replies, failures
+    pairs = list(zip(listing, answers, strict=True))
+    return Answers(
+        [(process, answer.ok) for process, answer in pairs if answer.is_ok()],
+        [
+            Unreachable(process.name, str(answer.error))
+            for process, answer in pairs
+            if answer.is_error()
+        ],
+    )
 
 
 async def find_processes(balancer: Address) -> list[Process]:
@@ -105,5 +123,5 @@
         member = each.member
         if member.state not in _GONE:
             name = f'{member.service}/{member.target}'
-            known.setdefault(name, Process(name, member.rpc))
+            known.setdefault(name, Process(name, member.rpc, member.service))
     return list(known.values())
--- a/packages/balancer/src/trefoilhaven/commands/tests/support.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/support.py
@@ -75,35 +75,13 @@
     ) -> Result[Decoded, CallError]:
         """Answer a call as ``call_peer`` does, through the codec."""
         if address in self.silent or address not in self._processes:
-            return Error(CallError(address, 'no answer within 2 s'))
+            return Error(CallError(address, 'is unreachable: refused'))
         asked = codec.decode(codec.encode(message)).ok.message
         reply = self._answer(self._processes[address], asked)
         return Ok(codec.decode(codec.encode(reply)).ok)
 
-    def _answer(self, process: str, message: Any) -> Any:
-        match message:
-            case telemetry.StatusRequest():
-                return self._status(process)
-            case TimelineRequest():
-                return self._timeline(process, message)
-            case telemetry.DrainRequest():
-                self.drains.append(message)
-                refused = process == 'certify-3'
-                return telemetry.DrainReply(
-                    not refused,
-                    'the last target' if refused else '',
-                )
-        return telemetry.ExplainReply(
-            process,
-            'certify-1',
-            'certify-2',
-            self.owner,
-            owns=process == self.owner,
-            holder='certify-3' if process == self.owner else '',
-            detail='',
-        )
-
-    def _status(self, process: str) -> telemetry.StatusReply:
+    def status(self, process: str) -> telemetry.StatusReply:
+        """Return the status of a process."""
         second = BalancerRecord(
             'entry-2',
             'tt-south-b',
@@ -128,6 +106,29 @@
             {},
         )
 
+    def _answer(self, process: str, message: Any) -> Any:
+        match message:
+            case telemetry.StatusRequest():
+                return self.status(process)
+            case TimelineRequest():
+                return self._timeline(process, message)
+            case telemetry.DrainRequest():
+                self.drains.append(message)
+                refused = process == 'certify-3'
+                return telemetry.DrainReply(
+                    not refused,
+                    'the last target' if refused else '',
+                )
+        return telemetry.ExplainReply(
+            process,
+            'certify-1',
+            'certify-2',
+            self.owner,
+            owns=process == self.owner,
+            holder='certify-3' if process == self.owner else '',
+            detail='',
+        )
+
     def _timeline(
         self,
         process: str,
--- a/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
@@ -7,7 +7,6 @@
 from xml.etree import ElementTree
 
 import pytest
-
 from typer.testing import CliRunner, Result
 
 from trefoilhaven.cli import app
@@ -158,6 +157,17 @@
         assert outcome.exit_code == code
         assert ('entry-2' in outcome.stderr) is bool(code)
 
+    def test_wait_for_agent_without_version(self) -> None:
+        """Guards against an agent without any version taken for current."""
+        member = make_member(1)
+        peers = Peers([member])
+        peers.versions = {}
+        reply = peers.status('certify-1')
+        process = surveys.Process('certify-1', member.rpc, 'certify')
+        lagging = acknowledgements.find_lagging
+        assert lagging([(process, reply)], {'certify': 1})
+        assert not lagging([(process, reply)], {'collect': 1})
+
     def test_wait_needs_balancer(self, tmp_path: Path) -> None:
         """Guards against a publication whose wait can't start."""
         assert _publish(_write(tmp_path), '--wait').exit_code == 2
@@ -227,6 +237,7 @@
         outcome = _run('explain', *_BALANCER, *arguments)
         assert 'certify-2: 127.0.2.2:9002 is unreachable' in outcome.stdout
         assert 'owner: not known' in outcome.stdout
+        assert outcome.exit_code == 4
 
     @pytest.mark.parametrize(
         'subject',
--- a/packages/balancer/src/trefoilhaven/commands/timelines.py
+++ b/packages/balancer/src/trefoilhaven/commands/timelines.py
@@ -83,7 +83,8 @@
 
 async def _collect(address: Address, request: TimelineRequest) -> _Timeline:
     processes = await find_processes(address)
-    return await ask_all(processes, request, TimelineReply)
+    answers = await ask_all(processes, request, TimelineReply)
+    return answers.replies, answers.unreachable
 
 
 def _write_picture(path: Path, events: tuple[TimelineEvent, ...]) -> None:
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/watchers.py
@@ -0,0 +1,96 @@
+"""Follows the objects under a prefix through outages."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+from random import Random
+from typing import Any
+
+from trefoilhaven_core.platform import errors
+from trefoilhaven_core.platform.backoffs import Backoff
+from trefoilhaven_core.platform.clients import (
+    ObjectChange,
+    PlatformClient,
+    PlatformObject,
+)
+from trefoilhaven_core.platform.errors import PlatformError, describe_error
+from trefoilhaven_core.settings import defaults
+
+logger = logging.getLogger(__name__)
+
+Deliver = Callable[[ObjectChange], None]
+
+
+class Watcher:
+    """Lists a prefix, then watches it; lists again after each failure.
+
+    The receiver gets an object again after a failure and must compare
+    versions. A deletion during an outage is not seen.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        prefix: str,
+        deliver: Deliver,
+        generator: Random,
+        sleep: Callable[[float], Awaitable[Any]] = asyncio.sleep,
+    ) -> None:
+        """Prepare a watcher; ``run`` starts it."""
+        self.failures = 0
+        self._client = client
+        self._prefix = prefix
+        self._deliver = deliver
+        self._backoff = Backoff(generator)
+        self._sleep = sleep
+        self._revision: int | None = None
+
+    async def run(self) -> None:
+        """Follow the objects until the task is cancelled."""
+        while True:
+            error = await self.step()
+            if error is not None:
+                await self._wait_after(error)
+
+    async def step(self) -> PlatformError | None:
+        """Make one call and deliver what it brings."""
+        if self._revision is None:
+            listing = await self._client.list(self._prefix)
+            if listing.is_error():
+                return listing.error
+            self._revision = listing.ok.revision
+            self._deliver_all(map(_as_change, listing.ok.objects))
+        else:
+            changes = await self._client.watch(
+                self._prefix,
+                self._revision,
+                defaults.PLATFORM_WATCH_TIMEOUT_S,
+            )
+            if changes.is_error():
+                return changes.error
+            self._revision = changes.ok.revision
+            self._deliver_all(changes.ok.objects)
+        self._backoff.reset()
+        return None
+
+    def _deliver_all(self, changes: Iterable[ObjectChange]) -> None:
+        for change in changes:
+            self._deliver(change)
+
+    async def _wait_after(self, error: PlatformError) -> None:
+        self.failures += 1
+        self._revision = None
+        wait_s = self._backoff.next_s()
+        if isinstance(error, errors.RateLimited):
+            wait_s = max(wait_s, error.retry_after_s)
+        logger.warning(
+            'watch of %s failed, next try in %.1f s: %s',
+            self._prefix,
+            wait_s,
+            describe_error(error),
+        )
+        await self._sleep(wait_s)
+
+
+def _as_change(found: PlatformObject) -> ObjectChange:
+    return ObjectChange(*found, deleted=False, revision=0)
--- a/packages/core/src/trefoilhaven_core/telemetry/messages.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/messages.py
@@ -21,7 +21,10 @@
 
 
 class StatusRequest(NamedTuple):
-    """Asks a process for its status."""
+    """Asks a process for its status.
+
+    With a service, the reply's members are those of the service only.
+    """
 
     service: str = ''
 
--- a/packages/core/src/trefoilhaven_core/wire/calls.py
+++ b/packages/core/src/trefoilhaven_core/wire/calls.py
@@ -18,7 +18,10 @@
 
 
 class CallError(NamedTuple):
-    """Why a call gave no usable answer."""
+    """Why a call gave no usable answer.
+
+    ``reason`` goes on after the address, as in ``is unreachable``.
+    """
 
     address: Address
     reason: str
@@ -26,7 +29,7 @@
     def __str__(self) -> str:
         """Return the error as one line of text."""
         host, port = self.address
-        return f'{host}:{port} is unreachable: {self.reason}'
+        return f'{host}:{port} {self.reason}'
 
 
 def make_operator_codec() -> Codec:
@@ -75,12 +78,18 @@
     try:
         reply = await PeersStub(channel).Call(packed, timeout=timeout_s)
     except TimeoutError:
-        return Error(CallError(address, f'no answer within {timeout_s:g} s'))
+        return Error(
+            CallError(address, f'did not answer within {timeout_s:g} s')
+        )
     except GRPCError as exc:
         status = exc.status.name.lower().replace('_', ' ')
-        return Error(CallError(address, f'{status}: {exc.message}'))
+        return Error(CallError(address, f'refused: {status}: {exc.message}'))
     except (OSError, StreamTerminatedError, ProtocolError) as exc:
-        return Error(CallError(address, str(exc) or type(exc).__name__))
+        cause = str(exc) or type(exc).__name__
+        return Error(CallError(address, f'is unreachable: {cause}'))
     return codec.decode(reply.content).map_error(
-        lambda error: CallError(address, error.reason),
+        lambda error: CallError(
+            address,
+            f'sent a malformed answer: {error.reason}',
+        ),
     )
