Add the command fetch

Cause: after a conflict no command recorded the version that the operator had seen, so that the file could never be published again.

Change: fetch replaces service files by the published versions, records them in the lock file and shows what changed.

Conclusion: a conflict ends with fetch, edit, publish.

--- a/packages/balancer/src/trefoilhaven/cli.py
+++ b/packages/balancer/src/trefoilhaven/cli.py
@@ -8,6 +8,7 @@
     checks,
     drains,
     explanations,
+    fetches,
     processes,
     publishes,
     statuses,
@@ -24,6 +25,7 @@
 )
 app.command()(checks.check)
 app.command('publish')(publishes.publish_files)
+app.command()(fetches.fetch)
 app.command()(statuses.status)
 app.command()(explanations.explain)
 app.command()(drains.drain)
--- a/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
@@ -10,7 +10,12 @@
 from typer.testing import CliRunner, Result
 
 from trefoilhaven.cli import app
-from trefoilhaven.commands import acknowledgements, publishes, surveys
+from trefoilhaven.commands import (
+    acknowledgements,
+    fetches,
+    publishes,
+    surveys,
+)
 from trefoilhaven.commands.tests.support import (
     SECOND_ENTRY,
     MemoryPlatform,
@@ -39,6 +44,7 @@
     platform = MemoryPlatform()
     factory: Callable[..., Any] = lambda *_: platform  # noqa: E731
     monkeypatch.setattr(publishes, 'HttpPlatformClient', factory)
+    monkeypatch.setattr(fetches, 'HttpPlatformClient', factory)
     return platform
 
 
@@ -100,6 +106,20 @@
         assert '-  "warm_up_s": 7' in outcome.stdout
         assert len(platform.writes) == 2
 
+    def test_fetch_ends_a_conflict(
+        self,
+        tmp_path: Path,
+        platform: MemoryPlatform,
+    ) -> None:
+        """Guards against a conflict that no command can end."""
+        _publish(_write(tmp_path, warm_up_s=7))
+        (tmp_path / 'trefoilhaven.lock.json').unlink()
+        path = _write(tmp_path, warm_up_s=9)
+        outcome = _run('fetch', str(path), '--platform=http://127.0.0.1:1')
+        assert '-  "warm_up_s": 9' in outcome.stdout
+        assert json.loads(path.read_text())['warm_up_s'] == 7
+        assert _publish(_write(tmp_path, warm_up_s=9)).exit_code == 0
+
     def test_dry_run(self, tmp_path: Path, platform: MemoryPlatform) -> None:
         """Guards against a dry run that publishes or records."""
         outcome = _publish(_write(tmp_path), '--dry-run')
