--- a/packages/balancer/src/trefoilhaven/commands/tests/support.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/support.py
@@ -1,7 +1,6 @@
-"""Processes and a platform in memory, for tests of the commands."""
+"""Processes in memory, for tests of the commands."""
 
-import asyncio
-from typing import Any, NamedTuple
+from typing import Any
 
 from expression import Error, Ok, Result
 
@@ -12,14 +11,6 @@
     Member,
     MemberState,
 )
-from trefoilhaven_core.platform import errors
-from trefoilhaven_core.platform.clients import (
-    Changes,
-    Listing,
-    PlatformClient,
-    PlatformObject,
-)
-from trefoilhaven_core.platform.errors import PlatformError
 from trefoilhaven_core.telemetry import messages as telemetry
 from trefoilhaven_core.timeline.messages import (
     TimelineEvent,
@@ -139,61 +130,3 @@
         ring.add(TimelineEvent(clock, process, 'claim', 'certify'))
         ring.add(TimelineEvent(clock + 5, process, 'claim', 'collect'))
         return ring.answer(request)
-
-
-class _Writes(NamedTuple):
-    path: str
-    content: Any
-
-
-class MemoryPlatform(PlatformClient):
-    """Platform objects in memory."""
-
-    def __init__(self) -> None:
-        """Start without objects."""
-        self.objects: dict[str, PlatformObject] = {}
-        self.writes: list[_Writes] = []
-        self.is_down = False
-
-    async def get(self, path: str) -> Result[PlatformObject, PlatformError]:
-        """Return an object."""
-        found = self.objects.get(path)
-        return Ok(found) if found else Error(errors.NotFound(path))
-
-    async def put(
-        self,
-        path: str,
-        content: Any,
-        expected_version: int,
-    ) -> Result[int, PlatformError]:
-        """Write an object of the expected version."""
-        current = self.objects.get(path, PlatformObject(path, 0, None))
-        if current.version != expected_version:
-            return Error(errors.Conflict(*current))
-        self.writes.append(_Writes(path, content))
-        self.objects[path] = PlatformObject(
-            path,
-            expected_version + 1,
-            content,
-        )
-        return Ok(expected_version + 1)
-
-    async def delete(self, path: str, expected_version: int) -> Any:
-        """Not used by commands."""
-        raise NotImplementedError
-
-    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
-        """Return all objects."""
-        if self.is_down:
-            return Error(errors.Unavailable(False, 'connection refused'))
-        return Ok(Listing(1, tuple(self.objects.values())))
-
-    async def watch(
-        self,
-        prefix: str,
-        after: int,
-        timeout_s: float,
-    ) -> Result[Changes, PlatformError]:
-        """Not used by commands."""
-        await asyncio.sleep(0)
-        raise NotImplementedError
--- a/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
@@ -18,11 +18,11 @@
 )
 from trefoilhaven.commands.tests.support import (
     SECOND_ENTRY,
-    MemoryPlatform,
     Peers,
     make_member,
 )
 from trefoilhaven_core.membership.messages import MemberState
+from trefoilhaven_core.platform.tests.support import MemoryPlatform
 
 _BALANCER = ('--balancer', '127.0.1.1:9002')
 _FLOW = '17,127.0.0.1,4000,127.1.0.1,7000'
@@ -104,7 +104,7 @@
         outcome = _publish(_write(tmp_path, warm_up_s=9))
         assert outcome.exit_code == 3
         assert '-  "warm_up_s": 7' in outcome.stdout
-        assert len(platform.writes) == 2
+        assert platform.writes == 2
 
     def test_fetch_ends_a_conflict(
         self,
@@ -137,7 +137,7 @@
         outcome = _publish(_write(tmp_path, service='collect'))
         assert outcome.exit_code == 1
         assert 'the published service certify has this' in outcome.stderr
-        assert len(platform.writes) == 1
+        assert platform.writes == 1
 
     def test_platform_down(
         self,
--- a/packages/core/src/trefoilhaven_core/platform/tests/test_watchers.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_watchers.py
@@ -11,34 +11,24 @@
     Changes,
     Listing,
     ObjectChange,
-    PlatformClient,
     PlatformObject,
 )
+from trefoilhaven_core.platform.tests.support import DOWN, MemoryPlatform
 from trefoilhaven_core.platform.watchers import Watcher
 
-_DOWN = Error(errors.Unavailable(False, 'down'))
-
 
 class _ScriptEndedError(Exception):
     """The last scripted answer was given."""
 
 
-class _Client(PlatformClient):
+class _Client(MemoryPlatform):
     """Gives scripted answers and records the calls."""
 
     def __init__(self, *answers: Any) -> None:
+        super().__init__()
         self.answers = list(answers)
         self.calls: list[str] = []
 
-    async def get(self, path: str) -> Any:
-        raise NotImplementedError
-
-    async def put(self, path: str, content: Any, expected_version: int) -> Any:
-        raise NotImplementedError
-
-    async def delete(self, path: str, expected_version: int) -> Any:
-        raise NotImplementedError
-
     async def list(self, prefix: str) -> Any:
         return self._answer('list')
 
@@ -80,8 +70,8 @@
             Ok(Listing(5, (PlatformObject('s/a', 1, None),))),
             Ok(Changes(6, (change,))),
             Ok(Changes(6, ())),
-            _DOWN,
-            _DOWN,
+            Error(DOWN),
+            Error(DOWN),
             Ok(Listing(9, (PlatformObject('s/a', 4, None),))),
         )
         versions, waits = _run(client)
