Relay a request under the highest known attempt, add schedules

Cause: an owner that relayed a lower attempt took the holder's refusal of it for a refusal of the attempt that was running there. Change: RelayTo names the attempt to relay under. Randomized schedules of crashes, pauses, cuts, lost and late messages, hand-offs and cessions over three request tables, each rule broken once, and tests of each rule. Conclusion: callers of RelayTo must send its attempt, not the asker's.

--- a/packages/core/src/trefoilhaven_core/requests/decisions.py
+++ b/packages/core/src/trefoilhaven_core/requests/decisions.py
@@ -95,11 +95,16 @@
 
 
 class RelayTo(NamedTuple):
-    """Ask the agent that holds the record."""
+    """Ask the agent that holds the record, under the given attempt.
+
+    The attempt is the highest known one, which may be above the asker's:
+    the refusal of a lower one says nothing about the held record.
+    """
 
     holder: str
     incarnation: int
-    follow_only: bool
+    attempt: int
+    follow_only: bool = True
 
 
 class Conclude(NamedTuple):
--- a/packages/core/src/trefoilhaven_core/requests/entries.py
+++ b/packages/core/src/trefoilhaven_core/requests/entries.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
-from trefoilhaven_core.requests.decisions import Request
+from trefoilhaven_core.requests.decisions import RelayTo, Request
 
 
 class RecordState(IntEnum):
@@ -113,11 +113,12 @@
         self.attempt = max(self.attempt, attempt)
         self.issued_at = max(self.issued_at, issued_at)
 
-    def relay_to(self, holder: str, incarnation: int) -> None:
+    def relay_to(self, holder: str, incarnation: int) -> RelayTo:
         """Name the agent that a call in progress asks."""
         self.state = RecordState.relaying
         self.holder = holder
         self.holder_incarnation = incarnation
+        return RelayTo(holder, incarnation, self.attempt)
 
     def settle(self, state: RecordState, wall: float) -> None:
         """Note the outcome, known at a Unix time."""
--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -18,7 +18,6 @@
     Decision,
     Follow,
     Reason,
-    RelayTo,
     Request,
     RunHere,
     Settled,
@@ -86,7 +85,11 @@
         if not standing.may_decide:
             return no_verdict(Reason.not_owner)
         listed = self._decide_listed(item, request, standing)
-        return listed or self._decide_new(item, request, standing.horizon)
+        if listed is not None:
+            return listed
+        if request.issued_at > wall + CLOCK_ERROR_S:
+            return unknown(Reason.future)
+        return self._decide_new(item, request, standing.horizon)
 
     def on_run(
         self,
@@ -224,8 +227,7 @@
         if record.is_open:
             return Follow(record.note(request))
         record.note(request)
-        record.relay_to(record.holder, record.holder_incarnation)
-        return RelayTo(record.holder, record.holder_incarnation, True)
+        return record.relay_to(record.holder, record.holder_incarnation)
 
     def _decide_listed(
         self,
@@ -248,9 +250,7 @@
         if entry.holder == self._agent.target:
             # The record was dropped, or was one of an older incarnation.
             return unknown(Reason.lost)
-        if not self._store.relay(item, request, entry):
-            return no_verdict(Reason.table_full)
-        return RelayTo(entry.holder, entry.holder_incarnation, True)
+        return self._store.relay(item, request, entry)
 
     def _decide_new(
         self,
@@ -258,8 +258,6 @@
         request: Request,
         horizon: float,
     ) -> RunHere | Conclude:
-        if request.issued_at > self._store.wall + CLOCK_ERROR_S:
-            return unknown(Reason.future)
         if request.issued_at < horizon:
             return unknown(Reason.before_horizon)
         if request.attempt <= self._refusals.placed(item):
--- a/packages/core/src/trefoilhaven_core/requests/stores.py
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -11,6 +11,7 @@
 from trefoilhaven_core.requests.decisions import (
     Conclude,
     Reason,
+    RelayTo,
     Replay,
     Request,
     RunHere,
@@ -72,11 +73,6 @@
         """Return the number of records."""
         return len(self._records)
 
-    @property
-    def wall(self) -> float:
-        """Highest Unix time seen, in seconds."""
-        return self._wall
-
     def advance(self, wall: float) -> None:
         """Note the wall clock; one that is set back revives no key."""
         self._wall = max(self._wall, wall)
@@ -108,15 +104,14 @@
         item: int,
         request: Request,
         entry: DirectoryEntry,
-    ) -> bool:
-        """Write the record of a relayed request; False without room."""
+    ) -> RelayTo | Conclude:
+        """Write the record of a request that another agent holds."""
         if self._is_full():
-            return False
+            return no_verdict(Reason.table_full)
         record = Record(request, placed=False)
         record.raise_attempt(entry.attempt, entry.issued_at)
-        record.relay_to(entry.holder, entry.holder_incarnation)
         self._records[item] = record
-        return True
+        return record.relay_to(entry.holder, entry.holder_incarnation)
 
     def refuse(
         self,
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/requests/tests/schedules.py
@@ -0,0 +1,271 @@
+"""Random schedules of requests and faults over several request tables.
+
+An oracle in place of the ownership slice gives each bucket one owner at a
+time, by cession or after the predecessor's lease is over for good.
+"""
+
+from collections.abc import Iterable
+from functools import partial
+from typing import Final
+
+from trefoilhaven_core.ownership.messages import DirectoryEntry
+from trefoilhaven_core.requests.decisions import (
+    Conclude,
+    Outcome,
+    Replay,
+    Request,
+    unknown,
+)
+from trefoilhaven_core.requests.entries import merge_entries
+from trefoilhaven_core.requests.records import CLOCK_ERROR_S
+from trefoilhaven_core.requests.tests.agents import Agent
+from trefoilhaven_core.requests.tests.worlds import (
+    CLOCK_OFFSET_S,
+    SERVICE,
+    BrokenRules,
+    Reply,
+    World,
+)
+from trefoilhaven_core.routing.tables import bucket_of, hash_item
+
+_AGENTS: Final = ('desk-1', 'desk-2', 'desk-3')
+
+# Margin for clock rates before a silent lease counts as over.
+_FENCE_MARGIN_S: Final = 0.5
+
+_KEYS: Final = 10
+_FAULTS: Final = 6
+
+
+class _Claim:
+    """A bucket on its way to a new owner."""
+
+    def __init__(self, schedule: 'Schedule', bucket: int, name: str) -> None:
+        self._schedule = schedule
+        self._bucket = bucket
+        self._claimant = schedule.agents[name]
+        self._waiting = set(_AGENTS) - {name}
+        self._entries: dict[int, DirectoryEntry] = {}
+        self._horizon: float | None = None
+        if bucket in self._claimant.owned:
+            schedule.claims.pop(bucket)
+            return
+        for sibling in sorted(self._waiting):
+            self._ask(sibling)
+
+    def _ask(self, sibling: str) -> None:
+        world = self._schedule.world
+        world.later(world.delay_s(), lambda: self._grant(sibling))
+
+    def _grant(self, sibling: str) -> None:
+        agent = self._schedule.agents[sibling]
+        now = self._schedule.world.now
+        if agent.crashed or now < max(agent.paused_until, agent.cut_until):
+            if now < agent.lease_until + _FENCE_MARGIN_S:
+                self._ask(sibling)
+                return
+            agent.fenced = True
+        else:
+            self._take(agent.table.items({self._bucket}))
+            if agent.owned and not agent.fenced:
+                self._cede(agent)
+        self._waiting.discard(sibling)
+        if not self._waiting:
+            self._claimant.act(self._finish)
+            if self._claimant.crashed:
+                self._schedule.claims.pop(self._bucket, None)
+
+    def _cede(self, agent: Agent) -> None:
+        if self._bucket not in agent.owned:
+            return
+        self._horizon = agent.owned.pop(self._bucket)
+        self._take(
+            entry
+            for entry in agent.directory.values()
+            if entry.bucket == self._bucket
+        )
+
+    def _take(self, entries: Iterable[DirectoryEntry]) -> None:
+        for entry in entries:
+            known = self._entries.get(entry.item, entry)
+            self._entries[entry.item] = merge_entries(known, entry)
+
+    def _finish(self) -> None:
+        claimant = self._claimant
+        self._schedule.claims.pop(self._bucket, None)
+        if claimant.fenced:
+            return
+        if self._horizon is None:
+            self._horizon = claimant.wall + CLOCK_ERROR_S
+        claimant.owned[self._bucket] = self._horizon
+        self._take(claimant.table.items({self._bucket}))
+        claimant.directory.update(self._entries)
+
+
+class Schedule:
+    """One random schedule; ``run`` returns the world with its notes."""
+
+    def __init__(self, seed: int, broken: BrokenRules) -> None:
+        """Draw the requests and faults of a seed."""
+        self.world = World(seed, broken)
+        self.agents: dict[str, Agent] = {}
+        self.claims: dict[int, _Claim] = {}
+        for name in _AGENTS:
+            self.agents[name] = Agent(self.world, name, 1, self.agents)
+        self._keys = [f'{seed}-key-{number}' for number in range(_KEYS)]
+        for key in self._keys:
+            self.world.later(0, partial(self._claim, key))
+            start_s = self.world.random.uniform(0.5, 10)
+            self.world.later(start_s, _Caller(self, key).start)
+        faults = (self._crash, self._pause, self._cut, self._move, self._drain)
+        for _ in range(_FAULTS):
+            fault = self.world.random.choice(faults)
+            self.world.later(self.world.random.uniform(0.5, 14), fault)
+
+    def run(self) -> World:
+        """Run to the end."""
+        self.world.run()
+        return self.world
+
+    def some_agent(self) -> Agent:
+        """Draw an agent."""
+        return self.agents[self.world.random.choice(_AGENTS)]
+
+    def owner(self, key: str) -> Agent:
+        """Return an agent that a balancer asks about a key.
+
+        A fenced agent that has not learned of it still counts as owner.
+        """
+        bucket = bucket_of(hash_item(SERVICE, key.encode()))
+        owners = [
+            agent for agent in self.agents.values() if bucket in agent.owned
+        ]
+        if all(agent.fenced or agent.crashed for agent in owners):
+            self._claim(key)
+        if not owners or self.world.chance(0.15):
+            return self.some_agent()
+        return self.world.random.choice(owners)
+
+    def _claim(self, key: str, avoided: str = '') -> None:
+        bucket = bucket_of(hash_item(SERVICE, key.encode()))
+        name = self.some_agent().name
+        if bucket in self.claims or name == avoided:
+            return
+        if not self.agents[name].crashed:
+            # A claim that ends at once removes itself.
+            self.claims[bucket] = None  # type: ignore[assignment]
+            claim = _Claim(self, bucket, name)
+            if bucket in self.claims:
+                self.claims[bucket] = claim
+
+    def _crash(self) -> None:
+        agent = self.some_agent()
+        agent.crashed = True
+        delay_s = self.world.random.uniform(0.1, 4)
+        self.world.later(delay_s, lambda: self._restart(agent))
+
+    def _restart(self, old: Agent) -> None:
+        if self.agents[old.name] is old:
+            self.agents[old.name] = Agent(
+                self.world,
+                old.name,
+                old.incarnation + 1,
+                self.agents,
+            )
+
+    def _pause(self) -> None:
+        pause_s = self.world.random.uniform(0.5, 6)
+        self.some_agent().paused_until = self.world.now + pause_s
+
+    def _cut(self) -> None:
+        cut_s = self.world.random.uniform(2, 8)
+        self.some_agent().cut_until = self.world.now + cut_s
+
+    def _move(self) -> None:
+        self._claim(self.world.random.choice(self._keys))
+
+    def _drain(self) -> None:
+        drained = self.some_agent().name
+        for key in self._keys:
+            self._claim(key, avoided=drained)
+
+
+class _Caller:
+    """A caller that asks, asks again and sends the next attempt."""
+
+    def __init__(self, schedule: Schedule, key: str) -> None:
+        self._schedule = schedule
+        self._world = schedule.world
+        self._key = key
+        self._offset_s = self._world.random.uniform(
+            -CLOCK_OFFSET_S,
+            CLOCK_OFFSET_S,
+        )
+        self._idempotent = self._world.chance(0.1)
+        self._attempt = 0
+        self._asks = 0
+        self._issued_at = 0.0
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        self._next_attempt()
+
+    def _next_attempt(self) -> None:
+        self._attempt += 1
+        self._issued_at = self._world.wall(self._offset_s)
+        for _ in range(1 + self._world.chance(0.4)):
+            self._ask()
+
+    def _ask(self) -> None:
+        self._asks += 1
+        if self._asks > 12:
+            return
+        request = Request(
+            SERVICE,
+            self._key,
+            self._attempt,
+            self._issued_at,
+            self._idempotent,
+        )
+        self._submit(request, self._world.now + 5)
+
+    def _submit(self, request: Request, deadline: float) -> None:
+        def deliver(answer: Reply) -> None:
+            agent = self._schedule.owner(self._key)
+            copy = request._replace(asker=self._world.number())
+            if request.idempotent:
+                agent.act(lambda: agent.run(copy, False, 0, answer))
+            else:
+                agent.act(lambda: agent.decide(copy, answer))
+
+        def on_reply(reply: Replay | Conclude | None) -> None:
+            if isinstance(reply, Replay):
+                self._on_done(reply.answer)
+            elif reply is not None and reply.outcome != Outcome.no_verdict:
+                self._on_outcome(request, reply)
+            elif self._world.now < deadline:
+                delay_s = self._world.random.uniform(0.1, 0.3)
+                self._world.later(
+                    delay_s,
+                    lambda: self._submit(request, deadline),
+                )
+            else:
+                self._on_outcome(request, unknown('deadline'))
+
+        self._world.call(deliver, on_reply)
+
+    def _on_done(self, answer: bytes) -> None:
+        content = self._world.transfer(self._key, answer)
+        if content is not None:
+            self._world.note_done(self._key, content)
+        if content is None or self._world.chance(0.3):
+            # A caller may ask again for an answer that it has.
+            self._world.later(self._world.random.uniform(0, 8), self._ask)
+
+    def _on_outcome(self, request: Request, reply: Conclude) -> None:
+        if reply.outcome == Outcome.not_run:
+            self._world.note_not_run(self._key, request.attempt)
+            if request.attempt == self._attempt:
+                self._next_attempt()
+        elif self._world.chance(0.6):
+            self._world.later(self._world.random.uniform(0, 8), self._ask)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/requests/tests/test_records.py
@@ -0,0 +1,249 @@
+"""Tests of the rules of the request table, one by one."""
+
+import tracemalloc
+from typing import Final
+
+from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
+from trefoilhaven_core.requests.decisions import (
+    Conclude,
+    Decision,
+    Follow,
+    Outcome,
+    Reason,
+    RelayTo,
+    Replay,
+    Request,
+    RunHere,
+    Settled,
+    Standing,
+)
+from trefoilhaven_core.requests.kept import MAX_KEPT_ANSWER_BYTES
+from trefoilhaven_core.requests.records import RequestTable
+from trefoilhaven_core.requests.stores import MAX_RECORDS, StoreLimits
+from trefoilhaven_core.routing.tables import (
+    BUCKET_COUNT,
+    bucket_of,
+    hash_item,
+)
+
+_WALL: Final = 1_000_000.0
+_OWNER: Final = Standing(is_owner=True, lease_valid=True, horizon=0)
+_RUN: Final = RunHere(recorded=True)
+_ALL: Final = frozenset(range(BUCKET_COUNT))
+
+
+def _table(**limits: int) -> RequestTable:
+    return RequestTable('collect', 'truck-1', 7, StoreLimits(**limits))
+
+
+def _request(attempt: int = 1, key: str = 'drop-off') -> Request:
+    return Request('collect', key, attempt, _WALL)
+
+
+def _decide(
+    table: RequestTable,
+    request: Request,
+    standing: Standing = _OWNER,
+    wall: float = _WALL,
+) -> Decision:
+    return table.on_decide(0, wall, request, standing)
+
+
+def _entry(kind: ItemKind, attempt: int) -> DirectoryEntry:
+    item = hash_item('collect', b'drop-off')
+    bucket = bucket_of(item)
+    return DirectoryEntry(bucket, item, kind, 'truck-2', 9, attempt, _WALL)
+
+
+def _reason(decision: Decision | Settled) -> str:
+    if isinstance(decision, Settled):
+        decision = decision.answer
+    assert isinstance(decision, Conclude)
+    return decision.reason
+
+
+class TestOwner:
+    """Decisions of the leased owner."""
+
+    def test_repeated_asks(self) -> None:
+        """Guards against a second run or a lost answer of one key."""
+        table = _table()
+        assert _decide(table, _request()._replace(asker=3)) == _RUN
+        assert _decide(table, _request()._replace(asker=4)) == Follow(3)
+        assert table.on_finished('drop-off', b'ok') == Settled(4, Replay(b'ok'))
+        assert _decide(table, _request(2)) == Replay(b'ok')
+
+    def test_refusal_covers_lower_attempts(self) -> None:
+        """Guards against a refused attempt that runs after all."""
+        table = _table()
+        _decide(table, _request(2))
+        table.on_refused('drop-off', 2, 'queue is full')
+        assert _reason(_decide(table, _request(1))) == Reason.refused
+        assert _reason(_decide(table, _request(2))) == Reason.refused
+        assert _decide(table, _request(3)) == _RUN
+        assert _reason(_decide(table, _request(2))) == Reason.refused
+
+    def test_refusal_covers_followers(self) -> None:
+        """Guards against a follower's attempt that runs after *not run*."""
+        table = _table()
+        _decide(table, _request(1))
+        _decide(table, _request(2))
+        table.on_refused('drop-off', 1, 'queue is full')
+        assert _reason(_decide(table, _request(2))) == Reason.refused
+
+    def test_time_limits(self) -> None:
+        """Guards against new work for keys that may be forgotten."""
+        late = _OWNER._replace(horizon=_WALL + 1)
+        decisions = [
+            _decide(_table(), _request(), late),
+            _decide(_table(), _request(), wall=_WALL - 0.3),
+            _decide(_table(), _request(), wall=_WALL + 600.1),
+        ]
+        assert [_reason(decision) for decision in decisions] == [
+            Reason.before_horizon,
+            Reason.future,
+            Reason.past_retention,
+        ]
+
+    def test_retention(self) -> None:
+        """Guards against records that are dropped early or never."""
+        table = _table()
+        _decide(table, _request())
+        table.tick(0, _WALL + 700)
+        assert len(table) == 1, 'a running record was dropped'
+        table.on_finished('drop-off', b'ok')
+        table.tick(0, _WALL + 1299)
+        assert len(table) == 1, 'a record was dropped early'
+        table.tick(0, _WALL + 1301)
+        assert not len(table)
+
+    def test_full_table(self) -> None:
+        """Guards against refusals that are not remembered."""
+        table = _table(records=1, refusals=1)
+        _decide(table, _request(key='first'))
+        assert _reason(_decide(table, _request(key='second'))) == (
+            Reason.table_full
+        )
+        third = _decide(table, _request(key='third'))
+        assert _reason(third) == Reason.refusals_full
+        assert isinstance(third, Conclude)
+        assert third.outcome == Outcome.no_verdict
+        assert _reason(_decide(table, _request(key='second'))) == Reason.refused
+
+    def test_large_answer(self) -> None:
+        """Guards against a replay of an answer that is not kept."""
+        table = _table()
+        _decide(table, _request())
+        table.on_finished('drop-off', bytes(MAX_KEPT_ANSWER_BYTES + 1))
+        assert _reason(_decide(table, _request())) == Reason.not_kept
+
+    def test_memory(self) -> None:
+        """Guards against records that outgrow an agent's memory."""
+        table = _table()
+        tracemalloc.start()
+        for number in range(MAX_RECORDS):
+            _decide(table, _request(key=f'key-{number}'))
+        used, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert used < 20_000_000
+
+
+class TestStanding:
+    """Decisions without ownership, without a lease or after a cession."""
+
+    def test_no_verdict(self) -> None:
+        """Guards against decisions of anybody but the leased owner."""
+        for standing in (
+            _OWNER._replace(lease_valid=False),
+            _OWNER._replace(is_owner=False),
+        ):
+            decision = _decide(_table(), _request(), standing)
+            assert _reason(decision) == Reason.not_owner
+
+    def test_start_needs_lease(self) -> None:
+        """Guards against a start after a pause that outlasted the lease."""
+        table = _table()
+        _decide(table, _request())
+        assert not table.on_started('drop-off', lease_valid=False)
+        assert table.on_started('drop-off', lease_valid=True)
+
+    def test_hand_off_needs_standing(self) -> None:
+        """Guards against a placement by an agent that ceded the bucket."""
+        table = _table()
+        _decide(table, _request())
+        ceded = _OWNER._replace(is_owner=False)
+        assert not table.on_handed_off('drop-off', 'truck-2', 9, ceded)
+        assert table.on_handed_off('drop-off', 'truck-2', 9, _OWNER)
+        entry = next(table.items(_ALL))
+        assert (entry.holder, entry.holder_incarnation) == ('truck-2', 9)
+
+    def test_listed_elsewhere(self) -> None:
+        """Guards against a second run of a key that a sibling holds."""
+        standing = _OWNER._replace(entry=_entry(ItemKind.running, 1))
+        table = _table()
+        assert _decide(table, _request(2), standing) == RelayTo('truck-2', 9, 2)
+        entry = next(table.items(_ALL))
+        assert entry.attempt == 2, 'the next owner would run attempt 2'
+
+    def test_lower_attempt_listed(self) -> None:
+        """Guards against a refusal of attempt 2 that covers a running 3.
+
+        Found by schedule 2505: the holder refused the relayed attempt 2
+        and the owner took attempt 3, which was done, as refused.
+        """
+        standing = _OWNER._replace(entry=_entry(ItemKind.done, 3))
+        decision = _decide(_table(), _request(2), standing)
+        assert decision == RelayTo('truck-2', 9, 3)
+
+    def test_refused_listed(self) -> None:
+        """Guards against a ceded refusal that is forgotten."""
+        standing = _OWNER._replace(entry=_entry(ItemKind.refused, 2))
+        assert _reason(_decide(_table(), _request(2), standing)) == (
+            Reason.refused
+        )
+        assert _decide(_table(), _request(3), standing) == _RUN
+
+    def test_refused_before_horizon(self) -> None:
+        """Guards against a higher attempt that a dead owner may have run."""
+        entry = _entry(ItemKind.refused, 1)
+        standing = Standing(True, True, horizon=_WALL + 1, entry=entry)
+        decision = _decide(_table(), _request(2), standing)
+        assert _reason(decision) == Reason.before_horizon
+
+
+class TestPlacement:
+    """Decisions about requests that an owner placed or relays."""
+
+    def test_follow_only(self) -> None:
+        """Guards against a relayed request that starts as new work."""
+        decision = _table().on_run(0, _WALL, _request(), True, 7)
+        assert _reason(decision) == Reason.no_record
+
+    def test_other_incarnation(self) -> None:
+        """Guards against a restarted agent that runs a placement again."""
+        decision = _table().on_run(0, _WALL, _request(), False, 6)
+        assert _reason(decision) == Reason.wrong_incarnation
+
+    def test_refused_placement(self) -> None:
+        """Guards against *not run* while another sibling may run it."""
+        table = _table()
+        assert table.on_run(0, _WALL, _request(), False, 7) == _RUN
+        settled = table.on_refused('drop-off', 1, 'queue is full')
+        assert _reason(settled) == 'queue is full'
+        follower = table.on_run(0, _WALL, _request(), True, 7)
+        assert _reason(follower) == Reason.refused_placement
+        assert not list(table.items(_ALL))
+
+    def test_idempotent(self) -> None:
+        """Guards against records that idempotent requests don't need."""
+        table = _table()
+        request = _request()._replace(idempotent=True)
+        decision = table.on_run(0, _WALL, request, False, 0)
+        assert decision == RunHere(recorded=False)
+        assert not len(table)
+
+    def test_wrong_service(self) -> None:
+        """Guards against work for a service that the agent lacks."""
+        request = _request()._replace(service='certify')
+        decision = _table().on_run(0, _WALL, request, False, 7)
+        assert _reason(decision) == Reason.wrong_service
