Count open requests in the choice of a target, add a queue model

Cause: the first load-aware choice was far worse than a random one. It learned a correction from the time of answers, which is noise where work differs in length, and ejected targets for misleading reports although a crest makes all reports late. Change: expected wait counts the balancer's own open requests in place of the correction; a target is ejected for misleading or shedding only if it does so far more often than the others. The event-driven model compares queue and choice with first-come-first-served and random choice.

--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/admission/baselines.py
@@ -0,0 +1,142 @@
+"""Admission and load-aware choice compared with simple baselines.
+
+The baselines are an unbounded first-come-first-served queue and a random
+choice among all targets.
+
+Example: ``compare(crest(1, 7, 2))`` returns a row for each pairing.
+"""
+
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.admission.models import Job, Model, Pairing, Scenario
+
+# Mean service time of short work and its deadline.
+SERVICE_TIME_S: Final = 0.05
+DEADLINE_S: Final = 1.0
+
+_PERCENTILE: Final = 0.99
+
+
+class Row(NamedTuple):
+    """Figures of one pairing over the measured part; times in seconds.
+
+    ``goodput`` is the time of slots spent on work that met its deadline,
+    as a share of all slots' time. Refusals are timed from the arrival at
+    the balancer until the balancer knows that no target takes the request.
+    """
+
+    queue: str
+    choice: str
+    offered: int
+    in_time: int
+    refused: int
+    goodput: float
+    refusal_p99_s: float
+    refusal_max_s: float
+    short_wait_p99_s: float
+    long_wait_p99_s: float
+    long_wait_max_s: float
+
+
+def crest(seed: int, targets: int, slots: int) -> Scenario:
+    """Return a crest of three times the capacity, reached in 1 s.
+
+    Figures count from the moment at which the crest is reached.
+    """
+    return Scenario(
+        seed,
+        targets,
+        slots,
+        SERVICE_TIME_S,
+        load=0.6,
+        crest_load=3,
+        crest_at_s=5,
+        ramp_s=1,
+        length_s=16,
+        measure_from_s=6,
+        deadline_s=DEADLINE_S,
+    )
+
+
+def stragglers(seed: int, targets: int, slots: int, load: float) -> Scenario:
+    """Return a steady load with 5% of work 20 times as long.
+
+    The deadlines are far away, so that all work is served and waits can be
+    compared.
+    """
+    return Scenario(
+        seed,
+        targets,
+        slots,
+        SERVICE_TIME_S,
+        load=load,
+        crest_load=load,
+        crest_at_s=0,
+        ramp_s=1,
+        length_s=120,
+        measure_from_s=10,
+        deadline_s=1000,
+        long_share=0.05,
+    )
+
+
+def compare(scenario: Scenario) -> tuple[Row, ...]:
+    """Run a scenario with each pairing of queue and choice."""
+    return tuple(
+        measure(scenario, Pairing(admission, load_aware))
+        for admission in (False, True)
+        for load_aware in (False, True)
+    )
+
+
+def measure(scenario: Scenario, pairing: Pairing) -> Row:
+    """Run a scenario with one pairing."""
+    start = scenario.measure_from_s
+    jobs = Model(scenario, pairing).run()
+    measured = [job for job in jobs if job.arrived_at >= start]
+    refusals = [
+        job.refused_at - job.arrived_at
+        for job in measured
+        if job.refused_at is not None
+    ]
+    long_waits = _waits(measured, is_long=True)
+    return Row(
+        'admission' if pairing.admission else 'first come',
+        'load-aware' if pairing.load_aware else 'random',
+        len(measured),
+        sum(1 for job in measured if job.is_in_time),
+        len(refusals),
+        _goodput(scenario, jobs),
+        percentile(refusals),
+        max(refusals, default=0),
+        percentile(_waits(measured, is_long=False)),
+        percentile(long_waits),
+        max(long_waits, default=0),
+    )
+
+
+def percentile(samples: list[float], share: float = _PERCENTILE) -> float:
+    """Return a percentile of samples, 0 without any."""
+    if not samples:
+        return 0
+    ordered = sorted(samples)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def _waits(jobs: list[Job], is_long: bool) -> list[float]:
+    return [
+        job.started_at - job.arrived_at
+        for job in jobs
+        if job.started_at is not None and job.is_long == is_long
+    ]
+
+
+def _goodput(scenario: Scenario, jobs: list[Job]) -> float:
+    start, end = scenario.measure_from_s, scenario.length_s
+    useful_s = 0.0
+    for job in jobs:
+        if job.started_at is not None and job.is_in_time:
+            ended_at = job.started_at + job.service_s
+            begun = max(start, job.started_at)
+            useful_s += max(0, min(end, ended_at) - begun)
+    return useful_s / ((end - start) * scenario.targets * scenario.slots)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/admission/models.py
@@ -0,0 +1,359 @@
+"""Event-driven model of balancers, targets and their queues.
+
+Balancers choose a target, the target queues or refuses, and answers carry
+the load back. The same seed gives the same arrivals to each pairing of
+queue and choice.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable, Collection
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.admission.queues import (
+    AdmissionQueue,
+    Queued,
+    QueueLimits,
+    Refused,
+    Started,
+    Turn,
+    Work,
+)
+from trefoilhaven_core.membership.messages import Load
+from trefoilhaven_core.requests.budgets import RetryBudget
+from trefoilhaven_core.routing.choices import (
+    Choice,
+    ChoiceSettings,
+    TargetChooser,
+)
+from trefoilhaven_core.routing.waits import Candidate
+
+# One-way delay between balancer and target, in seconds.
+LINK_DELAY_S: Final = 0.004
+
+HEARTBEAT_S: Final = 0.5
+
+_DOMAINS: Final = ('a', 'b', 'c')
+_SHORT_BODY_BYTES: Final = 1_000
+
+# Below the size from which undeclared bodies count as long, so that the
+# class has to be learned.
+_LONG_BODY_BYTES: Final = 40_000
+
+# Spread of service times around their mean (log-normal).
+_SIGMA: Final = 0.5
+
+
+class Scenario(NamedTuple):
+    """A load on one service; times are in seconds.
+
+    ``load`` and ``crest_load`` are shares of the service's capacity; the
+    crest is reached ``ramp_s`` after ``crest_at_s``. Long work gets
+    ``long_factor`` times the deadline as well.
+    """
+
+    seed: int
+    targets: int
+    slots: int
+    service_time_s: float
+    load: float
+    crest_load: float
+    crest_at_s: float
+    ramp_s: float
+    length_s: float
+    measure_from_s: float
+    deadline_s: float
+    long_share: float = 0
+    long_factor: float = 20
+
+
+class Pairing(NamedTuple):
+    """Whether to use the product's queue and choice, or the baselines."""
+
+    admission: bool
+    load_aware: bool
+
+
+class Job:
+    """One request and what became of it; times are in seconds.
+
+    A time is None while the event has not happened.
+    """
+
+    __slots__ = (
+        'arrived_at',
+        'deadline',
+        'finished_at',
+        'is_long',
+        'refused_at',
+        'service_s',
+        'started_at',
+        'token',
+    )
+
+    def __init__(
+        self,
+        token: int,
+        arrived_at: float,
+        service_s: float,
+        is_long: bool,
+        deadline: float,
+    ) -> None:
+        """Describe a request that has just arrived."""
+        self.token = token
+        self.arrived_at = arrived_at
+        self.service_s = service_s
+        self.is_long = is_long
+        self.deadline = deadline
+        self.started_at: float | None = None
+        self.finished_at: float | None = None
+        self.refused_at: float | None = None
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the request finished by its deadline."""
+        return self.finished_at is not None and (
+            self.finished_at <= self.deadline
+        )
+
+    @property
+    def work(self) -> Work:
+        """The request as a queue sees it."""
+        size = _LONG_BODY_BYTES if self.is_long else _SHORT_BODY_BYTES
+        return Work(self.token, '', size, self.deadline)
+
+
+class FirstComeQueue:
+    """Unbounded first-come-first-served queue with the same interface."""
+
+    def __init__(self, slots: int) -> None:
+        """Start empty."""
+        self._slots = slots
+        self._waiting: deque[Work] = deque()
+        self._busy: set[int] = set()
+        self._mean_s = 0.0
+
+    def offer(self, now: float, work: Work) -> Started | Queued | Refused:
+        """Start or queue work; it is never refused."""
+        if len(self._busy) < self._slots:
+            self._busy.add(work.token)
+            return Started()
+        self._waiting.append(work)
+        return Queued(0)
+
+    def next(self, now: float) -> Turn:
+        """Return the oldest work when there is a free slot."""
+        if not self._waiting or len(self._busy) >= self._slots:
+            return Turn(None, ())
+        work = self._waiting.popleft()
+        self._busy.add(work.token)
+        return Turn(work, ())
+
+    def finished(
+        self,
+        now: float,
+        token: int,
+        service_time_s: float | None,
+    ) -> None:
+        """Free a slot."""
+        self._busy.remove(token)
+        self._mean_s += ((service_time_s or 0) - self._mean_s) / 10
+
+    def load(self, now: float, open_flows: int = 0) -> Load:
+        """Return the load with the expected wait."""
+        queued = len(self._waiting)
+        wait_s = 0.0
+        if len(self._busy) >= self._slots:
+            wait_s = (queued + 1) * self._mean_s / self._slots
+        return Load(open_flows, len(self._busy), queued, wait_s, self._mean_s)
+
+
+class _RandomChooser(TargetChooser):
+    def choose(
+        self,
+        now: float,
+        generator: random.Random,
+        excluded: Collection[str] = (),
+        min_free_slots: int = 0,
+    ) -> Choice | None:
+        names = [one.target for one in self._candidates]
+        return Choice(generator.choice(names), 0)
+
+
+class _Balancer(NamedTuple):
+    chooser: TargetChooser
+    budget: RetryBudget
+
+
+class _Sending(NamedTuple):
+    """A request on its way, with the targets that refused it before."""
+
+    job: Job
+    balancer: _Balancer
+    choice: Choice
+    sent_at: float
+    tried: tuple[str, ...]
+
+
+class _Planned(NamedTuple):
+    due_s: float
+    number: int
+    event: Callable[[], None]
+
+
+class Model:
+    """One run of a scenario; ``run`` returns all its requests."""
+
+    def __init__(self, scenario: Scenario, pairing: Pairing) -> None:
+        """Prepare targets and balancers."""
+        self._scenario = scenario
+        self._arrivals = random.Random(scenario.seed)
+        self._draws = random.Random(scenario.seed + 1)
+        self._queues: dict[str, AdmissionQueue | FirstComeQueue] = {}
+        for number in range(scenario.targets):
+            slots = scenario.slots
+            queue = (
+                AdmissionQueue(QueueLimits(slots), started_at=0)
+                if pairing.admission
+                else FirstComeQueue(slots)
+            )
+            self._queues[f'target-{number}'] = queue
+        self._balancers = [
+            self._make_balancer(pairing, domain) for domain in _DOMAINS
+        ]
+        self._events: list[_Planned] = []
+        self._jobs: list[Job] = []
+        self._sendings: dict[int, _Sending] = {}
+        self._count = 0
+        self._now = 0.0
+
+    def run(self) -> list[Job]:
+        """Run until all requests are finished or refused."""
+        self._at(self._gap(), self._arrive)
+        self._at(0, self._heartbeat)
+        while self._events:
+            planned = heapq.heappop(self._events)
+            self._now = planned.due_s
+            planned.event()
+        return self._jobs
+
+    def _make_balancer(self, pairing: Pairing, domain: str) -> _Balancer:
+        costs = {
+            other: 2 * LINK_DELAY_S for other in _DOMAINS if other != domain
+        }
+        kind = TargetChooser if pairing.load_aware else _RandomChooser
+        chooser = kind(ChoiceSettings(domain, costs))
+        chooser.update(
+            Candidate(
+                name,
+                _DOMAINS[number % len(_DOMAINS)],
+                self._scenario.slots,
+            )
+            for number, name in enumerate(self._queues)
+        )
+        return _Balancer(chooser, RetryBudget())
+
+    def _at(self, delay_s: float, event: Callable[[], None]) -> None:
+        self._count += 1
+        planned = _Planned(self._now + delay_s, self._count, event)
+        heapq.heappush(self._events, planned)
+
+    def _gap(self) -> float:
+        scenario = self._scenario
+        begun = (self._now - scenario.crest_at_s) / scenario.ramp_s
+        share = max(0, min(1, begun))
+        load = scenario.load + share * (scenario.crest_load - scenario.load)
+        mean_s = scenario.service_time_s * (
+            1 + scenario.long_share * (scenario.long_factor - 1)
+        )
+        rate = load * scenario.targets * scenario.slots / mean_s
+        return self._arrivals.expovariate(rate)
+
+    def _arrive(self) -> None:
+        scenario = self._scenario
+        is_long = self._arrivals.random() < scenario.long_share
+        factor = scenario.long_factor if is_long else 1
+        spread = self._arrivals.lognormvariate(-_SIGMA * _SIGMA / 2, _SIGMA)
+        job = Job(
+            len(self._jobs),
+            self._now,
+            scenario.service_time_s * factor * spread,
+            is_long,
+            self._now + scenario.deadline_s * factor,
+        )
+        self._jobs.append(job)
+        balancer = self._balancers[job.token % len(self._balancers)]
+        balancer.budget.on_request()
+        self._send(job, balancer, ())
+        if self._now < scenario.length_s:
+            self._at(self._gap(), self._arrive)
+
+    def _send(
+        self,
+        job: Job,
+        balancer: _Balancer,
+        tried: tuple[str, ...],
+    ) -> None:
+        choice = balancer.chooser.choose(self._now, self._draws, tried)
+        if choice is None:
+            job.refused_at = self._now
+            return
+        sending = _Sending(job, balancer, choice, self._now, tried)
+        self._sendings[job.token] = sending
+        self._at(LINK_DELAY_S, lambda: self._offer(sending))
+
+    def _offer(self, sending: _Sending) -> None:
+        job, target = sending.job, sending.choice.target
+        answer = self._queues[target].offer(self._now, job.work)
+        if isinstance(answer, Started):
+            self._start(target, job)
+        elif isinstance(answer, Refused):
+            self._refuse(target, job.token)
+
+    def _start(self, target: str, job: Job) -> None:
+        job.started_at = self._now
+        self._at(job.service_s, lambda: self._finish(target, job))
+
+    def _finish(self, target: str, job: Job) -> None:
+        queue = self._queues[target]
+        queue.finished(self._now, job.token, job.service_s)
+        sending = self._sendings.pop(job.token)
+        load = queue.load(self._now)
+        self._at(LINK_DELAY_S, lambda: self._on_answer(sending, load))
+        while True:
+            turn = queue.next(self._now)
+            for refused in turn.refused:
+                self._refuse(target, refused.token)
+            if turn.start is None:
+                return
+            self._start(target, self._jobs[turn.start.token])
+
+    def _refuse(self, target: str, token: int) -> None:
+        sending = self._sendings.pop(token)
+        load = self._queues[target].load(self._now)
+        self._at(LINK_DELAY_S, lambda: self._on_refusal(sending, load))
+
+    def _on_answer(self, sending: _Sending, load: Load) -> None:
+        sending.job.finished_at = self._now
+        elapsed_s = self._now - sending.sent_at
+        chooser = sending.balancer.chooser
+        chooser.on_answer(self._now, sending.choice, elapsed_s, load)
+
+    def _on_refusal(self, sending: _Sending, load: Load) -> None:
+        target = sending.choice.target
+        sending.balancer.chooser.on_shed(self._now, target, load)
+        if sending.balancer.budget.take():
+            tried = (*sending.tried, target)
+            self._send(sending.job, sending.balancer, tried)
+        else:
+            sending.job.refused_at = self._now
+
+    def _heartbeat(self) -> None:
+        for target, queue in self._queues.items():
+            load = queue.load(self._now)
+            for balancer in self._balancers:
+                chooser = balancer.chooser
+                chooser.on_report(self._now, target, load, LINK_DELAY_S)
+        if self._now < self._scenario.length_s:
+            self._at(HEARTBEAT_S, self._heartbeat)
--- a/packages/core/src/trefoilhaven_core/routing/choices.py
+++ b/packages/core/src/trefoilhaven_core/routing/choices.py
@@ -90,26 +90,35 @@
         wait = self._waits.get(choice.target)
         if wait is None:
             return
-        at_target_s = max(0, elapsed_s - self._cost_of(choice.target))
-        honest = wait.on_elapsed(choice.expected_wait_s, at_target_s)
+        wait.on_ended()
+        at_target_s = elapsed_s - self._cost_of(choice.target)
+        misled = wait.is_misleading(choice.expected_wait_s, at_target_s)
         if load is not None:
             wait.on_answer_load(now, load)
-        if honest:
-            self._ejector.on_good(now, choice.target)
-        else:
-            self._ejector.on_misled(now, choice.target)
+        self._ejector.on_answer(now, choice.target, misled)
 
     def on_shed(self, now: float, target: str, load: Load | None) -> None:
         """Note that a target refused a request."""
         wait = self._waits.get(target)
-        if wait is not None and load is not None:
-            wait.on_answer_load(now, load)
+        if wait is not None:
+            wait.on_ended()
+            if load is not None:
+                wait.on_answer_load(now, load)
         self._ejector.on_shed(now, target)
 
     def on_failure(self, now: float, target: str) -> None:
         """Note a broken connection or a missing answer."""
+        wait = self._waits.get(target)
+        if wait is not None:
+            wait.on_ended()
         self._ejector.on_failure(now, target)
 
+    def on_cancelled(self, target: str) -> None:
+        """Note that a request was cancelled; it says nothing of a target."""
+        wait = self._waits.get(target)
+        if wait is not None:
+            wait.on_ended()
+
     def is_ejected(self, now: float, target: str) -> bool:
         """Return whether a target is ejected now."""
         return self._ejector.is_ejected(now, target)
@@ -124,7 +133,8 @@
         """Return the target for the next request, None when there is none.
 
         The request counts as sent to it. Ejected and cold targets are
-        taken when there are no others. Owners that look for a sibling for
+        taken when there are no others. Each choice is ended by one of the
+        ``on_`` methods. Owners that look for a sibling for
         a hand-off ask for one with at least one free slot.
         """
         allowed = [
--- a/packages/core/src/trefoilhaven_core/routing/ejections.py
+++ b/packages/core/src/trefoilhaven_core/routing/ejections.py
@@ -12,19 +12,16 @@
 
 LONGEST_EJECTION_S: Final = 60.0
 
-# Misleading reports in a row that eject a target. One of 20 requests may
-# run far longer than the others, so a few in a row prove nothing.
-STRIKES: Final = 6
+# Failures in a row that eject a target.
+FAILURES: Final = 3
 
-# A failure counts as this many misleading reports.
-FAILURE_STRIKES: Final = 2
+# A crest makes all targets shed and answer later than they reported. Only
+# a target that does so in this much more of its answers than the others do
+# on average is ejected for it.
+CONDUCT_MARGIN: Final = 0.4
 
-# A crest makes all targets shed. Only a target that sheds this much more
-# often than the average of the others is ejected for it.
-SHED_MARGIN: Final = 0.4
-
-# Weight of a new answer in the share of shed requests.
-_SHED_WEIGHT: Final = 0.05
+# Weight of a new answer in the shares of shed and of misleading answers.
+_SHARE_WEIGHT: Final = 0.05
 
 # A declared share of 0.33 or 0.3 stands for one of three targets, which a
 # strict product would round down to none.
@@ -32,12 +29,12 @@
 
 
 class _Conduct:
-    __slots__ = ('ejections', 'shed_share', 'strikes', 'until')
+    __slots__ = ('bad_share', 'ejections', 'failures', 'until')
 
     def __init__(self) -> None:
+        self.bad_share = 0.0
         self.ejections = 0
-        self.shed_share = 0.0
-        self.strikes = 0
+        self.failures = 0
         self.until = 0.0
 
 
@@ -60,47 +57,42 @@
         conduct = self._conducts.get(target)
         return conduct is not None and now < conduct.until
 
-    def on_good(self, now: float, target: str) -> None:
-        """Note a whole answer that took about as long as reported."""
+    def on_answer(self, now: float, target: str, misled: bool) -> None:
+        """Note a whole answer, and whether it came far later than reported."""
         conduct = self._conducts.get(target)
         if conduct is None:
             return
-        conduct.strikes = 0
-        conduct.shed_share *= 1 - _SHED_WEIGHT
+        conduct.failures = 0
+        self._judge(now, conduct, misled)
         calm_s = now - conduct.until
         if conduct.ejections and calm_s > _ejection_s(conduct.ejections):
             conduct.ejections = 0
 
-    def on_failure(self, now: float, target: str) -> None:
-        """Note a broken connection or a missing answer."""
-        self._strike(now, target, FAILURE_STRIKES)
-
-    def on_misled(self, now: float, target: str) -> None:
-        """Note an answer that took far longer than reported."""
-        self._strike(now, target, 1)
-
     def on_shed(self, now: float, target: str) -> None:
         """Note a request that the target refused."""
         conduct = self._conducts.get(target)
+        if conduct is not None:
+            self._judge(now, conduct, bad=True)
+
+    def on_failure(self, now: float, target: str) -> None:
+        """Note a broken connection or a missing answer."""
+        conduct = self._conducts.get(target)
         if conduct is None:
             return
-        conduct.shed_share += _SHED_WEIGHT * (1 - conduct.shed_share)
+        conduct.failures += 1
+        if conduct.failures >= FAILURES:
+            self._eject(now, conduct)
+
+    def _judge(self, now: float, conduct: _Conduct, bad: bool) -> None:
+        conduct.bad_share += _SHARE_WEIGHT * (bad - conduct.bad_share)
         others = [
-            other.shed_share
+            other.bad_share
             for other in self._conducts.values()
             if other is not conduct
         ]
         if not others:
             return
-        if conduct.shed_share > sum(others) / len(others) + SHED_MARGIN:
-            self._eject(now, conduct)
-
-    def _strike(self, now: float, target: str, strikes: int) -> None:
-        conduct = self._conducts.get(target)
-        if conduct is None:
-            return
-        conduct.strikes += strikes
-        if conduct.strikes >= STRIKES:
+        if conduct.bad_share > sum(others) / len(others) + CONDUCT_MARGIN:
             self._eject(now, conduct)
 
     def _eject(self, now: float, conduct: _Conduct) -> None:
@@ -111,8 +103,8 @@
         if now < conduct.until or ejected >= allowed:
             return
         conduct.ejections += 1
-        conduct.strikes = 0
-        conduct.shed_share = 0
+        conduct.failures = 0
+        conduct.bad_share = 0
         conduct.until = now + _ejection_s(conduct.ejections)
 
 
--- a/packages/core/src/trefoilhaven_core/routing/waits.py
+++ b/packages/core/src/trefoilhaven_core/routing/waits.py
@@ -18,8 +18,8 @@
 # Differences below this are delay of the network, not misleading reports.
 MISLEADING_FLOOR_S: Final = 0.1
 
-# Weight of a new sample in the learned service time and correction.
-_SAMPLE_WEIGHT: Final = 0.2
+# Service time that is assumed of a target that has not reported one.
+UNKNOWN_SERVICE_S: Final = 0.05
 
 
 class Candidate(NamedTuple):
@@ -40,78 +40,76 @@
 
     __slots__ = (
         '_answered',
-        '_correction_s',
-        '_free_slots',
+        '_busy_slots',
+        '_open',
         '_reported_at',
-        '_sent_since',
         '_service_time_s',
+        '_slots',
         '_wait_s',
-        'slots',
     )
 
     def __init__(self, slots: int) -> None:
         """Start without a report."""
-        self.slots = max(1, slots)
+        self._slots = max(1, slots)
         self._wait_s = 0.0
-        self._free_slots = self.slots
+        self._busy_slots = 0
         self._reported_at = -math.inf
         self._answered = False
-        self._sent_since = 0
-        self._service_time_s = 0.0
-        self._correction_s = 0.0
+        self._open = 0
+        self._service_time_s = UNKNOWN_SERVICE_S
+
+    @property
+    def reported_s(self) -> float:
+        """Wait of the last report."""
+        return self._wait_s
+
+    @property
+    def free_slots(self) -> int:
+        """Free slots of the last report, less the own open requests."""
+        return max(0, self._slots - max(self._busy_slots, self._open))
 
     def on_sent(self) -> None:
-        """Count a request that the last report does not contain."""
-        self._sent_since += 1
+        """Count a request that is open from now on."""
+        self._open += 1
+
+    def on_ended(self) -> None:
+        """Count off a request that was answered, refused or lost."""
+        self._open = max(0, self._open - 1)
 
     def on_report(self, reported_at: float, load: Load) -> None:
         """Note a report that came through a witness."""
         lag_s = INDIRECT_LAG_S if self._answered else 0
-        if reported_at <= self._reported_at + lag_s:
-            return
-        self._answered = False
-        self._note(reported_at, load)
+        if reported_at > self._reported_at + lag_s:
+            self._answered = False
+            self._note(reported_at, load)
 
     def on_answer_load(self, now: float, load: Load) -> None:
         """Note the report that came with an answer."""
         self._answered = True
         self._note(now, load)
 
-    def on_elapsed(self, expected_s: float, elapsed_s: float) -> bool:
-        """Learn from the time of an answer; False when it was misleading.
+    def is_misleading(self, expected_s: float, elapsed_s: float) -> bool:
+        """Return whether an answer took far longer than was reported.
 
         ``expected_s`` is the wait that was expected when it was sent.
         """
-        known_s = self._service_time_s or elapsed_s
-        excess_s = elapsed_s - expected_s - known_s
-        self._correction_s += _SAMPLE_WEIGHT * (excess_s - self._correction_s)
-        limit_s = MISLEADING_FACTOR * (expected_s + known_s)
-        return elapsed_s <= max(limit_s, MISLEADING_FLOOR_S)
+        limit_s = MISLEADING_FACTOR * (expected_s + self._service_time_s)
+        return elapsed_s > max(limit_s, MISLEADING_FLOOR_S)
 
     def expect(self, now: float, average_s: float) -> float:
-        """Return the expected wait; stale reports tend to the average."""
-        weight = math.exp(
-            -max(0, now - self._reported_at) / REPORT_LIFETIME_S,
-        )
-        waiting = max(0, self._sent_since - self._free_slots)
-        own_s = waiting * self._service_time_s / self.slots
-        reported_s = weight * self._wait_s + (1 - weight) * average_s
-        return max(0, reported_s + own_s + max(0, self._correction_s))
+        """Return the expected wait; stale reports tend to the average.
 
-    @property
-    def free_slots(self) -> int:
-        """Free slots of the last report less what was sent since."""
-        return max(0, self._free_slots - self._sent_since)
-
-    @property
-    def reported_s(self) -> float:
-        """Wait of the last report."""
-        return self._wait_s
+        The own open requests are counted exactly, whatever the age of the
+        report.
+        """
+        age_s = max(0, now - self._reported_at)
+        weight = math.exp(-age_s / REPORT_LIFETIME_S)
+        reported_s = weight * self._wait_s + (1 - weight) * average_s
+        return reported_s + self._open * self._service_time_s / self._slots
 
     def _note(self, reported_at: float, load: Load) -> None:
         self._reported_at = reported_at
         self._wait_s = load.wait_s
-        self._free_slots = max(0, self.slots - load.busy_slots)
-        self._sent_since = 0
+        self._busy_slots = load.busy_slots
         if load.service_time_s:
             self._service_time_s = load.service_time_s
