Check leases and fencing under randomized schedules

Cause: a term that a majority has voted to fence must never be leased. Change: schedules with lost, doubled and late messages, pauses, restarted witnesses, cut links and clocks up to 10% off.

--- a/packages/core/src/trefoilhaven_core/membership/detectors.py
+++ b/packages/core/src/trefoilhaven_core/membership/detectors.py
@@ -34,6 +34,10 @@
 
 PROBE_INTERVAL_S: Final = 0.5
 
+# A member that this balancer never heard gets longer: the network between
+# them may be cut while other witnesses hear it.
+UNHEARD_DEAD_AFTER_S: Final = 10.0
+
 # A member that other witnesses still hear is judged again after this.
 REPEAT_AFTER_S: Final = 60.0
 
@@ -119,7 +123,9 @@
         for member in members:
             if member.state < MemberState.dead:
                 key = (member.service, member.target)
-                silence = Silence(now, member.failure_domain)
+                silence = Silence(
+                    now, member.failure_domain, UNHEARD_DEAD_AFTER_S
+                )
                 self._agents.setdefault(key, silence)
 
     def on_peer(self, now: float, peer: str) -> None:
@@ -238,9 +244,9 @@
             if now - silence.dead_at >= REPEAT_AFTER_S:
                 silence.restart(now)
             return None
-        limit = DEAD_AFTER_S
+        limit = max(DEAD_AFTER_S, silence.dead_limit_s)
         if silence.failure_domain in self._silent_domains:
-            limit = DOMAIN_DEAD_AFTER_S
+            limit = max(limit, DOMAIN_DEAD_AFTER_S)
         silent_s = now - silence.since
         if silent_s >= limit and now >= silence.spared_until:
             silence.dead_at = now
--- a/packages/core/src/trefoilhaven_core/membership/registrations.py
+++ b/packages/core/src/trefoilhaven_core/membership/registrations.py
@@ -98,18 +98,13 @@
         content = encode_registrations(wanted)
         return RegistrationPlan(service, registry.version, wanted, content)
 
-    def on_written(
-        self,
-        service: str,
-        version: int,
-        registrations: tuple[Registration, ...],
-    ) -> None:
-        """Take over a version that was written or read after a conflict.
-
-        The next plan starts from it.
+    def on_answer(self, service: str) -> None:
+        """Note that the platform answered the last write.
+
+        The caller first stores the version that it wrote, or read after a
+        conflict; the next plan starts from it.
         """
         self._busy_until.pop(service, None)
-        self._store.set_registry(service, version, registrations)
 
     def _wanted(self, now: float, service: str) -> tuple[Registration, ...]:
         self._forget_unregistered(service)
--- a/packages/core/src/trefoilhaven_core/membership/silence.py
+++ b/packages/core/src/trefoilhaven_core/membership/silence.py
@@ -9,6 +9,7 @@
 
     __slots__ = (
         'dead_at',
+        'dead_limit_s',
         'failure_domain',
         'probed_at',
         'since',
@@ -16,9 +17,15 @@
         'suspected',
     )
 
-    def __init__(self, now: float, failure_domain: str) -> None:
-        """Start at the last sign of life."""
+    def __init__(
+        self, now: float, failure_domain: str, dead_limit_s: float = 0
+    ) -> None:
+        """Start at the last sign of life.
+
+        ``dead_limit_s`` is the least silence before a report of death.
+        """
         self.failure_domain = failure_domain
+        self.dead_limit_s = dead_limit_s
         self.probed_at = now
         self.restart(now)
 
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/tests/lease_runs.py
@@ -0,0 +1,188 @@
+"""A run of one lease holder, its witnesses and a claimant under faults."""
+
+import random
+from typing import NamedTuple
+
+from trefoilhaven_core.membership.fencing import VOTE_LIFE_S, FenceTally
+from trefoilhaven_core.membership.leases import LeaseHolder, LeaseWitness
+from trefoilhaven_core.membership.messages import (
+    FenceRequest,
+    FenceVote,
+    Heartbeat,
+    HeartbeatAck,
+    HeartbeatRefused,
+)
+from trefoilhaven_core.membership.tests.pools import Delivery, Faults, Pool
+from trefoilhaven_core.membership.tests.support import (
+    NO_LOAD,
+    SERVICE,
+    WITNESSES,
+    make_member,
+)
+
+STEP_S = 0.05
+RUN_S = 40.0
+
+_HOLDER = 'desk-1'
+_CLAIMANT = 'desk-2'
+
+
+class Vote(NamedTuple):
+    """A witness's agreement, at a time of the run."""
+
+    cast_at: float
+    incarnation: int
+    term: int
+    is_forgotten: bool
+
+
+class LeaseRun:
+    """Checks that no fenced term has a valid lease.
+
+    Each process reads a clock of its own, whose rate is up to 10% off.
+    """
+
+    holder_class = LeaseHolder
+    witness_class = LeaseWitness
+
+    def __init__(self, seed: int, clock_error: float = 0.1) -> None:
+        """Start all processes at a random phase of their clocks."""
+        self.rng = random.Random(seed)
+        self.pool = Pool(self.rng)
+        self.violations: list[str] = []
+        self.fence_count = 0
+        self.valid_count = 0
+        names = (_HOLDER, _CLAIMANT, *WITNESSES)
+        self._rates = {
+            name: 1 + self.rng.uniform(-clock_error, clock_error)
+            for name in names
+        }
+        self._paused_until = dict.fromkeys(names, 0.0)
+        self._cut_until: dict[frozenset[str], float] = {}
+        self._inbox: dict[str, list[Delivery]] = {name: [] for name in names}
+        self.holder = self.holder_class(SERVICE, _HOLDER, 1, WITNESSES)
+        self._witnesses = {
+            name: self.witness_class(name, 0) for name in WITNESSES
+        }
+        self._tally = self._make_tally()
+        self._next_tally_at = 0.0
+        self._votes: dict[str, Vote] = {}
+        self._fenced = (0, 0)
+
+    def run(self) -> None:
+        """Run to the end, with faults of several kinds at random times."""
+        for step in range(int(RUN_S / STEP_S)):
+            now = step * STEP_S
+            self._inject(now)
+            self._check(now)
+            for delivery in self.pool.due(now):
+                self._inbox[delivery.receiver].append(delivery)
+            for name, inbox in self._inbox.items():
+                if now >= self._paused_until[name]:
+                    self._inbox[name] = []
+                    for delivery in inbox:
+                        self._deliver(now, delivery)
+            self._send(now)
+
+    def _clock(self, name: str, now: float) -> float:
+        return now * self._rates[name]
+
+    def _make_tally(self) -> FenceTally:
+        term = max(1, self.holder.term - self.rng.randrange(2))
+        request = FenceRequest(SERVICE, _HOLDER, 1, term, _CLAIMANT)
+        return FenceTally(request, WITNESSES)
+
+    def _inject(self, now: float) -> None:
+        if self.rng.random() < 0.005:
+            name = self.rng.choice(list(self._paused_until))
+            self._paused_until[name] = now + self.rng.uniform(0.5, 6)
+        if self.rng.random() < 0.005:
+            self._restart(now, self.rng.choice(WITNESSES))
+        if self.rng.random() < 0.01:
+            count = self.rng.choice((1, 1, 2, 3))
+            for witness in self.rng.sample(WITNESSES, count):
+                until = now + self.rng.uniform(0.5, 6)
+                self._cut_until[frozenset((_HOLDER, witness))] = until
+        self.pool.cut = {
+            pair for pair, until in self._cut_until.items() if now < until
+        }
+        if self.rng.random() < 0.02:
+            self.pool.faults = Faults(
+                self.rng.choice((0, 0.1, 0.4)),
+                self.rng.choice((0, 0.2)),
+                self.rng.choice((0.01, 0.3, 3)),
+            )
+
+    def _restart(self, now: float, name: str) -> None:
+        started_at = self._clock(name, now)
+        self._witnesses[name] = self.witness_class(name, started_at)
+        self._inbox[name] = []
+        if name in self._votes:
+            vote = self._votes[name]
+            self._votes[name] = vote._replace(is_forgotten=True)
+
+    def _check(self, now: float) -> None:
+        if now < self._paused_until[_HOLDER]:
+            return
+        if not self.holder.lease_valid(self._clock(_HOLDER, now)):
+            return
+        self.valid_count += 1
+        if (1, self.holder.term) <= self._fenced:
+            self.violations.append(f'{now:.2f} s: term {self.holder.term}')
+
+    def _send(self, now: float) -> None:
+        if now >= self._paused_until[_HOLDER]:
+            clock = self._clock(_HOLDER, now)
+            for witness, heartbeat in self.holder.heartbeats(
+                clock, make_member(_HOLDER), NO_LOAD, 0
+            ):
+                self.pool.send(now, _HOLDER, witness, heartbeat)
+        if now >= self._paused_until[_CLAIMANT]:
+            if now >= self._next_tally_at:
+                self._next_tally_at = now + self.rng.uniform(1, 8)
+                self._tally = self._make_tally()
+            request = self._tally.requests(self._clock(_CLAIMANT, now))
+            for witness in WITNESSES if request else ():
+                self.pool.send(now, _CLAIMANT, witness, request)
+
+    def _deliver(self, now: float, delivery: Delivery) -> None:
+        clock = self._clock(delivery.receiver, now)
+        answer: object = None
+        match delivery.message:
+            case Heartbeat() as heartbeat:
+                witness = self._witnesses[delivery.receiver]
+                answer = witness.on_heartbeat(clock, heartbeat)
+            case FenceRequest() as request:
+                witness = self._witnesses[delivery.receiver]
+                answer = witness.on_fence(clock, request)
+                self._note(now, answer)
+            case HeartbeatAck() as ack:
+                self.holder.on_ack(clock, ack)
+            case HeartbeatRefused() as refused:
+                self.holder.on_refused(clock, refused)
+            case FenceVote() as vote:
+                if self._tally.on_vote(clock, vote):
+                    wanted = self._tally.request
+                    self._fence(wanted.incarnation, wanted.term)
+        if answer is not None:
+            sender, receiver = delivery.receiver, delivery.sender
+            self.pool.send(now, sender, receiver, answer)
+
+    def _note(self, now: float, vote: FenceVote) -> None:
+        """Take a term as fenced at the cast of the deciding vote."""
+        if not vote.agreed:
+            return
+        pair = (vote.incarnation, vote.term)
+        self._votes[vote.witness] = Vote(now, *pair, is_forgotten=False)
+        agreeing = [
+            other
+            for other in self._votes.values()
+            if (other.incarnation, other.term) >= pair
+            and (not other.is_forgotten or now - other.cast_at <= VOTE_LIFE_S)
+        ]
+        if len(agreeing) > len(WITNESSES) // 2:
+            self._fence(*pair)
+
+    def _fence(self, incarnation: int, term: int) -> None:
+        self.fence_count += 1
+        self._fenced = max(self._fenced, (incarnation, term))
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/tests/pools.py
@@ -0,0 +1,58 @@
+"""A pool of messages on their way, with faults from a seeded generator."""
+
+import heapq
+import random
+from typing import NamedTuple
+
+
+class Faults(NamedTuple):
+    """Shares of lost and doubled messages, and the longest delay in s."""
+
+    loss: float = 0
+    doubling: float = 0
+    max_delay_s: float = 0.005
+
+
+class Delivery(NamedTuple):
+    """A message that arrives; ``order`` breaks ties."""
+
+    at: float
+    order: int
+    sender: str
+    receiver: str
+    message: object
+
+
+class Pool:
+    """Delivers messages out of order, doubled, late or never."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start empty, without faults."""
+        self.faults = Faults()
+        self.cut: set[frozenset[str]] = set()
+        self.sent_count = 0
+        self._rng = rng
+        self._queue: list[Delivery] = []
+
+    def send(
+        self, now: float, sender: str, receiver: str, message: object
+    ) -> None:
+        """Put a message on its way, or lose it."""
+        self.sent_count += 1
+        if frozenset((sender, receiver)) in self.cut:
+            return
+        if self._rng.random() < self.faults.loss:
+            return
+        copies = 2 if self._rng.random() < self.faults.doubling else 1
+        for _ in range(copies):
+            at = now + self._rng.uniform(0.001, self.faults.max_delay_s)
+            order = self._rng.getrandbits(32)
+            delivery = Delivery(at, order, sender, receiver, message)
+            heapq.heappush(self._queue, delivery)
+
+    def due(self, now: float) -> list[Delivery]:
+        """Return the messages that have arrived by now."""
+        arrived = []
+        while self._queue and self._queue[0].at <= now:
+            arrived.append(heapq.heappop(self._queue))
+        return arrived
