Check views, detection and dissemination under schedules

Cause: all views have to converge after any faults, without a platform too. A disseminator contacts seeds and dead balancers now and then, so that two sides find each other again.

--- a/packages/core/src/trefoilhaven_core/membership/dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -30,9 +30,10 @@
 
 DIGEST_INTERVAL_S: Final = 1.0
 
-# Balancers that were cut off believe each other dead; an occasional digest
-# to a dead one joins the two sides again.
-DEAD_CONTACT_INTERVAL_S: Final = 5.0
+# Balancers that were cut off believe each other dead, and balancers that
+# started together may know different seeds. An occasional digest to a dead
+# balancer or missing seed joins the sides again.
+LOST_CONTACT_INTERVAL_S: Final = 5.0
 
 # Half of the control budget of 4 KB/s is left to digests and heartbeats.
 RUMOUR_BYTES_PER_S: Final = 2_000.0
@@ -70,16 +71,21 @@
         own: BalancerRecord,
         store: ViewStore,
         rng: random.Random,
+        seeds: tuple[str, ...] = (),
         bytes_per_s: float = RUMOUR_BYTES_PER_S,
     ) -> None:
-        """Start with the own record queued for the first peers."""
+        """Start with the own record queued for the first peers.
+
+        ``seeds`` names balancers whose addresses the settings give.
+        """
         self.own = own
         self._store = store
         self._rng = rng
         self._rumours = Rumours(own.name, rng, bytes_per_s)
         self._comparison = Comparison(own.name, store)
         self._digest_due = _NEVER
-        self._dead_contact_due = _NEVER
+        self._seeds = seeds
+        self._lost_contact_due = _NEVER
         self._reports: dict[tuple[str, int, int], None] = {}
         self._pulled_at: dict[PullState, float] = {}
         self._groups_sent_at: dict[str, float] = {}
@@ -158,9 +164,10 @@
             effects.extend(self._rumours.send_again(now, peers))
             if peers:
                 effects.append(self.probe(self._rng.choice(peers)))
-        if now >= self._dead_contact_due:
-            self._dead_contact_due = now + DEAD_CONTACT_INTERVAL_S
-            effects.extend(self._contact_dead())
+        if now >= self._lost_contact_due:
+            interval = LOST_CONTACT_INTERVAL_S if peers else DIGEST_INTERVAL_S
+            self._lost_contact_due = now + interval
+            effects.extend(self._contact_lost(peers))
         return effects
 
     def probe(self, peer: str) -> Send:
@@ -235,13 +242,15 @@
             self._reports.pop(next(iter(self._reports)))
         return True
 
-    def _contact_dead(self) -> list[Effect]:
+    def _contact_lost(self, peers: list[str]) -> list[Effect]:
         dead = [
             record.name
             for record in self._store.balancers
             if record.state == MemberState.dead
         ]
-        return [self.probe(self._rng.choice(dead))] if dead else []
+        known = {self.own.name, *peers}
+        lost = sorted({*dead, *self._seeds} - known)
+        return [self.probe(self._rng.choice(lost))] if lost else []
 
     def _push(self, peer: str, items: list[Item]) -> list[Effect]:
         messages = pack(self.own.name, items)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_detectors.py
@@ -0,0 +1,200 @@
+"""Tests of failure detection."""
+
+from trefoilhaven_core.membership.detectors import (
+    DEAD_AFTER_S,
+    DOMAIN_DEAD_AFTER_S,
+    SUSPECT_AFTER_S,
+    TICK_INTERVAL_S,
+    UNHEARD_DEAD_AFTER_S,
+    Detections,
+    FailureDetector,
+    refute,
+)
+from trefoilhaven_core.membership.messages import Member, MemberState
+from trefoilhaven_core.membership.tests.support import (
+    make_balancer,
+    make_member,
+)
+from trefoilhaven_core.membership.views import ViewStore
+
+
+class _Watch:
+    """A detector with its store and everything that it reported."""
+
+    def __init__(self, *members: Member) -> None:
+        self.store = ViewStore()
+        self.store.merge(members)
+        self.detector = FailureDetector(make_balancer(), self.store, 0)
+        self.found: list[Detections] = []
+
+    def run(self, start: float, end: float, *heard: Member) -> None:
+        """Tick, with heartbeats of some members every 0.5 s."""
+        for tick in range(round(start * 4) + 1, round(end * 4) + 1):
+            now = tick * TICK_INTERVAL_S
+            for number, member in enumerate(heard):
+                if tick % 2 == number % 2:
+                    self.detector.on_heartbeat(now, member)
+            found = self.detector.tick(now)
+            self.store.merge(found.members, found.balancers)
+            for report in found.silent_domains:
+                self.store.suspect_domain(report)
+            self.found.append(found)
+
+    @property
+    def reports(self) -> list[tuple[str, MemberState]]:
+        """Members that were reported one by one, with their state."""
+        return [
+            (member.target, member.state)
+            for found in self.found
+            for member in found.members
+        ]
+
+    @property
+    def domains(self) -> list[str]:
+        """Failure domains that were reported."""
+        return [
+            report.failure_domain
+            for found in self.found
+            for report in found.silent_domains
+        ]
+
+
+_DESKS = tuple(make_member(f'desk-{number}') for number in range(4))
+_FAR = make_member('desk-9', failure_domain='kaohsiung-b')
+
+
+class TestAgents:
+    """Silence of agents."""
+
+    def test_suspect_then_dead(self) -> None:
+        """Guards against late or repeated reports of one silent agent."""
+        watch = _Watch(*_DESKS)
+        watch.run(0, 5, *_DESKS)
+        watch.run(5, 9, *_DESKS[1:])
+        assert watch.reports == [
+            ('desk-0', MemberState.suspect),
+            ('desk-0', MemberState.dead),
+        ]
+        assert not watch.domains
+
+    def test_death_time(self) -> None:
+        """Guards against a death reported early or a second late."""
+        watch = _Watch(*_DESKS)
+        watch.run(0, 5, *_DESKS)
+        watch.run(5, 5 + DEAD_AFTER_S - 0.75, *_DESKS[1:])
+        assert MemberState.dead not in dict(watch.reports).values()
+        watch.run(5 + DEAD_AFTER_S - 0.75, 8, *_DESKS[1:])
+        assert ('desk-0', MemberState.dead) in watch.reports
+
+    def test_draining_is_not_suspected(self) -> None:
+        """Guards against a draining member that becomes eligible."""
+        draining = _DESKS[0]._replace(state=MemberState.draining)
+        watch = _Watch(draining, *_DESKS[1:])
+        watch.run(0, 5, draining, *_DESKS[1:])
+        watch.run(5, 9, *_DESKS[1:])
+        assert watch.reports == [('desk-0', MemberState.dead)]
+
+    def test_unheard_member_dies_late(self) -> None:
+        """Guards against a record that stays alive for ever."""
+        watch = _Watch(_FAR)
+        watch.detector.watch(0, [_FAR])
+        watch.run(0, UNHEARD_DEAD_AFTER_S - 0.5)
+        assert (_FAR.target, MemberState.dead) not in watch.reports
+        watch.run(UNHEARD_DEAD_AFTER_S - 0.5, UNHEARD_DEAD_AFTER_S)
+        assert (_FAR.target, MemberState.dead) in watch.reports
+
+    def test_own_pause(self) -> None:
+        """Guards against a paused balancer that declares all dead."""
+        watch = _Watch(*_DESKS, _FAR)
+        watch.run(0, 5, *_DESKS, _FAR)
+        watch.run(15, 16)
+        assert not watch.reports
+        assert not watch.domains
+
+    def test_contradiction_and_refutation(self) -> None:
+        """Guards against a living agent that stays dead in the views."""
+        dead = _FAR._replace(state=MemberState.dead)
+        watch = _Watch(_FAR, dead)
+        told = watch.detector.on_heartbeat(1, _FAR)
+        assert told == dead
+        raised = refute(_FAR, dead)
+        assert raised == _FAR._replace(sequence=_FAR.sequence + 1)
+        assert raised is not None
+        assert watch.store.merge([raised])
+        assert watch.detector.on_heartbeat(2, raised) is None
+
+    def test_no_refutation_of_other_incarnation(self) -> None:
+        """Guards against a replaced process that revives its record."""
+        newer = _FAR._replace(incarnation=2, state=MemberState.dead)
+        assert refute(_FAR, newer) is None
+        assert refute(newer, _FAR) is None
+
+
+class TestFailureDomains:
+    """Silence of all members of a failure domain."""
+
+    def test_one_report_and_late_death(self) -> None:
+        """Guards against many reports, and moves on a short cut."""
+        watch = _Watch(*_DESKS, _FAR)
+        watch.run(0, 5, *_DESKS, _FAR)
+        watch.run(5, 5 + DOMAIN_DEAD_AFTER_S - 0.75, _FAR)
+        assert watch.domains == ['tainan-a']
+        assert not watch.reports
+        suspects = watch.store.eligible(_FAR.service)
+        assert {member.state for member in suspects[:4]} == {
+            MemberState.suspect
+        }
+        watch.run(5 + DOMAIN_DEAD_AFTER_S - 0.75, 11, _FAR)
+        assert len(watch.reports) == len(_DESKS)
+
+    def test_short_cut(self) -> None:
+        """Guards against deaths after a cut that has ended."""
+        watch = _Watch(*_DESKS, _FAR)
+        watch.run(0, 5, *_DESKS, _FAR)
+        watch.run(5, 9, _FAR)
+        watch.run(9, 15, *_DESKS, _FAR)
+        assert watch.domains == ['tainan-a']
+        assert not watch.reports
+
+    def test_member_missing_after_cut(self) -> None:
+        """Guards against a dead member that hides behind a cut."""
+        watch = _Watch(*_DESKS, _FAR)
+        watch.run(0, 5, *_DESKS, _FAR)
+        watch.run(5, 9, _FAR)
+        watch.run(9, 15, *_DESKS[1:], _FAR)
+        assert watch.reports == [('desk-0', MemberState.dead)]
+
+    def test_single_member_is_no_domain(self) -> None:
+        """Guards against a longer wait for a lone agent."""
+        watch = _Watch(*_DESKS, _FAR)
+        watch.run(0, 5, *_DESKS, _FAR)
+        watch.run(5, 9, *_DESKS)
+        assert not watch.domains
+        assert watch.reports[-1] == ('desk-9', MemberState.dead)
+
+
+class TestPeers:
+    """Silence of peer balancers."""
+
+    def test_unanswered_digest(self) -> None:
+        """Guards against a dead balancer that stays in the views."""
+        watch = _Watch()
+        watch.store.merge(balancers=[make_balancer('entry-2')])
+        watch.detector.on_probe_sent(0, 'entry-2')
+        watch.run(0, SUSPECT_AFTER_S - 0.25)
+        assert any(found.probes for found in watch.found)
+        watch.run(SUSPECT_AFTER_S - 0.25, DEAD_AFTER_S)
+        states = [
+            record.state for found in watch.found for record in found.balancers
+        ]
+        assert states == [MemberState.suspect, MemberState.dead]
+
+    def test_answer_ends_silence(self) -> None:
+        """Guards against a death by one lost datagram."""
+        watch = _Watch()
+        watch.store.merge(balancers=[make_balancer('entry-2')])
+        watch.detector.on_probe_sent(0, 'entry-2')
+        watch.run(0, 1)
+        watch.detector.on_peer(1, 'entry-2')
+        watch.run(1, 5)
+        assert not any(found.balancers for found in watch.found)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
@@ -0,0 +1,191 @@
+"""Tests of the spread of changes among balancers."""
+
+import random
+from typing import TypeVar
+
+from trefoilhaven_core.membership.dissemination import (
+    Disseminator,
+    Effect,
+    PullState,
+)
+from trefoilhaven_core.membership.messages import (
+    Changes,
+    ConfigurationNotice,
+    Digest,
+    MemberState,
+    SilentDomain,
+)
+from trefoilhaven_core.membership.rumours import (
+    DATAGRAM_BYTES,
+    EXTRA_RELAYS,
+    FANOUT,
+    Send,
+    pack,
+)
+from trefoilhaven_core.membership.tests.support import (
+    SERVICE,
+    WITNESSES,
+    make_balancer,
+    make_member,
+)
+from trefoilhaven_core.membership.tests.view_runs import ViewRun
+from trefoilhaven_core.membership.views import ViewStore
+from trefoilhaven_core.wire.codec import make_codec
+
+_Kind = TypeVar('_Kind')
+
+# Configuration has to be in force within this time today.
+_IN_FORCE_S = 2.0
+
+
+def _spread(peer_count: int = 30) -> Disseminator:
+    store = ViewStore()
+    store.merge(
+        balancers=[make_balancer(f'peer-{each}') for each in range(peer_count)]
+    )
+    spread = Disseminator(make_balancer(), store, random.Random(3))
+    for second in range(10):
+        spread.tick(second)
+    return spread
+
+
+def _sent(effects: list[Effect], kind: type[_Kind]) -> dict[str, _Kind]:
+    """Return the messages of a kind by peer; a test sends one to each."""
+    return {
+        effect.peer: effect.message
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, kind)
+    }
+
+
+class TestRelays:
+    """How often and to whom changes go."""
+
+    def test_bounded_relays(self) -> None:
+        """Guards against changes that circulate without end."""
+        spread = _spread()
+        changes = Changes('desk-1', (make_member(),), ())
+        first = _sent(spread.on_changes(10, changes), Changes)
+        assert len(first) == FANOUT
+        later: list[str] = []
+        for second in range(11, 40):
+            later.extend(_sent(spread.tick(second), Changes))
+            assert not spread.on_changes(second, changes)
+        bound = 5 + EXTRA_RELAYS + FANOUT
+        assert FANOUT < len(first) + len(later) <= bound
+
+    def test_datagrams_stay_small(self) -> None:
+        """Guards against datagrams that are fragmented or dropped."""
+        items = [make_member(f'desk-{number}') for number in range(100)]
+        messages = pack('entry-1', items)
+        sizes = [len(make_codec().encode(each, 2**63)) for each in messages]
+        assert max(sizes) <= DATAGRAM_BYTES
+        packed = [
+            member
+            for message in messages
+            if isinstance(message, Changes)
+            for member in message.members
+        ]
+        assert packed == items
+
+    def test_byte_budget(self) -> None:
+        """Guards against a burst of changes that floods the network."""
+        spread = _spread()
+        sent = 0
+        for step in range(100):
+            now = 10 + step / 10
+            member = make_member(f'desk-{step}')
+            changes = Changes('desk', (member,), ())
+            effects = spread.on_changes(now, changes)
+            effects.extend(spread.tick(now))
+            sent += sum(
+                len(make_codec().encode(effect.message))
+                for effect in effects
+                if isinstance(effect, Send)
+            )
+        assert sent <= 4_000 * 10
+
+    def test_silent_domain_is_relayed_once(self) -> None:
+        """Guards against one message for each member, and against loops."""
+        spread = _spread()
+        desks = tuple(make_member(f'desk-{each}') for each in range(20))
+        spread.on_changes(10, Changes('desk', desks, ()))
+        for second in range(11, 30):
+            spread.tick(second)
+        report = SilentDomain('tainan-a', (SERVICE,), 'peer-1', 1, 1)
+        changes = Changes('peer-1', (), (), (report,))
+        sends = _sent(spread.on_changes(30, changes), Changes)
+        assert len(sends) == FANOUT
+        assert all(not message.members for message in sends.values())
+        assert not spread.on_changes(30, changes)
+
+    def test_refutes_own_record(self) -> None:
+        """Guards against a living balancer that stays dead."""
+        spread = _spread()
+        dead = spread.own._replace(state=MemberState.dead)
+        effects = spread.on_changes(10, Changes('peer-1', (), (dead,)))
+        assert spread.own.sequence == dead.sequence + 1
+        records = [
+            record
+            for message in _sent(effects, Changes).values()
+            for record in message.balancers
+        ]
+        assert set(records) == {spread.own}
+
+
+class TestConfigurations:
+    """Versions of configurations."""
+
+    def test_lower_version_is_ignored(self) -> None:
+        """Guards against a configuration that reverts."""
+        spread = _spread()
+        notice = ConfigurationNotice('peer-1', SERVICE, 2, b'{}')
+        assert _sent(spread.on_configuration(1, notice), ConfigurationNotice)
+        older = notice._replace(version=1)
+        assert not spread.on_configuration(2, older)
+
+    def test_large_one_is_pulled(self) -> None:
+        """Guards against a configuration that fits no datagram."""
+        spread = _spread()
+        content = b'x' * DATAGRAM_BYTES
+        notice = ConfigurationNotice('peer-1', SERVICE, 2, content)
+        sends = _sent(spread.on_configuration(10, notice), Digest)
+        assert len(sends) == FANOUT
+        other = _spread()
+        effects = other.on_digest(10, next(iter(sends.values())))
+        assert PullState('entry-1', (SERVICE,)) in effects
+
+    def test_in_force_within_target(self) -> None:
+        """Guards against a slow spread, also without a platform."""
+        run = ViewRun(0)
+        assert not run.platform.is_up
+        while run.now < 10:
+            run.step()
+        run.publish()
+        published_at = run.now
+        while run.differences():
+            run.step()
+            assert run.now - published_at <= _IN_FORCE_S
+
+
+class TestJoin:
+    """What a new balancer learns."""
+
+    def test_learns_everything_from_one_peer(self) -> None:
+        """Guards against a joiner that lacks what one peer knows."""
+        run = ViewRun(1)
+        assert run.platform.is_up
+        while run.now < 10:
+            run.step()
+        run.publish()
+        others = [name for name in run.balancers if name != WITNESSES[0]]
+        while run.differences():
+            run.step()
+        run.pool.cut = {frozenset(('entry-9', name)) for name in others}
+        run.start('entry-9')
+        joiner = run.balancers['entry-9']
+        peer = run.balancers[WITNESSES[0]]
+        deadline = run.now + 5
+        while joiner.store.root_digest() != peer.store.root_digest():
+            run.step()
+            assert run.now < deadline
