--- a/packages/balancer/src/trefoilhaven/balancer/platforms.py
+++ b/packages/balancer/src/trefoilhaven/balancer/platforms.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import logging
+import random
 import time
 from typing import Any, Final
 
@@ -25,8 +26,9 @@
     RegistrationPlanner,
     decode_registrations,
 )
-from trefoilhaven_core.platform.clients import PlatformClient
+from trefoilhaven_core.platform.clients import ObjectChange, PlatformClient
 from trefoilhaven_core.platform.errors import Conflict
+from trefoilhaven_core.platform.watchers import Watcher
 from trefoilhaven_core.settings import defaults
 
 logger = logging.getLogger(__name__)
@@ -36,7 +38,6 @@
 
 REGISTER_INTERVAL_S: Final = 0.5
 RANK_CHECK_S: Final = 1.0
-RETRY_S: Final = 0.5
 
 
 class PlatformTask:
@@ -48,12 +49,14 @@
         state: BalancerState,
         control: ControlTask,
         client: PlatformClient,
+        rng: random.Random,
     ) -> None:
         """Prepare the task of the balancer of that name."""
         self._name = name
         self._state = state
         self._control = control
         self._client = client
+        self._rng = rng
         self._planner = RegistrationPlanner(name, state.store)
 
     async def run(self) -> None:
@@ -65,37 +68,17 @@
         )
 
     async def _watch(self, prefix: str) -> None:
-        revision = await self._list(prefix)
+        watcher = Watcher(self._client, prefix, self._deliver, self._rng)
+        await watcher.step()
         while True:
-            if self._rank() >= defaults.PLATFORM_WATCHERS:
+            if self._rank() < defaults.PLATFORM_WATCHERS:
+                await watcher.advance()
+            else:
                 await asyncio.sleep(RANK_CHECK_S)
-                continue
-            if revision is None:
-                await asyncio.sleep(RETRY_S)
-                revision = await self._list(prefix)
-                continue
-            changes = await self._client.watch(
-                prefix,
-                revision,
-                defaults.PLATFORM_WATCH_TIMEOUT_S,
-            )
-            if changes.is_error():
-                logger.info('watch ended', extra={'reason': str(changes.error)})
-                revision = None
-                continue
-            revision = changes.ok.revision
-            for change in changes.ok.objects:
-                if not change.deleted:
-                    self._take(change.path, change.version, change.content)
-
-    async def _list(self, prefix: str) -> int | None:
-        listing = await self._client.list(prefix)
-        if listing.is_error():
-            logger.info('no listing', extra={'reason': str(listing.error)})
-            return None
-        for known in listing.ok.objects:
-            self._take(known.path, known.version, known.content)
-        return listing.ok.revision
+
+    def _deliver(self, change: ObjectChange) -> None:
+        if not change.deleted:
+            self._take(change.path, change.version, change.content)
 
     def _take(self, path: str, version: int, content: Any) -> None:
         prefix, _, service = path.partition('/')
@@ -115,7 +98,6 @@
         self._control.take_registry(
             RegistryNotice(self._name, service, version, registrations),
         )
-        self._planner.on_written(service, version, registrations)
 
     async def _register(self) -> None:
         while True:
@@ -129,6 +111,7 @@
         content = json.loads(plan.content)
         path = f'{MEMBERS_PREFIX}{plan.service}'
         written = await self._client.put(path, content, plan.expected_version)
+        self._planner.on_answer(plan.service)
         if written.is_ok():
             self._take_registry(plan.service, written.ok, plan.content)
             self._state.runtime.publish(
--- a/packages/balancer/src/trefoilhaven/balancer/process.py
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -45,6 +45,7 @@
         self._state = BalancerState(runtime)
         self._channels = ChannelPool()
         rng = random.Random(f'{cfg.name}/{runtime.incarnation}')
+        self._rng = rng
         self._platform = HttpPlatformClient(cfg.platform, rng)
         self._spreader = Spreader(
             cfg.failure_domain,
@@ -102,7 +103,13 @@
         )
         await telemetry.start(cfg.metrics)
         await control.pull_from_seeds()
-        platform = PlatformTask(cfg.name, self._state, control, self._platform)
+        platform = PlatformTask(
+            cfg.name,
+            self._state,
+            control,
+            self._platform,
+            self._rng,
+        )
         tasks = [
             asyncio.create_task(control.run()),
             asyncio.create_task(platform.run()),
--- a/packages/core/src/trefoilhaven_core/platform/watchers.py
+++ b/packages/core/src/trefoilhaven_core/platform/watchers.py
@@ -48,9 +48,13 @@
     async def run(self) -> None:
         """Follow the objects until the task is cancelled."""
         while True:
-            error = await self.step()
-            if error is not None:
-                await self._wait_after(error)
+            await self.advance()
+
+    async def advance(self) -> None:
+        """Make one call, and wait for a while when it failed."""
+        error = await self.step()
+        if error is not None:
+            await self._wait_after(error)
 
     async def step(self) -> PlatformError | None:
         """Make one call and deliver what it brings."""
