--- a/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
@@ -7,18 +7,22 @@
 from xml.etree import ElementTree
 
 import pytest
-
 from typer.testing import CliRunner, Result
 
 from trefoilhaven.cli import app
-from trefoilhaven.commands import acknowledgements, publishes, surveys
+from trefoilhaven.commands import (
+    acknowledgements,
+    fetches,
+    publishes,
+    surveys,
+)
 from trefoilhaven.commands.tests.support import (
     SECOND_ENTRY,
-    MemoryPlatform,
     Peers,
     make_member,
 )
 from trefoilhaven_core.membership.messages import MemberState
+from trefoilhaven_core.platform.tests.support import MemoryPlatform
 
 _BALANCER = ('--balancer', '127.0.1.1:9002')
 _FLOW = '17,127.0.0.1,4000,127.1.0.1,7000'
@@ -40,6 +44,7 @@
     platform = MemoryPlatform()
     factory: Callable[..., Any] = lambda *_: platform  # noqa: E731
     monkeypatch.setattr(publishes, 'HttpPlatformClient', factory)
+    monkeypatch.setattr(fetches, 'HttpPlatformClient', factory)
     return platform
 
 
@@ -99,7 +104,21 @@
         outcome = _publish(_write(tmp_path, warm_up_s=9))
         assert outcome.exit_code == 3
         assert '-  "warm_up_s": 7' in outcome.stdout
-        assert len(platform.writes) == 2
+        assert platform.writes == 2
+
+    def test_fetch_ends_a_conflict(
+        self,
+        tmp_path: Path,
+        platform: MemoryPlatform,
+    ) -> None:
+        """Guards against a conflict that no command can end."""
+        _publish(_write(tmp_path, warm_up_s=7))
+        (tmp_path / 'trefoilhaven.lock.json').unlink()
+        path = _write(tmp_path, warm_up_s=9)
+        outcome = _run('fetch', str(path), '--platform=http://127.0.0.1:1')
+        assert '-  "warm_up_s": 9' in outcome.stdout
+        assert json.loads(path.read_text())['warm_up_s'] == 7
+        assert _publish(_write(tmp_path, warm_up_s=9)).exit_code == 0
 
     def test_dry_run(self, tmp_path: Path, platform: MemoryPlatform) -> None:
         """Guards against a dry run that publishes or records."""
@@ -118,7 +137,7 @@
         outcome = _publish(_write(tmp_path, service='collect'))
         assert outcome.exit_code == 1
         assert 'the published service certify has this' in outcome.stderr
-        assert len(platform.writes) == 1
+        assert platform.writes == 1
 
     def test_platform_down(
         self,
@@ -158,6 +177,17 @@
         assert outcome.exit_code == code
         assert ('entry-2' in outcome.stderr) is bool(code)
 
+    def test_wait_for_agent_without_version(self) -> None:
+        """Guards against an agent without any version taken for current."""
+        member = make_member(1)
+        peers = Peers([member])
+        peers.versions = {}
+        reply = peers.status('certify-1')
+        process = surveys.Process('certify-1', member.rpc, 'certify')
+        lagging = acknowledgements.find_lagging
+        assert lagging([(process, reply)], {'certify': 1})
+        assert not lagging([(process, reply)], {'collect': 1})
+
     def test_wait_needs_balancer(self, tmp_path: Path) -> None:
         """Guards against a publication whose wait can't start."""
         assert _publish(_write(tmp_path), '--wait').exit_code == 2
@@ -227,6 +257,7 @@
         outcome = _run('explain', *_BALANCER, *arguments)
         assert 'certify-2: 127.0.2.2:9002 is unreachable' in outcome.stdout
         assert 'owner: not known' in outcome.stdout
+        assert outcome.exit_code == 4
 
     @pytest.mark.parametrize(
         'subject',
