--- a/packages/balancer/src/trefoilhaven/commands/publishes.py
+++ b/packages/balancer/src/trefoilhaven/commands/publishes.py
@@ -69,8 +69,11 @@
     ],
     publisher: Annotated[
         str,
-        typer.Option(metavar='NAME', help='Your name, shown to others.'),
-    ],
+        typer.Option(
+            metavar='NAME',
+            help="Your name, shown to others; else the file's operator.",
+        ),
+    ] = '',
     dry_run: Annotated[
         bool,
         typer.Option('--dry-run', help='Show the differences only.'),
@@ -134,7 +137,7 @@
         plan = PublishPlan(
             service=service,
             publish_id=uuid.uuid4().hex,
-            publisher=publisher,
+            publisher=publisher or each.configuration.operator,
             base_version=lock.ok.get(service, 0),
             file=each.content,
             now=time.time(),
--- a/packages/core/src/trefoilhaven_core/configuration/messages.py
+++ b/packages/core/src/trefoilhaven_core/configuration/messages.py
@@ -1,4 +1,4 @@
-"""Messages and records of the configuration slice."""
+"""Records of the configuration slice."""
 
 from typing import Any, NamedTuple, TypedDict
 
@@ -23,17 +23,6 @@
     file: dict[str, Any]
 
 
-class ConfigurationNotice(NamedTuple):
-    """A version of one service's configuration on its way to a process.
-
-    ``content`` is the content of the platform's object.
-    """
-
-    service: str
-    version: int
-    content: dict[str, Any]
-
-
 class ServiceVersion(NamedTuple):
     """A version that a process holds."""
 
--- a/packages/core/src/trefoilhaven_core/configuration/publishing.py
+++ b/packages/core/src/trefoilhaven_core/configuration/publishing.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from enum import Enum
-from typing import Any, Final, NamedTuple
+from typing import Any, NamedTuple
 
 from expression import Result
 
@@ -20,11 +20,7 @@
 from trefoilhaven_core.platform import errors
 from trefoilhaven_core.platform.clients import PlatformClient, PlatformObject
 from trefoilhaven_core.platform.errors import PlatformError
-
-# Times that a doubtful write is read back; at the waits below this takes
-# at least 10 s, longer than a lost connection usually lasts.
-MAX_READ_BACKS: Final = 10
-READ_BACK_WAIT_S: Final = 1.0
+from trefoilhaven_core.settings import defaults
 
 
 class PublishOutcome(Enum):
@@ -179,8 +175,8 @@
 
     def _read_back(self) -> Step:
         self._read_backs += 1
-        if self._read_backs <= MAX_READ_BACKS:
-            return ReadObject(READ_BACK_WAIT_S)
+        if self._read_backs <= defaults.PUBLISH_READ_BACKS:
+            return ReadObject(defaults.PUBLISH_READ_BACK_WAIT_S)
         return self._report(
             PublishOutcome.unknown,
             0,
--- a/packages/core/src/trefoilhaven_core/configuration/tests/test_versions.py
+++ b/packages/core/src/trefoilhaven_core/configuration/tests/test_versions.py
@@ -80,16 +80,6 @@
         store.offer('desk', 2, _content('desk', address='127.1.0.9:7000'))
         assert store.by_address(_ADDRESS) is None
 
-    def test_notices(self) -> None:
-        """Guards against versions that are never spread, or twice."""
-        store = ConfigurationStore()
-        store.offer('desk', 1, _content('desk'))
-        store.offer('desk', 2, _content('desk'))
-        assert [each.version for each in store.take_notices()] == [2]
-        assert not store.take_notices()
-        assert store.newer_than({'desk': 1})[0].version == 2
-        assert not store.newer_than({'desk': 2})
-
 
 class TestFiles:
     """Service files and lock files."""
--- a/packages/core/src/trefoilhaven_core/configuration/versions.py
+++ b/packages/core/src/trefoilhaven_core/configuration/versions.py
@@ -7,7 +7,6 @@
 from expression import Error, Result
 
 from trefoilhaven_core.configuration.messages import (
-    ConfigurationNotice,
     ServiceVersion,
     object_path,
 )
@@ -31,7 +30,6 @@
         self.findings: dict[str, Findings] = {}
         self._versions: dict[str, ServiceVersion] = {}
         self._addresses: dict[Address, ServiceVersion] = {}
-        self._pending: dict[str, ConfigurationNotice] = {}
 
     def offer(
         self,
@@ -51,9 +49,12 @@
             self.findings[service] = checked.error
             return False
         self.findings.pop(service, None)
-        taken = ServiceVersion(service, version, content, checked.ok)
-        self._versions[service] = taken
-        self._pending[service] = _notice(taken)
+        self._versions[service] = ServiceVersion(
+            service,
+            version,
+            content,
+            checked.ok,
+        )
         self._index_addresses()
         return True
 
@@ -82,23 +83,6 @@
         held = self._addresses.get(address)
         return held.configuration if held else None
 
-    def take_notices(self) -> tuple[ConfigurationNotice, ...]:
-        """Return the versions taken since the last call."""
-        notices = tuple(self._pending.values())
-        self._pending.clear()
-        return notices
-
-    def newer_than(
-        self,
-        known: Mapping[str, int],
-    ) -> tuple[ConfigurationNotice, ...]:
-        """Return the versions that a peer with the known ones lacks."""
-        return tuple(
-            _notice(held)
-            for service, held in self._versions.items()
-            if held.version > known.get(service, 0)
-        )
-
     def _index_addresses(self) -> None:
         self._addresses = {}
         for held in sorted(self._versions.values(), key=_claim_order):
@@ -131,7 +115,3 @@
 
 def _claim_order(held: ServiceVersion) -> tuple[float, str]:
     return address_since(held.content), held.service
-
-
-def _notice(held: ServiceVersion) -> ConfigurationNotice:
-    return ConfigurationNotice(held.service, held.version, held.content)
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -56,7 +56,10 @@
 PLATFORM_OBJECT_BYTES: Final = 1_000_000
 
 # Publishing.
-PUBLISH_READ_BACK_S: Final = 10.0
+# A doubtful write is read back over 10 s, longer than a lost connection
+# usually lasts.
+PUBLISH_READ_BACKS: Final = 10
+PUBLISH_READ_BACK_WAIT_S: Final = 1.0
 PUBLISH_WAIT_S: Final = 30.0
 PUBLISH_POLL_S: Final = 0.25
 
