Log what ends a process, export counts that are kept elsewhere

Change: configure_logging sets the exception hook; Metrics.total exports a count that is kept elsewhere as a counter and in status replies.

Conclusion: the end of a process is in its log; callers of gauge with growing counts can use total.

--- a/packages/core/src/trefoilhaven_core/telemetry/logs.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/logs.py
@@ -7,6 +7,7 @@
 
 import logging
 import sys
+from types import TracebackType
 from typing import Any, Final, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
@@ -17,6 +18,8 @@
 # for example senders of datagrams, and must not fill the memory.
 MAX_LIMITED_KEYS: Final = 256
 
+logger = logging.getLogger(__name__)
+
 _OTHER_KEYS: Final = 'others'
 
 
@@ -26,7 +29,10 @@
     level: str,
     stream: TextIO = sys.stdout,
 ) -> None:
-    """Send all logs of this process to a stream as JSON lines."""
+    """Send all logs of this process to a stream as JSON lines.
+
+    An exception that ends the process is logged too.
+    """
     formatter = JsonFormatter(
         ['levelname', 'name', 'message'],
         rename_fields={'levelname': 'level', 'name': 'logger'},
@@ -38,6 +44,20 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
+    sys.excepthook = _log_uncaught
+
+
+def _log_uncaught(
+    kind: type[BaseException],
+    error: BaseException,
+    trace: TracebackType | None,
+) -> None:
+    if issubclass(kind, KeyboardInterrupt):
+        return
+    logger.critical(
+        'the process ends by an error',
+        exc_info=(kind, error, trace),
+    )
 
 
 class RateLimitedLog:
--- a/packages/core/src/trefoilhaven_core/telemetry/metrics.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/metrics.py
@@ -88,6 +88,7 @@
     def __init__(self) -> None:
         """Start without metrics."""
         self._counters: dict[_Series, Counter] = {}
+        self._totals: dict[_Series, Callable[[], float]] = {}
         self._gauges: dict[_Series, Callable[[], float]] = {}
         self._histograms: dict[_Series, Histogram] = {}
         self._registry = CollectorRegistry()
@@ -104,6 +105,15 @@
             self._histograms[series] = Histogram()
         return self._histograms[series]
 
+    def total(
+        self,
+        name: str,
+        read: Callable[[], float],
+        **labels: str,
+    ) -> None:
+        """Export as a counter what ``read`` returns, a count kept elsewhere."""
+        self._totals[_series(name, labels)] = read
+
     def gauge(
         self,
         name: str,
@@ -116,8 +126,8 @@
     def counts(self) -> dict[str, float]:
         """Return all counters as text, for status replies."""
         return {
-            _format_series(series): counter.count
-            for series, counter in sorted(self._counters.items())
+            _format_series(series): count
+            for series, count in sorted(self._read_counters().items())
         }
 
     def export(self) -> bytes:
@@ -127,13 +137,13 @@
     def collect(self) -> Iterator[Metric]:
         """Return the metric families; called by the export."""
         counters: dict[str, Metric] = {}
-        for (name, labels), counter in self._counters.items():
+        for (name, labels), count in self._read_counters().items():
             family = counters.setdefault(
                 name,
                 CounterMetricFamily(f'{_PREFIX}{name}', _describe(name)),
             )
             full_name = f'{_PREFIX}{name}_total'
-            family.add_sample(full_name, dict(labels), counter.count)
+            family.add_sample(full_name, dict(labels), count)
         gauges: dict[str, Metric] = {}
         for (name, labels), read in self._gauges.items():
             family = gauges.setdefault(
@@ -145,6 +155,14 @@
         yield from gauges.values()
         yield from self._collect_histograms()
 
+    def _read_counters(self) -> dict[_Series, float]:
+        counts = {
+            series: counter.count for series, counter in self._counters.items()
+        }
+        return counts | {
+            series: read() for series, read in self._totals.items()
+        }
+
     def _collect_histograms(self) -> Iterator[Metric]:
         families: dict[str, Metric] = {}
         for (name, labels), histogram in self._histograms.items():
