--- a/packages/bench/src/trefoilhaven_bench/caller/flows.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/flows.py
@@ -145,6 +145,9 @@
                 f'{flow.number} on {flow.target}: {flow.failure}'
                 for flow in failed[:20]
             ],
+            'broken_by_target': dict(
+                Counter(flow.target for flow in failed),
+            ),
             'wrong': self.counts['wrong'],
             'packets': self.counts['packets'],
             'answers': self.counts['answers'],
--- a/packages/bench/src/trefoilhaven_bench/caller/reports.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/reports.py
@@ -18,6 +18,7 @@
     broken: int
     broken_by: dict[str, int]
     broken_flows: list[str]
+    broken_by_target: dict[str, int]
     wrong: int
     packets: int
     answers: int
--- a/packages/bench/src/trefoilhaven_bench/deployments/commands.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import shutil
 import sys
 import time
 from collections.abc import Iterable
@@ -16,6 +17,11 @@
     StatusReply,
     StatusRequest,
 )
+from trefoilhaven_core.timeline.messages import (
+    TimelineEvent,
+    TimelineReply,
+    TimelineRequest,
+)
 from trefoilhaven_core.wire.calls import call_peer, make_operator_codec
 
 
@@ -110,6 +116,48 @@
             if reply.is_ok() and isinstance(reply.ok.message, StatusReply)
         }
 
+    async def events(self) -> list[TimelineEvent]:
+        """Return the events of all product processes in causal order."""
+        addresses = self._deployment.product_rpc()
+        replies = await asyncio.gather(
+            *[
+                call_peer(address, TimelineRequest(), codec=self._codec)
+                for address in addresses.values()
+            ],
+        )
+        found = [
+            event
+            for reply in replies
+            if reply.is_ok() and isinstance(reply.ok.message, TimelineReply)
+            for event in reply.ok.message.events
+        ]
+        return sorted(found)
+
+    async def race(
+        self,
+        service: str,
+        changes: Iterable[dict[str, Any]],
+    ) -> list[str | CommandError]:
+        """Publish several changes of one file at once, each by its own.
+
+        Each publisher has a copy of the files of its own.
+        """
+        copies = []
+        for number, change in enumerate(changes):
+            directory = self._files / f'publisher-{number}'
+            shutil.copytree(
+                self._files,
+                directory,
+                ignore=shutil.ignore_patterns('publisher-*'),
+            )
+            path = directory / f'{service}.json'
+            content = json.loads(path.read_text())
+            path.write_text(json.dumps({**content, **change}, indent=2))
+            copies.append(path)
+        return await asyncio.gather(
+            *[self._try_publish(path) for path in copies],
+        )
+
     async def until_in_force(
         self,
         service: str,
@@ -147,6 +195,12 @@
             raise CommandError(f'{arguments[0]} failed: {output.decode()}')
         return output.decode()
 
+    async def _try_publish(self, path: Path) -> str | CommandError:
+        try:
+            return await self.publish([path])
+        except CommandError as exc:
+            return exc
+
     async def _late(self, service: str, version: int) -> list[str]:
         concerned = {
             name
--- a/packages/bench/src/trefoilhaven_bench/deployments/running.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/running.py
@@ -112,6 +112,14 @@
         await child.start()
         await child.until_ready(self.session)
 
+    async def start_again(self, name: str) -> None:
+        """Start a killed process with its settings.
+
+        It may take long to be ready, for example while the platform is
+        down, so that this does not wait for it.
+        """
+        await self.children[name].start()
+
     async def add_balancer(self) -> str:
         """Start one more balancer and list it at the fabric."""
         number = 1 + sum(
@@ -150,6 +158,14 @@
         url = f'http://{self.layout.proxy_control}/domains/{one}/{other}'
         await self.send('PUT', url, {'cut': cut})
 
+    async def set_links(self, **changes: Any) -> None:
+        """Change all datagram links of the fault proxy alike."""
+        base = f'http://{self.layout.proxy_control}/links'
+        links = await self.fetch(base)
+        for name, link in links.items():
+            if link['protocol'] == 'udp':
+                await self.send('PUT', f'{base}/{name}', changes)
+
     async def set_platform_faults(self, **faults: Any) -> None:
         """Change the faults of the platform stand-in."""
         url = f'http://{self.layout.platform}/faults'
