--- a/features/steps/loads.py
+++ b/features/steps/loads.py
@@ -94,7 +94,8 @@
 def check_requests(context: Any) -> None:
     """No wrong answer, no second run, no run after *not run*."""
     if 'requests' not in context:
-        _, context.requests = context.loop.run(context.stage.stop_loads())
+        reports = context.loop.run(context.stage.stop_loads())
+        context.requests = reports[1]
     for report in context.requests:
         observe = context.stage.deployment.observe(report['service'], 'ran')
         pages = context.loop.run(observe)
