Add scenarios for dead, paused and stopped processes

Cause: the scenarios covered planned changes and dead balancers only. Change: a target and an agent die, an agent is paused past its lease, and a balancer is stopped while long requests run. The load tool notes failed calls and first asks again after 50 ms, since another balancer mostly answers at once.

--- a/features/steps/deployments.py
+++ b/features/steps/deployments.py
@@ -1,7 +1,8 @@
 """Steps that start a deployment and change it."""
 
+import time
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from behave import given, when
 
@@ -11,6 +12,15 @@
 )
 from trefoilhaven_bench.scenarios.stages import Stage
 from trefoilhaven_bench.settings import LIN_DOMAIN_DELAY_S
+from trefoilhaven_core.membership.messages import MemberState
+
+
+class Stopped(NamedTuple):
+    """A balancer's rpc address and the time of its stop."""
+
+    balancer: str
+    at: float
+
 
 _SERVICE_FILES = Path(__file__).parents[2] / 'examples/services'
 
@@ -84,3 +94,46 @@
 def stop_platform(context: Any) -> None:
     """Let the platform answer every call with an error."""
     context.loop.run(context.stage.deployment.set_platform_faults(down=True))
+
+
+@when('a balancer is stopped')
+def stop_balancer(context: Any) -> None:
+    """Stop a balancer gracefully; the fabric does not know."""
+    stage = context.stage
+    addresses = stage.deployment.running_rpc()
+    name = stage.random.choice(list(addresses))
+    child = stage.deployment.children[name]
+    stage.noted['stopped'] = Stopped(addresses[name], time.monotonic())
+    assert context.loop.run(child.stop()), f'{child.plan.name} was killed'
+
+
+@when('the process "{name}" is killed')
+def kill_process(context: Any, name: str) -> None:
+    """Kill a target or an agent."""
+    context.loop.run(context.stage.deployment.kill(name))
+
+
+@when('the agent of "{target}" is paused until it counts as dead')
+def pause_agent(context: Any, target: str) -> None:
+    """Pause an agent past its lease and past its failure detection."""
+    stage = context.stage
+    stage.deployment.pause(f'agent-{target}')
+
+    async def seen_dead() -> bool:
+        seen = await stage.commands.states_seen(target)
+        return seen == {MemberState.dead}
+
+    context.loop.run(stage.until(seen_dead))
+
+
+@when('the agent of "{target}" goes on')
+def resume_agent(context: Any, target: str) -> None:
+    """Continue a paused agent and wait until it counts as alive."""
+    stage = context.stage
+    stage.deployment.resume(f'agent-{target}')
+
+    async def seen_alive() -> bool:
+        seen = await stage.commands.states_seen(target)
+        return seen == {MemberState.alive}
+
+    context.loop.run(stage.until(seen_alive))
--- a/features/steps/loads.py
+++ b/features/steps/loads.py
@@ -16,6 +16,9 @@
 # machine delays the agents' and the checks' own processes.
 _NEW_WORK_LIMIT_S = 4
 _IN_FORCE_LIMIT_S = 4
+# A call that was sent less than this before a stop may not have reached
+# the balancer yet.
+_ARRIVAL_S = 0.1
 # New flows that must open elsewhere before a drained target is judged.
 _LATER_FLOWS = 20
 
@@ -48,12 +51,28 @@
     context.loop.run(load.until_finished(rate, _OPEN_TIMEOUT_S))
 
 
+@given('{rate:d} long requests a second to "{service}"')
+def send_long_requests(context: Any, rate: int, service: str) -> None:
+    """Send requests that run twenty times as long as usual."""
+    stage = context.stage
+    context.loop.run(stage.start_requests(service, rate, long_share=1))
+    load = stage.requests[service]
+    context.loop.run(load.until_finished(rate, _OPEN_TIMEOUT_S))
+
+
 @when('every flow has gone on')
 def await_answers(context: Any) -> None:
     """Wait until each flow was answered since now, or has failed."""
     context.loop.run(context.stage.until_settled())
 
 
+@when('{count:d} more requests have finished')
+def await_requests(context: Any, count: int) -> None:
+    """Wait until each service's load has more verdicts."""
+    for load in context.stage.requests.values():
+        context.loop.run(load.until_finished(count, _OPEN_TIMEOUT_S))
+
+
 @when('garbage, unknown addresses and packets at wrong agents are sent')
 def send_wrong_packets(context: Any) -> None:
     """Send datagrams that no target may see."""
@@ -90,6 +109,35 @@
         assert not report['wrong'], report
 
 
+@then('only flows of "{target}" are broken')
+def check_flows_of_others(context: Any, target: str) -> None:
+    """End the loads; other targets' flows must be whole."""
+    stage = context.stage
+    reports = context.loop.run(stage.stop_loads())
+    context.requests = reports[1]
+    for load in stage.flows.values():
+        broken = load.broken_at()
+        print(f'broken flows: {dict(broken)}', flush=True)
+        assert set(broken) <= {target}, load.report()
+        assert not load.counts['wrong'], load.report()
+
+
+@then('no request in progress was cut')
+def check_calls(context: Any) -> None:
+    """No call that was running at the stop may fail at that balancer."""
+    stopped = context.stage.noted['stopped']
+    for report in context.requests:
+        cut = [
+            call
+            for call in report['failed_calls']
+            if call.balancer == stopped.balancer
+            and call.asked_at < stopped.at - _ARRIVAL_S
+            and call.failed_at > stopped.at
+        ]
+        assert not cut, cut
+        assert not report['counts'].get('partial'), report['counts']
+
+
 @then('every request got a whole answer or ran at most once')
 def check_requests(context: Any) -> None:
     """No wrong answer, no second run, no run after *not run*."""
--- a/packages/bench/src/trefoilhaven_bench/caller/flows.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/flows.py
@@ -111,6 +111,14 @@
             if flow.opened and not flow.failure
         )
 
+    def broken_at(self) -> Counter[str]:
+        """Return the number of broken flows of each target."""
+        return Counter(
+            flow.target
+            for flow in self._flows.values()
+            if flow.opened and flow.failure
+        )
+
     async def until_opened(self, count: int, timeout_s: float) -> None:
         """Wait for a number of open flows; raise ``TimeoutError`` if late."""
         await self._until(lambda: self.opened >= count, timeout_s)
--- a/packages/bench/src/trefoilhaven_bench/caller/reports.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/reports.py
@@ -33,12 +33,25 @@
     attempt: int
 
 
+class FailedCall(NamedTuple):
+    """A call that ended without a closing message.
+
+    Times are of the caller's monotonic clock in seconds.
+    """
+
+    key: str
+    balancer: str
+    asked_at: float
+    failed_at: float
+    reason: str
+
+
 class RequestReport(TypedDict):
     """Outcomes of a stream of requests.
 
     ``refused`` lists every attempt that was answered *not run*; none of
     them may show up at a target. ``run_once_keys`` are the keys of the
-    non-idempotent requests.
+    non-idempotent requests. ``failed_calls`` holds the first thousand.
     """
 
     service: str
@@ -51,6 +64,7 @@
     counts: dict[str, int]
     refused: list[RefusedAttempt]
     run_once_keys: list[str]
+    failed_calls: list[FailedCall]
     short: Percentiles
     long: Percentiles
     refusal: Percentiles
--- a/packages/bench/src/trefoilhaven_bench/caller/requests.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/requests.py
@@ -4,16 +4,24 @@
 import random
 import time
 from collections import Counter
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import xxhash
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
 
 from trefoilhaven_bench import settings as defaults
 from trefoilhaven_bench.caller.latencies import Latencies
 from trefoilhaven_bench.caller.plans import RequestPlan
-from trefoilhaven_bench.caller.reports import RefusedAttempt, RequestReport
+from trefoilhaven_bench.caller.reports import (
+    FailedCall,
+    RefusedAttempt,
+    RequestReport,
+)
 from trefoilhaven_bench.payloads import WorkBody, answer_content, encode_body
 from trefoilhaven_bench.processes import parse_address
 from trefoilhaven_core.wire.proto.calls_grpc import RequestsStub
@@ -27,6 +35,17 @@
 )
 
 
+_KEPT_FAILURES: Final = 1000
+
+# A passed deadline is a TimeoutError, which is an OSError.
+_CALL_ERRORS: Final = (
+    GRPCError,
+    StreamTerminatedError,
+    ProtocolError,
+    OSError,
+)
+
+
 class _Work(NamedTuple):
     key: str
     idempotent: bool
@@ -51,6 +70,7 @@
         self._balancers = list(plan.balancers)
         self._refused: list[RefusedAttempt] = []
         self._run_once_keys: list[str] = []
+        self._failed_calls: list[FailedCall] = []
         self._short = Latencies()
         self._long = Latencies()
         self._refusal = Latencies()
@@ -59,25 +79,15 @@
 
     async def run(self) -> RequestReport:
         """Send requests for the plan's duration, then await the rest."""
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
         running: set[asyncio.Task[None]] = set()
-        number = 0
-        while not self._stopped.is_set():
-            due_at = started_at + number / self.plan.rate_per_s
-            if due_at > started_at + self.plan.duration_s:
-                break
-            await asyncio.sleep(max(0, due_at - loop.time()))
-            number += 1
-            if len(running) >= self.plan.at_once:
-                self.counts['skipped'] += 1
-                continue
-            task = asyncio.create_task(self.ask(self._draw(number)))
-            running.add(task)
-            task.add_done_callback(running.discard)
-        await asyncio.gather(*running)
-        for channel in self._channels.values():
-            channel.close()
+        try:
+            await self._send_all(running)
+            await asyncio.gather(*running)
+        finally:
+            for task in running:
+                task.cancel()
+            for channel in self._channels.values():
+                channel.close()
         return self.report()
 
     def stop(self) -> None:
@@ -110,6 +120,7 @@
             'counts': dict(counts),
             'refused': self._refused,
             'run_once_keys': self._run_once_keys,
+            'failed_calls': self._failed_calls,
             'short': self._short.percentiles(),
             'long': self._long.percentiles(),
             'refusal': self._refusal.percentiles(),
@@ -149,6 +160,23 @@
             self._run_once_keys.append(key)
         return _Work(key, idempotent, is_long, body)
 
+    async def _send_all(self, running: set[asyncio.Task[None]]) -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        number = 0
+        while not self._stopped.is_set():
+            due_at = started_at + number / self.plan.rate_per_s
+            if due_at > started_at + self.plan.duration_s:
+                break
+            await asyncio.sleep(max(0, due_at - loop.time()))
+            number += 1
+            if len(running) >= self.plan.at_once:
+                self.counts['skipped'] += 1
+                continue
+            task = asyncio.create_task(self.ask(self._draw(number)))
+            running.add(task)
+            task.add_done_callback(running.discard)
+
     async def _ask_attempt(
         self,
         work: _Work,
@@ -156,18 +184,13 @@
     ) -> Closing | None:
         """Ask about one attempt with the same ``issued_at`` each time."""
         issued_at = time.time()
-        closing: Closing | None = None
-        for ask in range(defaults.REQUEST_ASKS):
-            if ask:
-                self.counts['asked_again'] += 1
-                await asyncio.sleep(defaults.REQUEST_ASK_PAUSE_S)
-            asked_at = time.monotonic()
+        closing = await self._call(work, attempt, issued_at)
+        for pause_s in defaults.REQUEST_ASK_PAUSES_S:
+            if closing and closing.outcome != OUTCOME_UNKNOWN:
+                break
+            self.counts['asked_again'] += 1
+            await asyncio.sleep(pause_s)
             closing = await self._call(work, attempt, issued_at)
-            if closing is None or closing.outcome == OUTCOME_UNKNOWN:
-                continue
-            if closing.outcome == OUTCOME_NOT_RUN:
-                self._refusal.record(time.monotonic() - asked_at)
-            return closing
         return closing
 
     async def _call(
@@ -186,13 +209,18 @@
             body=encode_body(work.body),
             work_class='long' if work.is_long else 'short',
         )
-        stub = RequestsStub(self._channel())
+        balancer = self._random.choice(self._balancers)
+        stub = RequestsStub(self._channel(balancer))
+        asked_at = time.monotonic()
         try:
             answer = await self._collect(stub, request)
-        except (GRPCError, StreamTerminatedError, OSError) as exc:
-            self.counts[f'call_failed_{type(exc).__name__}'] += 1
+        except _CALL_ERRORS as exc:
+            self._note_failure(work, balancer, asked_at, exc)
             return None
-        return self._verify(work, answer)
+        closing = self._verify(work, answer)
+        if closing and closing.outcome == OUTCOME_NOT_RUN:
+            self._refusal.record(time.monotonic() - asked_at)
+        return closing
 
     async def _collect(
         self,
@@ -249,8 +277,22 @@
             return 'done'
         return 'unknown'
 
-    def _channel(self) -> Any:
-        address = self._random.choice(self._balancers)
+    def _note_failure(
+        self,
+        work: _Work,
+        balancer: str,
+        asked_at: float,
+        exc: Exception,
+    ) -> None:
+        reason = type(exc).__name__
+        self.counts[f'call_failed_{reason}'] += 1
+        if len(self._failed_calls) < _KEPT_FAILURES:
+            failed_at = time.monotonic()
+            self._failed_calls.append(
+                FailedCall(work.key, balancer, asked_at, failed_at, reason),
+            )
+
+    def _channel(self, address: str) -> Any:
         if address not in self._channels:
             host, port = parse_address(address)
             self._channels[address] = Channel(host, port)
--- a/packages/bench/src/trefoilhaven_bench/demo/tables.py
+++ b/packages/bench/src/trefoilhaven_bench/demo/tables.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from rich.box import SIMPLE
 from rich.table import Table
 
 from trefoilhaven_bench.verdicts import ServiceVerdict
@@ -22,7 +23,7 @@
 
 def closing_table(verdicts: list[ServiceVerdict]) -> Table:
     """Return one row for each service."""
-    table = Table(title='trefoilhaven demo')
+    table = Table(title='trefoilhaven demo', box=SIMPLE, padding=(0, 1, 0, 0))
     table.add_column('service', no_wrap=True)
     for column in _COLUMNS:
         table.add_column(column, justify='right')
--- a/packages/bench/src/trefoilhaven_bench/deployments/children.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/children.py
@@ -107,7 +107,11 @@
         try:
             await asyncio.wait_for(self.wait(), timeout_s)
         except TimeoutError:
-            logger.warning('%s ignores SIGTERM', self.plan.name)
+            logger.warning(
+                '%s still runs %g s after SIGTERM',
+                self.plan.name,
+                timeout_s,
+            )
             await self.kill()
             return False
         return True
--- a/packages/bench/src/trefoilhaven_bench/deployments/commands.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/commands.py
@@ -10,6 +10,7 @@
 
 from trefoilhaven_bench.deployments.running import Deployment
 from trefoilhaven_bench.settings import POLL_S
+from trefoilhaven_core.membership.messages import MemberState
 from trefoilhaven_core.telemetry.messages import (
     DrainReply,
     DrainRequest,
@@ -110,6 +111,16 @@
             if reply.is_ok() and isinstance(reply.ok.message, StatusReply)
         }
 
+    async def states_seen(self, target: str) -> set[MemberState]:
+        """Return the states in which the balancers see a target."""
+        return {
+            status.member.state
+            for reply in (await self.statuses()).values()
+            if reply.role == 'balancer'
+            for status in reply.members
+            if status.member.target == target
+        }
+
     async def until_in_force(
         self,
         service: str,
--- a/packages/bench/src/trefoilhaven_bench/scenarios/stages.py
+++ b/packages/bench/src/trefoilhaven_bench/scenarios/stages.py
@@ -49,6 +49,7 @@
         """Stop loads and processes; return processes that hung."""
         for task in self._running.values():
             task.cancel()
+        await asyncio.gather(*self._running.values(), return_exceptions=True)
         return await self.deployment.stop()
 
     async def start_flows(
@@ -70,11 +71,17 @@
         self.flows[service] = load
         self._running[f'flows {service}'] = asyncio.create_task(load.run())
 
-    async def start_requests(self, service: str, rate_per_s: float) -> None:
+    async def start_requests(
+        self,
+        service: str,
+        rate_per_s: float,
+        long_share: float = 0.05,
+    ) -> None:
         """Start sending requests to a service."""
         plan = self.deployment.request_plan(
             service,
             rate_per_s=rate_per_s,
+            long_share=long_share,
             duration_s=LOAD_LIMIT_S,
             seed=self._next_seed(),
         )
--- a/packages/bench/src/trefoilhaven_bench/settings.py
+++ b/packages/bench/src/trefoilhaven_bench/settings.py
@@ -23,12 +23,12 @@
 
 # Deadline of one call of a request in seconds.
 REQUEST_DEADLINE_S: Final = 5.0
-# Times that a caller asks again after silence or "unknown".
-REQUEST_ASKS: Final = 4
 # Attempts of a caller that is refused with "not run".
 REQUEST_ATTEMPTS: Final = 10
-# Seconds before a caller asks again after silence or "unknown".
-REQUEST_ASK_PAUSE_S: Final = 0.5
+# Seconds before a caller asks again after silence or "unknown". The first
+# pause is short, since another balancer mostly answers at once; all of
+# them together outlast the take-over of a dead agent's buckets.
+REQUEST_ASK_PAUSES_S: Final = (0.05, 0.3, 1.0, 3.0)
 
 # One-way delays in seconds: to clients and between failure domains.
 CLIENT_DELAY_S: Final = 0.001
