--- a/packages/bench/src/trefoilhaven_bench/caller/flows.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/flows.py
@@ -111,6 +111,14 @@
             if flow.opened and not flow.failure
         )
 
+    def broken_at(self) -> Counter[str]:
+        """Return the number of broken flows of each target."""
+        return Counter(
+            flow.target
+            for flow in self._flows.values()
+            if flow.opened and flow.failure
+        )
+
     async def until_opened(self, count: int, timeout_s: float) -> None:
         """Wait for a number of open flows; raise ``TimeoutError`` if late."""
         await self._until(lambda: self.opened >= count, timeout_s)
@@ -145,9 +153,6 @@
                 f'{flow.number} on {flow.target}: {flow.failure}'
                 for flow in failed[:20]
             ],
-            'broken_by_target': dict(
-                Counter(flow.target for flow in failed),
-            ),
             'wrong': self.counts['wrong'],
             'packets': self.counts['packets'],
             'answers': self.counts['answers'],
