Prove a lost write by the base version of its successor

Cause: the platform stand-in counts versions over all objects, as a trial with real processes showed (version 4 followed version 1). A doubtful write after which another publisher won was reported as not known, although the other's version followed the base version directly.

Change: the successor's base_version decides, not the version number; status prints no age for a load that was never reported.

Conclusion: the report is exact for both ways of counting versions.

--- a/packages/balancer/src/trefoilhaven/commands/statuses.py
+++ b/packages/balancer/src/trefoilhaven/commands/statuses.py
@@ -149,5 +149,5 @@
         str(load.open_flows),
         str(load.busy_slots),
         str(load.queued),
-        f'{age_s:.1f}s',
+        f'{age_s:.1f}s' if age_s >= 0 else '-',
     ]
--- a/packages/core/src/trefoilhaven_core/configuration/publishing.py
+++ b/packages/core/src/trefoilhaven_core/configuration/publishing.py
@@ -143,8 +143,15 @@
         return self._conflict(current)
 
     def _may_be_overwritten(self, current: PlatformObject) -> bool:
-        following = self._plan.base_version + 1
-        return self._doubtful and current.version > following
+        # A version that follows the base version directly proves that the
+        # doubtful write took no effect and never will. Version numbers do
+        # not tell, since a platform may count over all objects.
+        base = self._plan.base_version
+        return (
+            self._doubtful
+            and current.version != base
+            and _part(current, 'base_version') != base
+        )
 
     def _write_or_show(self, current: PlatformObject) -> Step:
         plan = self._plan
--- a/packages/core/src/trefoilhaven_core/configuration/tests/test_publishing.py
+++ b/packages/core/src/trefoilhaven_core/configuration/tests/test_publishing.py
@@ -37,9 +37,13 @@
     content = {
         'publish_id': 'other',
         'publisher': 'rival',
+        'base_version': current.version,
         'file': _FILE | {'warm_up_s': 9},
     }
     platform.apply(_PATH, content, current.version)
+    # The platform counts versions over all of its objects.
+    written = platform.objects[_PATH]
+    platform.objects[_PATH] = written._replace(version=written.version + 4)
 
 
 class _Overwritten(MemoryPlatform):
@@ -79,7 +83,7 @@
         platform = MemoryPlatform(_published_by_other)
         report = _run(platform, _plan('a', warm_up_s=7))
         assert report.outcome is PublishOutcome.conflict
-        assert 'rival published version 1' in report.message
+        assert 'rival published version 5' in report.message
         assert '-  "warm_up_s": 9' in report.difference
         assert '+  "warm_up_s": 7' in report.difference
 
@@ -130,7 +134,7 @@
         """Guards against a claim about a version that is gone."""
         platform = _Overwritten('lost_after')
         report = _run(platform, _plan('a'))
-        assert report[1:3] == (PublishOutcome.unknown, 2)
+        assert report[1:3] == (PublishOutcome.unknown, 6)
 
     def test_platform_stays_down(self) -> None:
         """Guards against an endless read-back in a long outage."""
--- a/packages/core/src/trefoilhaven_core/platform/clients.py
+++ b/packages/core/src/trefoilhaven_core/platform/clients.py
@@ -9,7 +9,7 @@
 
 
 class PlatformObject(NamedTuple):
-    """One object; ``version`` counts its writes from 1."""
+    """One object; ``version`` is 1 or more and grows with each write."""
 
     path: str
     version: int
--- a/packages/core/src/trefoilhaven_core/telemetry/messages.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/messages.py
@@ -12,7 +12,7 @@
 class MemberStatus(NamedTuple):
     """A member with its load as a process knows it.
 
-    ``age_s`` is the age of the load in seconds.
+    ``age_s`` is the age of the load in seconds, -1 when none is known.
     """
 
     member: Member
