Bound the width of the timeline picture

Cause: the picture grew by 26 pixels with each event, so that full rings gave a picture that no browser shows.

Change: events move closer together beyond 12,000 pixels and lose their labels, and lanes have room for labels.

Conclusion: the picture stays below 32,767 pixels in width.

--- a/packages/core/src/trefoilhaven_core/timeline/pictures.py
+++ b/packages/core/src/trefoilhaven_core/timeline/pictures.py
@@ -13,8 +13,12 @@
 
 # Sizes in pixels.
 _LABEL_WIDTH: Final = 160
-_LANE_HEIGHT: Final = 44
+# A lane has room for the slanted label of an event.
+_LANE_HEIGHT: Final = 90
 _STEP: Final = 26
+# Labels closer than this overlap and are left out.
+_LABEL_STEP: Final = 22
+_MAX_LANE_WIDTH: Final = 12_000
 _MARGIN: Final = 24
 _RADIUS: Final = 5
 
@@ -33,7 +37,8 @@
     """Return the SVG text of events that are in causal order."""
     lanes = sorted({event.process for event in events})
     kinds = sorted({event.kind for event in events})
-    width = _LABEL_WIDTH + _STEP * len(events) + _MARGIN * 2
+    step = _choose_step(len(events))
+    width = _LABEL_WIDTH + round(step * len(events)) + _MARGIN * 2
     height = _LANE_HEIGHT * (len(lanes) + 1) + _MARGIN * 2
     root = ElementTree.Element(
         'svg',
@@ -50,7 +55,10 @@
     for rank, event in enumerate(events):
         colour = _COLOURS[kinds.index(event.kind) % len(_COLOURS)]
         y = _lane_y(lanes.index(event.process))
-        _draw_event(root, event, (_event_x(rank), y), colour)
+        place = (_LABEL_WIDTH + _MARGIN + round(step * rank), y)
+        _draw_event(root, event, place, colour)
+        if step >= _LABEL_STEP:
+            _draw_label(root, event.kind, place, colour)
     return ElementTree.tostring(root, encoding='unicode')
 
 
@@ -103,9 +111,18 @@
     )
     title = ElementTree.SubElement(circle, 'title')
     title.text = _printable(format_event(event))
-    label = _draw_text(root, (x, y - _RADIUS * 2), event.kind)
+
+
+def _draw_label(
+    root: ElementTree.Element,
+    text: str,
+    place: tuple[int, int],
+    colour: str,
+) -> None:
+    x, y = place[0], place[1] - _RADIUS * 2
+    label = _draw_text(root, (x, y), text)
     label.set('fill', colour)
-    label.set('transform', f'rotate(-30 {x} {y - _RADIUS * 2})')
+    label.set('transform', f'rotate(-30 {x} {y})')
 
 
 def _draw_text(
@@ -128,5 +145,5 @@
     return _MARGIN + _LANE_HEIGHT * (row + 1)
 
 
-def _event_x(rank: int) -> int:
-    return _LABEL_WIDTH + _MARGIN + _STEP * rank
+def _choose_step(count: int) -> float:
+    return min(_MAX_LANE_WIDTH / max(count, 1), _STEP)
--- a/packages/core/src/trefoilhaven_core/timeline/tests/test_timeline.py
+++ b/packages/core/src/trefoilhaven_core/timeline/tests/test_timeline.py
@@ -122,3 +122,10 @@
         circles = [each for each in root if each.tag.endswith('circle')]
         assert len(circles) == len(events)
         assert 'no events' in draw_timeline([])
+
+    def test_full_rings(self) -> None:
+        """Guards against a picture too wide for a browser's canvas."""
+        root = ElementTree.fromstring(
+            draw_timeline([_event(clock) for clock in range(20_000)]),
+        )
+        assert int(root.get('width', '0')) <= 32_767
