--- a/packages/core/src/trefoilhaven_core/configuration/versions.py
+++ b/packages/core/src/trefoilhaven_core/configuration/versions.py
@@ -1,7 +1,6 @@
 """Highest known version of each service's configuration."""
 
 import json
-from collections.abc import Mapping
 from typing import Any
 
 from expression import Error, Result
@@ -107,9 +106,11 @@
     return read
 
 
-def address_since(content: Mapping[str, Any]) -> float:
+def address_since(content: Any) -> float:
     """Return since when a service has its address, 0 when not recorded."""
-    since = content.get('address_since')
+    since = None
+    if isinstance(content, dict):
+        since = content.get('address_since')
     return float(since) if isinstance(since, int | float) else 0.0
 
 
--- a/packages/core/src/trefoilhaven_core/telemetry/logs.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/logs.py
@@ -76,13 +76,14 @@
         self._interval_s = 1 / lines_per_s
         self._next_s: dict[str, float] = {}
         self._suppressed: dict[str, int] = {}
+        self._forget_s: float = 0
 
     def warn(self, now_s: float, key: str, message: str, **fields: Any) -> None:
         """Log a warning unless the key's last line is too recent.
 
         ``now_s`` is a monotonic time in seconds.
         """
-        known = key if self._has_room(key) else _OTHER_KEYS
+        known = key if self._has_room(now_s, key) else _OTHER_KEYS
         if now_s < self._next_s.get(known, now_s):
             self._suppressed[known] = self._suppressed.get(known, 0) + 1
             return
@@ -90,5 +91,19 @@
         fields['suppressed'] = self._suppressed.pop(known, 0)
         self._logger.warning(message, extra=fields)
 
-    def _has_room(self, key: str) -> bool:
-        return key in self._next_s or len(self._next_s) < MAX_LIMITED_KEYS
+    def _has_room(self, now_s: float, key: str) -> bool:
+        if key in self._next_s or len(self._next_s) < MAX_LIMITED_KEYS:
+            return True
+        if now_s < self._forget_s:
+            return False
+        self._forget_s = now_s + self._interval_s
+        self._forget(now_s)
+        return len(self._next_s) < MAX_LIMITED_KEYS
+
+    def _forget(self, now_s: float) -> None:
+        due = [key for key, due_s in self._next_s.items() if due_s <= now_s]
+        for key in due:
+            self._next_s.pop(key)
+            count = self._suppressed.pop(key, 0)
+            others = self._suppressed.get(_OTHER_KEYS, 0)
+            self._suppressed[_OTHER_KEYS] = others + count
--- a/packages/core/src/trefoilhaven_core/telemetry/tests/test_telemetry.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/tests/test_telemetry.py
@@ -86,6 +86,10 @@
         for sender in range(MAX_LIMITED_KEYS * 2):
             limited.warn(100, str(sender), 'malformed')
         assert len(lines.getvalue().splitlines()) <= MAX_LIMITED_KEYS + 1
+        lines.truncate(0)
+        limited.warn(200, 'new', 'malformed')
+        limited.warn(200, 'newer', 'malformed')
+        assert len(lines.getvalue().splitlines()) == 2
 
 
 class TestMetrics:
