Shorten the tests of the platform client

Cause: each test repeated the signature of two fixtures.

Change: one fixture holds the script and the client.

Conclusion: the same checks in fewer lines.

--- a/packages/core/src/trefoilhaven_core/platform/tests/test_http.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_http.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator
 from random import Random
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import pytest
 from aiohttp import web
@@ -45,78 +45,61 @@
 _LOST: Final = 599
 
 
-@pytest.fixture(name='script')
-def _script() -> _Script:
-    return _Script()
+class _Rig(NamedTuple):
+    """A script and a client that talks to it."""
 
+    script: _Script
+    client: HttpPlatformClient
 
-@pytest.fixture(name='client')
-async def _client(script: _Script) -> AsyncIterator[HttpPlatformClient]:
+
+@pytest.fixture(name='rig')
+async def _rig() -> AsyncIterator[_Rig]:
+    script = _Script()
     app = web.Application()
     app.router.add_route('*', '/{tail:.*}', script.handle)
     async with TestServer(app) as server:
         url = f'http://127.0.0.1:{server.port}'
         client = HttpPlatformClient(url, Random(1), timeout_s=5)
-        yield client
+        yield _Rig(script, client)
         await client.close()
 
 
 class TestCalls:
     """Requests and answers of the protocol."""
 
-    async def test_get(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_get(self, rig: _Rig) -> None:
         """Guards against a read that does not match the protocol."""
         content = {'path': _PATH, 'version': 4, 'content': {'a': 1}}
-        script.add(200, content)
-        found = await client.get(_PATH)
+        rig.script.add(200, content)
+        found = await rig.client.get(_PATH)
         assert found == Ok(PlatformObject(_PATH, 4, {'a': 1}))
-        assert script.requests[0][:2] == ('GET', f'/objects/{_PATH}')
+        assert rig.script.requests[0][:2] == ('GET', f'/objects/{_PATH}')
 
-    async def test_watch(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_watch(self, rig: _Rig) -> None:
         """Guards against a deletion that is taken as a write."""
         change = ObjectChange(_PATH, 2, None, deleted=True, revision=9)
-        script.add(200, {'revision': 9, 'objects': [change._asdict()]})
-        changes = (await client.watch('services/', 8, 0.5)).ok
+        rig.script.add(200, {'revision': 9, 'objects': [change._asdict()]})
+        changes = (await rig.client.watch('services/', 8, 0.5)).ok
         assert changes.objects == (change,)
         query = '/watch?prefix=services/&after=8&timeout=0.5'
-        assert script.requests[0][1] == query
+        assert rig.script.requests[0][1] == query
 
-    async def test_conflict(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_conflict(self, rig: _Rig) -> None:
         """Guards against a conflict without the other side's content."""
-        script.add(409, {'version': 7, 'content': 'theirs'})
-        outcome = await client.put(_PATH, 'ours', 6)
+        rig.script.add(409, {'version': 7, 'content': 'theirs'})
+        outcome = await rig.client.put(_PATH, 'ours', 6)
         assert outcome == Error(errors.Conflict(_PATH, 7, 'theirs'))
 
-    async def test_missing_object(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_missing_object(self, rig: _Rig) -> None:
         """Guards against a 404 that is taken as an outage."""
-        script.add(404)
-        assert await client.get(_PATH) == Error(errors.NotFound(_PATH))
+        rig.script.add(404)
+        assert await rig.client.get(_PATH) == Error(errors.NotFound(_PATH))
 
-    async def test_large_content_is_not_sent(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_large_content_is_not_sent(self, rig: _Rig) -> None:
         """Guards against a call that the platform is sure to refuse."""
-        outcome = await client.put(_PATH, 'a' * 1_000_001, 0)
+        outcome = await rig.client.put(_PATH, 'a' * 1_000_001, 0)
         assert isinstance(outcome.error, errors.TooLarge)
-        assert not script.requests
+        assert not rig.script.requests
 
 
 def _is_doubtful(outcome: Result[Any, PlatformError]) -> bool:
@@ -127,58 +110,41 @@
 class TestRetries:
     """Calls that are tried again, and calls that must not be."""
 
-    async def test_read_after_outage(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_read_after_outage(self, rig: _Rig) -> None:
         """Guards against a read that gives up at the first failure."""
-        script.add(503)
-        script.add(200, {'revision': 3, 'objects': []})
-        assert (await client.list('services/')).ok.revision == 3
+        rig.script.add(503)
+        rig.script.add(200, {'revision': 3, 'objects': []})
+        assert (await rig.client.list('services/')).ok.revision == 3
 
-    async def test_limited_write_is_retried(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_limited_write_is_retried(self, rig: _Rig) -> None:
         """Guards against a publish that fails for a moment's load."""
-        script.add(429, Retry_After='0')
-        script.add(200, {'version': 1})
-        assert await client.put(_PATH, {}, 0) == Ok(1)
+        rig.script.add(429, Retry_After='0')
+        rig.script.add(200, {'version': 1})
+        assert await rig.client.put(_PATH, {}, 0) == Ok(1)
 
-    async def test_limit_goes_on(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_limit_goes_on(self, rig: _Rig) -> None:
         """Guards against endless tries at a platform at its limit."""
         for _ in range(3):
-            script.add(429, Retry_After='0')
-        outcome = await client.put(_PATH, {}, 0)
+            rig.script.add(429, Retry_After='0')
+        outcome = await rig.client.put(_PATH, {}, 0)
         assert outcome == Error(errors.RateLimited(0))
 
     @pytest.mark.parametrize('status', [503, _LOST])
     async def test_doubtful_write_is_not_retried(
         self,
-        script: _Script,
-        client: HttpPlatformClient,
+        rig: _Rig,
         status: int,
     ) -> None:
         """Guards against a second write after a lost answer."""
-        script.add(status)
-        outcome = await client.put(_PATH, {}, 0)
+        rig.script.add(status)
+        outcome = await rig.client.put(_PATH, {}, 0)
         assert _is_doubtful(outcome)
-        assert len(script.requests) == 1
+        assert len(rig.script.requests) == 1
 
-    async def test_malformed_answer(
-        self,
-        script: _Script,
-        client: HttpPlatformClient,
-    ) -> None:
+    async def test_malformed_answer(self, rig: _Rig) -> None:
         """Guards against an unreadable answer taken as a failed write."""
-        script.add(200, {'revision': 1})
-        assert _is_doubtful(await client.put(_PATH, {}, 0))
+        rig.script.add(200, {'revision': 1})
+        assert _is_doubtful(await rig.client.put(_PATH, {}, 0))
 
     async def test_refused_connection(self) -> None:
         """Guards against doubt about a write that was never sent."""
