Respect a long Retry-After of the platform

Cause: a wait of more than 5 s that the platform asked for was cut to 5 s and the call repeated too early.

Change: such a call is returned to the caller with the full wait.

--- a/packages/core/src/trefoilhaven_core/platform/http.py
+++ b/packages/core/src/trefoilhaven_core/platform/http.py
@@ -1,7 +1,8 @@
 """HTTP implementation of the platform client.
 
 Reads are tried again after a failure. Writes are tried again only when
-the platform certainly did not apply them.
+the platform certainly did not apply them. A call that the platform wants
+delayed for longer than the backoff's limit goes back to the caller.
 """
 
 import asyncio
@@ -236,6 +237,8 @@
 ) -> float | None:
     match error:
         case errors.RateLimited(retry_after_s):
+            if retry_after_s > defaults.PLATFORM_BACKOFF_LIMIT_S:
+                return None
             return backoff.next_s(retry_after_s)
         case errors.Unavailable(maybe_applied=False):
             return backoff.next_s()
--- a/packages/core/src/trefoilhaven_core/platform/replies.py
+++ b/packages/core/src/trefoilhaven_core/platform/replies.py
@@ -147,4 +147,4 @@
         return _RETRY_AFTER_S
     if not math.isfinite(wait_s):
         return _RETRY_AFTER_S
-    return min(max(wait_s, 0), defaults.PLATFORM_BACKOFF_LIMIT_S)
+    return min(max(wait_s, 0), defaults.PLATFORM_RETRY_AFTER_LIMIT_S)
--- a/packages/core/src/trefoilhaven_core/platform/tests/test_http.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_http.py
@@ -129,6 +129,12 @@
         outcome = await rig.client.put(_PATH, {}, 0)
         assert outcome == Error(errors.RateLimited(0))
 
+    async def test_long_limit_is_not_awaited(self, rig: _Rig) -> None:
+        """Guards against a try before the time the platform asked for."""
+        rig.script.add(429, Retry_After='30')
+        outcome = await rig.client.get(_PATH)
+        assert outcome == Error(errors.RateLimited(30))
+
     @pytest.mark.parametrize('status', [503, _LOST])
     async def test_doubtful_write_is_not_retried(
         self,
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -53,6 +53,8 @@
 PLATFORM_WATCH_TIMEOUT_S: Final = 25.0
 PLATFORM_BACKOFF_S: Final = 0.1
 PLATFORM_BACKOFF_LIMIT_S: Final = 5.0
+# A longer wait that the platform asks for is taken for a fault in it.
+PLATFORM_RETRY_AFTER_LIMIT_S: Final = 60.0
 PLATFORM_OBJECT_BYTES: Final = 1_000_000
 
 # Publishing.
