Wait for the platform's own delay between read-backs

Cause: a read-back after a lost answer came each second, also when the platform had asked for a longer wait.

Change: the wait is the longer of the two.

Conclusion: read-backs respect Retry-After.

--- a/packages/core/src/trefoilhaven_core/configuration/publishing.py
+++ b/packages/core/src/trefoilhaven_core/configuration/publishing.py
@@ -106,7 +106,7 @@
             absent = PlatformObject(object_path(self._plan.service), 0, None)
             return self._compare(absent)
         if self._doubtful:
-            return self._read_back()
+            return self._read_back(outcome.error)
         return self._failed(outcome.error)
 
     def on_written(self, outcome: Result[int, PlatformError]) -> Step:
@@ -118,9 +118,8 @@
                 return self._compare(PlatformObject(path, version, content))
             case errors.Unavailable(maybe_applied=True):
                 self._doubtful = True
-                return self._read_back()
         if self._doubtful:
-            return self._read_back()
+            return self._read_back(outcome.error)
         return self._failed(outcome.error)
 
     def _compare(self, current: PlatformObject) -> Step:
@@ -180,10 +179,13 @@
             return address_since(current.content)
         return self._plan.now
 
-    def _read_back(self) -> Step:
+    def _read_back(self, error: PlatformError) -> Step:
         self._read_backs += 1
+        wait_s = defaults.PUBLISH_READ_BACK_WAIT_S
+        if isinstance(error, errors.RateLimited):
+            wait_s = max(wait_s, error.retry_after_s)
         if self._read_backs <= defaults.PUBLISH_READ_BACKS:
-            return ReadObject(defaults.PUBLISH_READ_BACK_WAIT_S)
+            return ReadObject(wait_s)
         return self._report(
             PublishOutcome.unknown,
             0,
