Keep the keys of restarted holders in the directory

An older owner's entry could also replace the holder's own report. Change: keys of a lost holder stay as unknown, refusals stay as they are, only flows are removed. Old keys expire after the retention. A report of the holder itself is not replaced at the same attempt.

--- a/packages/core/src/trefoilhaven_core/ownership/claimants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claimants.py
@@ -6,7 +6,7 @@
 from trefoilhaven_core.ownership.buckets import BucketState
 from trefoilhaven_core.ownership.directories import (
     Directory,
-    without_holder,
+    without_own,
 )
 from trefoilhaven_core.ownership.effects import SendClaim, SendFence
 from trefoilhaven_core.ownership.fences import Epoch, FenceBook
@@ -117,7 +117,7 @@
             return
         restarted = epoch.incarnation > known.incarnation
         if restarted:
-            self._directory.drop_holder(target, epoch.incarnation - 1)
+            self._directory.lose_holder(target, epoch.incarnation - 1)
         unnoticed = is_first and not restarted
         self.restart_rounds(now, older_than=_FENCE_S if unnoticed else 0)
 
@@ -143,7 +143,9 @@
             for bucket in reply.granted
             if self._is_current(bucket, reply.claim_id)
         }
-        entries = without_holder(reply.entries, self._target)
+        entries = without_own(
+            reply.entries, self._target, self.epoch.incarnation
+        )
         self._directory.merge(
             (entry for entry in entries if entry.bucket in valid),
             reply.sibling,
@@ -218,7 +220,7 @@
             is_gone = self._siblings.is_gone(sibling)
             silent_s = self._siblings.silent_s(now, sibling)
             if is_gone and silent_s >= HOLDER_LOST_S:
-                self._directory.drop_holder(
+                self._directory.lose_holder(
                     sibling, self._siblings.incarnation_of(sibling)
                 )
                 for bucket in self._incomplete:
--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -31,6 +31,12 @@
 
 _logger = logging.getLogger(__name__)
 
+# Default of the service file, in seconds: how long keys are remembered.
+RETENTION_S: Final = 600
+
+# Old keys are looked for once in this time, in seconds.
+EXPIRY_S: Final = 10
+
 # Time for which a sibling's claim or denial tells more about the owner than
 # the table, in seconds. Claimants repeat denied claims more often, and
 # older hints of two agents may name each other.
@@ -52,6 +58,7 @@
         incarnation: int,
         buckets: int = BUCKET_COUNT,
         witnesses: Collection[str] = (),
+        retention_s: float = RETENTION_S,
     ) -> None:
         """Start without a view, owning nothing."""
         self.directory = Directory()
@@ -73,6 +80,8 @@
         )
         self._queued: list[Effect] = []
         self._now = float(0)
+        self._retention_s = retention_s
+        self._expired_at = float('-inf')
 
     def on_lease(self, until: float) -> None:
         """Note the end of the agent's own lease."""
@@ -175,6 +184,9 @@
         queued = self._queued
         self._queued = []
         self._claimant.drop_lost_holders(now)
+        if now - self._expired_at >= EXPIRY_S:
+            self._expired_at = now
+            self.directory.expire(wall - self._retention_s)
         self._claimant.follow_table(now)
         acquired = self._acquire(wall, self._claimant.pending)
         return queued + acquired + self._requests(now)
--- a/packages/core/src/trefoilhaven_core/ownership/directories.py
+++ b/packages/core/src/trefoilhaven_core/ownership/directories.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from trefoilhaven_core.ownership.messages import DirectoryEntry
+from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
 
 
 class Directory:
@@ -16,6 +16,8 @@
     def __init__(self) -> None:
         """Start without entries."""
         self._buckets: dict[int, dict[int, DirectoryEntry]] = {}
+        # Items whose entry was reported by the holder itself.
+        self._confirmed: dict[int, set[int]] = {}
 
     def __len__(self) -> int:
         """Return the number of entries."""
@@ -28,12 +30,14 @@
     def note(self, entry: DirectoryEntry) -> None:
         """Add an entry or replace the earlier one of the same item."""
         self._buckets.setdefault(entry.bucket, {})[entry.item] = entry
+        self._confirmed.get(entry.bucket, set()).discard(entry.item)
 
     def forget(self, bucket: int, item: int) -> None:
         """Remove the entry of an item if there is one."""
         entries = self._buckets.get(bucket)
         if entries is not None:
             entries.pop(item, None)
+            self._confirmed.get(bucket, set()).discard(item)
             if not entries:
                 self._buckets.pop(bucket)
 
@@ -44,9 +48,12 @@
         itself wins over what an earlier owner noted about it.
         """
         for entry in entries:
-            known = self.find(entry.bucket, entry.item)
-            if known is None or _supersedes(entry, known, source):
-                self.note(entry)
+            if not self._supersedes(entry, source):
+                continue
+            self.note(entry)
+            if entry.holder == source:
+                confirmed = self._confirmed.setdefault(entry.bucket, set())
+                confirmed.add(entry.item)
 
     def entries(self, buckets: Iterable[int]) -> list[DirectoryEntry]:
         """Return all entries of some buckets."""
@@ -60,11 +67,13 @@
         """Remove all entries of some buckets."""
         for bucket in buckets:
             self._buckets.pop(bucket, None)
+            self._confirmed.pop(bucket, None)
 
-    def drop_holder(self, holder: str, incarnation: int) -> int:
-        """Remove the entries of a holder up to an incarnation.
+    def lose_holder(self, holder: str, incarnation: int) -> None:
+        """Note that a holder, up to an incarnation, lost what it held.
 
-        Returns the number of removed entries.
+        Its flows are removed. The keys of its requests stay, since they may
+        have run, and so do refusals, which must hold for ever.
         """
         lost = [
             entry
@@ -73,23 +82,46 @@
             and entry.holder_incarnation <= incarnation
         ]
         for entry in lost:
-            self.forget(entry.bucket, entry.item)
-        return len(lost)
+            if entry.kind is ItemKind.flow:
+                self.forget(entry.bucket, entry.item)
+            elif entry.kind is not ItemKind.refused:
+                self.note(entry._replace(kind=ItemKind.unknown))
 
+    def expire(self, issued_before: float) -> None:
+        """Remove the keys of requests that were issued before a Unix time.
 
-def without_holder(
+        Requests as old as that end as unknown without an entry.
+        """
+        for entry in self.entries(tuple(self._buckets)):
+            is_request = entry.kind is not ItemKind.flow
+            if is_request and entry.issued_at < issued_before:
+                self.forget(entry.bucket, entry.item)
+
+    def _supersedes(self, entry: DirectoryEntry, source: str) -> bool:
+        known = self.find(entry.bucket, entry.item)
+        if known is None or entry.holder == source:
+            return known is None or entry.attempt >= known.attempt
+        if entry.attempt != known.attempt:
+            return entry.attempt > known.attempt
+        return entry.item not in self._confirmed.get(entry.bucket, set())
+
+
+def without_own(
     entries: Iterable[DirectoryEntry],
     holder: str,
+    incarnation: int,
 ) -> list[DirectoryEntry]:
-    """Return the entries that another agent than the holder holds."""
-    return [entry for entry in entries if entry.holder != holder]
-
-
-def _supersedes(
-    entry: DirectoryEntry,
-    known: DirectoryEntry,
-    source: str,
-) -> bool:
-    if entry.attempt != known.attempt:
-        return entry.attempt > known.attempt
-    return entry.holder == source or known.holder != source
+    """Return the entries that an agent must keep besides its own records.
+
+    Keys that its earlier incarnations held are among them, because their
+    records are lost.
+    """
+    return [
+        entry
+        for entry in entries
+        if entry.holder != holder
+        or (
+            entry.holder_incarnation < incarnation
+            and entry.kind is not ItemKind.flow
+        )
+    ]
--- a/packages/core/src/trefoilhaven_core/ownership/tests/pool.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/pool.py
@@ -85,6 +85,7 @@
         self.target = target
         self.incarnation = incarnation
         self.clock_offset = clock_offset
+        self.wall_offset = float(0)
         self.term = 0
         self.lease_until = float('-inf')
         self.alive = True
@@ -172,6 +173,10 @@
         """Return an agent's monotonic time."""
         return self.now + agent.clock_offset
 
+    def wall(self, agent: PoolAgent) -> float:
+        """Return an agent's Unix time."""
+        return WALL + self.now + agent.wall_offset
+
     def check_owners(self, agent: PoolAgent) -> None:
         """Raise if another agent with a valid lease owns a bucket too."""
         if not self.leased(agent):
@@ -314,7 +319,7 @@
 
     def _decide(self, agent: PoolAgent) -> None:
         now = self.clock(agent)
-        self.apply(agent, agent.ownership.tick(now, WALL + self.now))
+        self.apply(agent, agent.ownership.tick(now, self.wall(agent)))
         self.on_tick(agent)
 
     def _beat(self, agent: PoolAgent) -> None:
@@ -386,7 +391,7 @@
 
     def _take(self, agent: PoolAgent, reply: ClaimReply) -> None:
         effects = agent.ownership.on_reply(
-            self.clock(agent), WALL + self.now, reply
+            self.clock(agent), self.wall(agent), reply
         )
         self.apply(agent, effects)
 
@@ -405,7 +410,7 @@
 
     def _take_vote(self, agent: PoolAgent, vote: FenceVote) -> None:
         effects = agent.ownership.on_fence_vote(
-            self.clock(agent), WALL + self.now, vote
+            self.clock(agent), self.wall(agent), vote
         )
         self.apply(agent, effects)
 
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_directories.py
@@ -0,0 +1,68 @@
+"""Tests of the directory of items that other agents hold."""
+
+from trefoilhaven_core.ownership.directories import Directory, without_own
+from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
+
+
+def _entry(
+    kind: ItemKind, item: int = 1, holder: str = 't1', attempt: int = 0
+) -> DirectoryEntry:
+    return DirectoryEntry(0, item, kind, holder, 5, attempt, 100)
+
+
+class TestDirectory:
+    """Merging, losing and expiring entries."""
+
+    def test_lost_holder(self) -> None:
+        """Guards against a key that runs again after its holder restarted.
+
+        Seed 15 of the schedules with keys was the first to show it.
+        """
+        directory = Directory()
+        directory.note(_entry(ItemKind.flow, item=1))
+        directory.note(_entry(ItemKind.running, item=2))
+        directory.note(_entry(ItemKind.refused, item=3))
+        directory.note(_entry(ItemKind.flow, item=4, holder='t2'))
+        directory.lose_holder('t1', 4)
+        assert len(directory) == 4
+        directory.lose_holder('t1', 5)
+        kinds = {entry.item: entry.kind for entry in directory.entries((0,))}
+        assert kinds == {
+            2: ItemKind.unknown,
+            3: ItemKind.refused,
+            4: ItemKind.flow,
+        }
+
+    def test_own_earlier_records(self) -> None:
+        """Guards against a restarted owner that runs its old keys again.
+
+        Seed 6 of the schedules with keys was the first to show it.
+        """
+        running = _entry(ItemKind.running)
+        assert without_own([running], 't1', 6) == [running]
+        assert not without_own([running], 't1', 5)
+        assert not without_own([_entry(ItemKind.flow)], 't1', 6)
+
+    def test_merge(self) -> None:
+        """Guards against an older attempt that replaces a newer one."""
+        directory = Directory()
+        newer = _entry(ItemKind.running, attempt=2)
+        directory.merge([newer], 't1')
+        directory.merge([_entry(ItemKind.refused, attempt=1)], 't2')
+        assert directory.find(0, 1) == newer
+        noted = _entry(ItemKind.unknown, attempt=2)
+        directory.merge([noted], 't2')
+        assert directory.find(0, 1) == newer
+        done = _entry(ItemKind.done, attempt=2)
+        directory.merge([done], 't1')
+        assert directory.find(0, 1) == done
+
+    def test_expiry(self) -> None:
+        """Guards against keys that are kept for ever, and lost flows."""
+        directory = Directory()
+        directory.note(_entry(ItemKind.done, item=1))
+        directory.note(_entry(ItemKind.flow, item=2))
+        directory.expire(100)
+        assert len(directory) == 2
+        directory.expire(101)
+        assert [entry.item for entry in directory.entries((0,))] == [2]
--- a/packages/core/src/trefoilhaven_core/ownership/tests/test_schedules.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_schedules.py
@@ -4,13 +4,16 @@
 
 from trefoilhaven_core.membership.messages import MemberState
 from trefoilhaven_core.ownership.buckets import Cession
+from trefoilhaven_core.ownership.claims import BucketOwnership
+from trefoilhaven_core.ownership.directories import Directory
 from trefoilhaven_core.ownership.fences import FenceBook
 from trefoilhaven_core.ownership.grants import Granter, Verdict
 from trefoilhaven_core.ownership.messages import ClaimBuckets
 from trefoilhaven_core.ownership.siblings import Siblings
+from trefoilhaven_core.ownership.tests.keys import KeyPool
 from trefoilhaven_core.ownership.tests.pool import Pool, Violation
 from trefoilhaven_core.ownership.tests.schedules import schedule_seeds
-from trefoilhaven_core.ownership.tests.support import BUCKETS
+from trefoilhaven_core.ownership.tests.support import BUCKETS, WALL
 
 _RealJudge = Granter.judge
 _RealGrant = Granter.grant
@@ -64,6 +67,33 @@
         assert sorted(owned) == list(range(BUCKETS)), f'seed {seed}'
 
 
+class TestKeys:
+    """Request keys across changes of the owner."""
+
+    @pytest.mark.parametrize('seed', schedule_seeds())
+    def test_runs_at_most_once(self, seed: int) -> None:
+        """Guards against an owner that forgot a key and runs it again."""
+        pool = KeyPool(seed)
+        pool.run()
+        assert pool.run_items, f'seed {seed}'
+
+    def test_directory_not_handed_over(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against schedules without a hand-over of records."""
+        monkeypatch.setattr(Directory, 'merge', lambda *_: None)
+        with pytest.raises(Violation):
+            for seed in range(20):
+                KeyPool(seed).run()
+
+    def test_horizon_not_raised(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against schedules in which no record is ever lost."""
+        monkeypatch.setattr(BucketOwnership, 'horizon', lambda *_: WALL)
+        with pytest.raises(Violation):
+            for seed in range(20):
+                KeyPool(seed).run()
+
+
 class TestBrokenRules:
     """Each rule is broken once, to show that the schedules notice."""
 
