Keep flows whose holder is new or whose owner was just fenced

Cause: random schedules broke established flows in two ways. Change: entries of unknown holders stay, and their packets are dropped until the view lists the holder; entries of members that left the registry are lost. After a fence the directory stays until the next grant and is handed on without a horizon. The new unit tests fail without the change.

--- a/packages/core/src/trefoilhaven_core/flows/effects.py
+++ b/packages/core/src/trefoilhaven_core/flows/effects.py
@@ -28,6 +28,7 @@
     queue_timeout = 'bucket was not acquired in time'
     flow_ended = 'flow has ended'
     holder_silent = 'holder may be a silent sibling'
+    holder_unknown = 'holder is not in the view yet'
     stale = 'first packet of a flow waited through a pause'
     no_lease = 'no lease to decide that the flow is lost'
 
--- a/packages/core/src/trefoilhaven_core/flows/resolvers.py
+++ b/packages/core/src/trefoilhaven_core/flows/resolvers.py
@@ -84,7 +84,7 @@
             return Hold(bucket)
         entry = _find(ownership, bucket, item)
         if entry is not None:
-            return _pass_to_holder(packet, entry)
+            return _pass_to_holder(packet, entry, ownership)
         if not packet.marks & FlowMark.first:
             return self._lose(now, packet, bucket, ownership)
         sibling = self._choose_sibling(ownership, loads, own)
@@ -93,7 +93,7 @@
         entry = _entry(ownership, bucket, item, sibling)
         ownership.directory.note(entry)
         self._counters.redirected += 1
-        return _pass_to_holder(packet, entry)
+        return _pass_to_holder(packet, entry, ownership)
 
     def _choose_sibling(
         self, ownership: BucketOwnership, loads: Loads, own: OwnTarget
@@ -141,9 +141,9 @@
     if entry is None or entry.kind is not ItemKind.flow:
         return None
     known = ownership.siblings.incarnation_of(entry.holder)
-    if known and known <= entry.holder_incarnation:
+    if known <= entry.holder_incarnation:
         return entry
-    # The holder restarted or left the registry, and its flows with it.
+    # The holder restarted, and its flows are lost.
     ownership.directory.forget(bucket, item)
     return None
 
@@ -158,8 +158,11 @@
 
 
 def _pass_to_holder(
-    packet: FlowPacket, entry: DirectoryEntry
+    packet: FlowPacket, entry: DirectoryEntry, ownership: BucketOwnership
 ) -> Forward | Dropped:
+    if entry.holder not in ownership.siblings.names:
+        # The earlier owner knew a newer registry than this agent does.
+        return Dropped(DropReason.holder_unknown)
     marked = packet._replace(
         marks=packet.marks | FlowMark.placed,
         incarnation=entry.holder_incarnation,
--- a/packages/core/src/trefoilhaven_core/flows/tests/test_tables.py
+++ b/packages/core/src/trefoilhaven_core/flows/tests/test_tables.py
@@ -26,6 +26,7 @@
 
 _FIRST = FlowMark.first
 _NONE = FlowMark.none
+_ALIVE = MemberState.alive
 
 
 def _flow(number: int = 1) -> FlowKey:
@@ -181,6 +182,27 @@
             Deliver(_flow(), b'note', is_new=True)
         ]
 
+    def test_holder_in_newer_registry(self) -> None:
+        """Guards against resets of flows on a member not yet in the view.
+
+        Seed 1227 of the schedules was the first to show it.
+        """
+        table, owner = _table(), _owner()
+        flow = _table('t6')
+        ownership = make_ownership('t6')
+        ownership.on_view(0, alive('t6'))
+        ownership.tick(0, WALL)
+        flow.on_packet(0, _packet(_FIRST), ownership, {})
+        owner.directory.merge(flow.items(range(BUCKETS)), 't3')
+        effects = table.on_packet(1, _packet(), owner, {})
+        assert effects == [Dropped(DropReason.holder_unknown)]
+        owner.on_view(1, view({'t1': _ALIVE, 't6': _ALIVE}, version=2))
+        forwarded = table.on_packet(1, _packet(), owner, {})[0]
+        assert isinstance(forwarded, Forward)
+        owner.on_view(2, view({'t1': _ALIVE}, version=3))
+        effects = table.on_packet(2, _packet(), owner, {})
+        assert effects == [SendReset(_flow(), ResetReason.lost)]
+
     def test_hop_limit(self) -> None:
         """Guards against packets that go round in a loop."""
         agent = make_ownership('t3', incarnation=2)
--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import sys
 from collections.abc import Collection
 from typing import Final
 
@@ -92,6 +93,8 @@
         if view.service != self._service:
             return []
         self.siblings.update(now, view)
+        for departed in self.siblings.departed:
+            self.directory.lose_holder(departed, sys.maxsize)
         for name, incarnation in self.siblings.incarnations.items():
             epoch = Epoch(incarnation, 0)
             self._claimant.learn(now, name, epoch, heard=False)
@@ -99,7 +102,12 @@
         return self._requests(now)
 
     def on_term(self, term: int) -> list[Effect]:
-        """Drop all ownership and claims, because the agent was fenced."""
+        """Drop all ownership and claims, because the agent was fenced.
+
+        The directory stays until the buckets are granted to the next
+        owner: packets that were sent to holders may still be on their way,
+        and the holders can't report those flows yet.
+        """
         if term <= self._claimant.epoch.term:
             return []
         self._claimant.epoch = self._claimant.epoch._replace(term=term)
@@ -109,7 +117,6 @@
         )
         for state in self._states:
             state.release()
-        self.directory.drop(range(len(self._states)))
         self._claimant.refresh()
         return [Lost(lost, None)] if lost else []
 
--- a/packages/core/src/trefoilhaven_core/ownership/directories.py
+++ b/packages/core/src/trefoilhaven_core/ownership/directories.py
@@ -9,8 +9,8 @@
     """Entries by bucket and item hash.
 
     The owner of a bucket finds here which agent holds a flow or the record
-    of a request key. Entries of buckets that the agent does not own are
-    never kept.
+    of a request key. Look up an item only in an owned bucket: entries that
+    arrive before an acquisition, or stay after a fence, may be incomplete.
     """
 
     def __init__(self) -> None:
--- a/packages/core/src/trefoilhaven_core/ownership/grants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/grants.py
@@ -109,37 +109,30 @@
         """Grant a bucket; return what is handed over with it.
 
         The agent hands over a bucket that it owns, and also one that was
-        ceded to it while its own claim was not yet complete. Granting drops
+        ceded to it while its own claim was not yet complete. After it was
+        fenced it hands over the entries that it still has. Granting drops
         the agent's own claim.
         """
         state = self._states[bucket]
         if state.granted_ids.get(claim.claimant) == claim.claim_id:
             return _repeat(state, claim)
         state.granted_ids[claim.claimant] = claim.claim_id
-        if state.owned or state.inherited is not None:
-            state.ceded = self._hand_over(state, claim, bucket, leased)
+        entries = tuple(self._directory.entries((bucket,)))
+        if state.owned or state.inherited is not None or entries:
+            horizon = state.horizon if state.owned else state.inherited
+            state.ceded = Cession(
+                claim.claimant,
+                Epoch(claim.incarnation, claim.term),
+                claim.claim_id,
+                horizon if leased else None,
+                entries,
+            )
         elif state.ceded and state.ceded.claimant == claim.claimant:
             state.ceded = None
         self._directory.drop((bucket,))
         state.release()
         return _repeat(state, claim)
 
-    def _hand_over(
-        self,
-        state: BucketState,
-        claim: ClaimBuckets,
-        bucket: int,
-        leased: bool,
-    ) -> Cession:
-        horizon = state.horizon if state.owned else state.inherited
-        return Cession(
-            claim.claimant,
-            Epoch(claim.incarnation, claim.term),
-            claim.claim_id,
-            horizon if leased else None,
-            tuple(self._directory.entries((bucket,))),
-        )
-
 
 def empty_reply(
     claim: ClaimBuckets,
--- a/packages/core/src/trefoilhaven_core/ownership/siblings.py
+++ b/packages/core/src/trefoilhaven_core/ownership/siblings.py
@@ -31,6 +31,7 @@
         self._needed_version = 0
         self.incarnations: dict[str, int] = {}
         self.names: tuple[str, ...] = ()
+        self.departed: frozenset[str] = frozenset()
         self.named_buckets: frozenset[int] = frozenset()
         self.table: BucketTable = build_table(service, (), buckets)
 
@@ -39,12 +40,14 @@
         if view.registry_version >= self.registry_version:
             self.registry_version = view.registry_version
             self._registered = view.registered
+        earlier = self.names
         self._members = {record.target: record for record in view.members}
         self.names = tuple(
             entry.target
             for entry in self._registered
             if entry.target != self._target
         )
+        self.departed = frozenset(earlier).difference(self.names)
         self.incarnations = {
             entry.target: max(
                 entry.incarnation, self._record_incarnation(entry.target)
--- a/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
@@ -272,6 +272,24 @@
         assert agent.horizon(0) == float('inf')
         assert Acquired(_ALL) in agent.tick(1, WALL)
 
+    def test_fenced_agent_keeps_entries(self) -> None:
+        """Guards against flows whose first packet is still on its way.
+
+        The holder can't report them when the fenced owner claims again.
+        Seed 1329 of the schedules was the first to show it.
+        """
+        agent = _sole_owner()
+        entry = DirectoryEntry(0, 7, ItemKind.flow, 't3', 1, 0, 0)
+        agent.directory.note(entry)
+        agent.on_term(1)
+        claim = claims_in(make_ownership('t2').on_view(1, _BOTH))[0].claim
+        one = claim._replace(buckets=(0,))
+        agent.on_view(1, alive('t2'))
+        reply = agent.on_claim(1, one, no_items)
+        assert reply.entries == (entry,)
+        assert not reply.ceded
+        assert agent.on_claim(2, one, no_items).entries == (entry,)
+
     def test_service_of_vote(self) -> None:
         """Guards against votes about an agent of another service."""
         agent = make_ownership('t1')
