--- a/packages/core/src/trefoilhaven_core/ownership/claimants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claimants.py
@@ -10,6 +10,7 @@
 )
 from trefoilhaven_core.ownership.effects import SendClaim, SendFence
 from trefoilhaven_core.ownership.fences import Epoch, FenceBook
+from trefoilhaven_core.ownership.holders import Holders
 from trefoilhaven_core.ownership.messages import ClaimBuckets, ClaimReply
 from trefoilhaven_core.ownership.siblings import Siblings
 
@@ -24,10 +25,6 @@
 # like a dead one, in seconds.
 ABSENT_S: Final = 5
 
-# A sibling that was dead for this time has lost its flows, in seconds. A
-# paused target that wakes earlier keeps them.
-HOLDER_LOST_S: Final = 10
-
 # A sibling may have been fenced unnoticed in a round older than this, in
 # seconds: the lease time plus the margin for clock rates.
 _FENCE_S: Final = 2.5
@@ -48,6 +45,7 @@
         directory: Directory,
         siblings: Siblings,
         fences: FenceBook,
+        holders: Holders,
         epoch: Epoch,
     ) -> None:
         """Work on the bucket states and the directory of an agent."""
@@ -59,7 +57,7 @@
         self._directory = directory
         self._siblings = siblings
         self._fences = fences
-        self._incomplete: set[int] = set()
+        self._holders = holders
         self._heard: set[str] = set()
         self._last_claim_id = epoch.incarnation * _IDS_PER_MILLISECOND
         self._asked_at: dict[str, float] = {}
@@ -92,11 +90,7 @@
         self.pending = {
             bucket for bucket in self.pending if self._states[bucket].claiming
         }
-        self._incomplete = {
-            bucket
-            for bucket in self._incomplete
-            if self._states[bucket].missing
-        }
+        self._holders.refresh()
 
     def learn(
         self, now: float, target: str, epoch: Epoch, heard: bool = True
@@ -179,9 +173,7 @@
             state.acquire(
                 wall + CLOCK_ERROR_S if inherited is None else inherited
             )
-            state.missing = missing
-            if missing:
-                self._incomplete.add(bucket)
+            self._holders.note_missing(bucket, missing)
         self.pending.difference_update(acquired)
         return acquired
 
@@ -214,19 +206,6 @@
                 effects.append(SendFence(request))
         return effects
 
-    def drop_lost_holders(self, now: float) -> None:
-        """Forget what siblings held that were dead for a long time."""
-        for sibling in self._siblings.names:
-            is_gone = self._siblings.is_gone(sibling)
-            silent_s = self._siblings.silent_s(now, sibling)
-            if is_gone and silent_s >= HOLDER_LOST_S:
-                self._directory.lose_holder(
-                    sibling, self._siblings.incarnation_of(sibling)
-                )
-                for bucket in self._incomplete:
-                    self._states[bucket].missing.discard(sibling)
-        self.refresh()
-
     def _claims_to(self, sibling: str) -> list[ClaimBuckets]:
         groups: dict[tuple[int, int], list[int]] = {}
         for bucket in self._asked_of(sibling):
@@ -257,11 +236,7 @@
                 if sibling not in self._states[bucket].grants
             )
         if not gone:
-            asked.extend(
-                bucket
-                for bucket in self._incomplete
-                if sibling in self._states[bucket].missing
-            )
+            asked.extend(self._holders.missing_of(sibling))
         return asked
 
     def _is_current(self, bucket: int, claim_id: int) -> bool:
--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-import sys
 from collections.abc import Collection
 from typing import Final
 
@@ -25,6 +24,7 @@
     HeldItems,
     empty_reply,
 )
+from trefoilhaven_core.ownership.holders import Holders
 from trefoilhaven_core.ownership.leases import LeaseState
 from trefoilhaven_core.ownership.messages import ClaimBuckets, ClaimReply
 from trefoilhaven_core.ownership.siblings import Siblings
@@ -70,6 +70,7 @@
         self._states = [BucketState() for _ in range(buckets)]
         self._fences = FenceBook(service, witnesses)
         self._granter = Granter(self._states, self.directory, self.siblings)
+        self._holders = Holders(self._states, self.directory, self.siblings)
         self._claimant = Claimant(
             service,
             target,
@@ -77,6 +78,7 @@
             self.directory,
             self.siblings,
             self._fences,
+            self._holders,
             Epoch(incarnation, 0),
         )
         self._queued: list[Effect] = []
@@ -93,8 +95,7 @@
         if view.service != self._service:
             return []
         self.siblings.update(now, view)
-        for departed in self.siblings.departed:
-            self.directory.lose_holder(departed, sys.maxsize)
+        self._holders.drop_departed()
         for name, incarnation in self.siblings.incarnations.items():
             epoch = Epoch(incarnation, 0)
             self._claimant.learn(now, name, epoch, heard=False)
@@ -190,7 +191,7 @@
         self.lease.tick(now)
         queued = self._queued
         self._queued = []
-        self._claimant.drop_lost_holders(now)
+        self._holders.drop_long_dead(now)
         if now - self._expired_at >= EXPIRY_S:
             self._expired_at = now
             self.directory.expire(wall - self._retention_s)
--- a/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
@@ -264,6 +264,26 @@
         assert agent.directory.find(0, 7) == entry
         assert agent.is_complete(0)
 
+    def test_departed_sibling(self) -> None:
+        """Guards against packets dropped for ever instead of a reset."""
+        agent = make_ownership('t1')
+        agent.on_view(0, self._dead)
+        for witness in WITNESSES:
+            agent.on_fence_vote(1, WALL, vote('t2', witness))
+        agent.on_view(3, view({'t1': MemberState.alive}, version=2))
+        assert agent.is_complete(0)
+
+    def test_long_dead_sibling(self) -> None:
+        """Guards against callers of a dead target that get no reset."""
+        agent = make_ownership('t1')
+        agent.on_view(0, self._dead)
+        for witness in WITNESSES:
+            agent.on_fence_vote(1, WALL, vote('t2', witness))
+        agent.tick(9.9, WALL)
+        assert not agent.is_complete(0)
+        agent.tick(11, WALL)
+        assert agent.is_complete(0)
+
     def test_fenced_agent_drops_all(self) -> None:
         """Guards against an owner that goes on after it was fenced."""
         agent = _sole_owner()
