Leave lost flows of a restarted holder to the owner

Change: the holder drops such a packet and counts it. The owner resets the flow itself once its view shows the new incarnation.

--- a/packages/core/src/trefoilhaven_core/flows/effects.py
+++ b/packages/core/src/trefoilhaven_core/flows/effects.py
@@ -11,7 +11,6 @@
 
     lost = 'flow is not known to the owner of its bucket'
     target_lost = 'target is lost'
-    holder_restarted = 'holder was restarted'
     no_target = 'no target takes new flows'
     connection_limit = 'connection limit is reached'
     idle = 'idle timeout'
@@ -28,6 +27,7 @@
     queue_timeout = 'bucket was not acquired in time'
     flow_ended = 'flow has ended'
     holder_silent = 'holder may be a silent sibling'
+    holder_restarted = 'packet was placed on an earlier incarnation'
     holder_unknown = 'holder is not in the view yet'
     stale = 'first packet of a flow waited through a pause'
     no_lease = 'no lease to decide that the flow is lost'
--- a/packages/core/src/trefoilhaven_core/flows/tables.py
+++ b/packages/core/src/trefoilhaven_core/flows/tables.py
@@ -205,9 +205,9 @@
             # another owner may have placed the flow elsewhere since.
             return self._drop(DropReason.stale)
         if packet.incarnation != self._incarnation:
-            return self._count(
-                SendReset(packet.flow, ResetReason.holder_restarted)
-            )
+            # The flow may have been placed again since, so only the owner
+            # decides that it is lost.
+            return self._drop(DropReason.holder_restarted)
         if self.target_lost:
             return self._count(SendReset(packet.flow, ResetReason.target_lost))
         self.counters.admitted_placed += 1
