--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/routing/waits.py
@@ -0,0 +1,115 @@
+"""Expected wait at each target, from reports and the balancer's answers."""
+
+import math
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.membership.messages import Load
+
+# A report loses influence with its age; after this time 1/e is left.
+REPORT_LIFETIME_S: Final = 1.0
+
+# A report through a witness replaces one from an answer only if it is this
+# much newer, since its age is known less exactly.
+INDIRECT_LAG_S: Final = 0.5
+
+# An answer that takes this many times longer than reported misleads.
+MISLEADING_FACTOR: Final = 4.0
+
+# Differences below this are delay of the network, not misleading reports.
+MISLEADING_FLOOR_S: Final = 0.1
+
+# Service time that is assumed of a target that has not reported one.
+UNKNOWN_SERVICE_S: Final = 0.05
+
+
+class Candidate(NamedTuple):
+    """A target that may receive work.
+
+    ``alive_since`` is the monotonic time in seconds at which the process
+    first saw it alive, -inf for one that is warm already.
+    """
+
+    target: str
+    failure_domain: str
+    slots: int
+    alive_since: float = -math.inf
+
+
+class TargetWait:
+    """What is known about the wait at one target; times in seconds."""
+
+    __slots__ = (
+        '_answered',
+        '_busy_slots',
+        '_open',
+        '_reported_at',
+        '_service_time_s',
+        '_slots',
+        '_wait_s',
+    )
+
+    def __init__(self, slots: int) -> None:
+        """Start without a report."""
+        self._slots = max(1, slots)
+        self._wait_s = 0.0
+        self._busy_slots = 0
+        self._reported_at = -math.inf
+        self._answered = False
+        self._open = 0
+        self._service_time_s = UNKNOWN_SERVICE_S
+
+    @property
+    def reported_s(self) -> float:
+        """Wait of the last report."""
+        return self._wait_s
+
+    @property
+    def free_slots(self) -> int:
+        """Free slots of the last report, less the own open requests."""
+        return max(0, self._slots - max(self._busy_slots, self._open))
+
+    def on_sent(self) -> None:
+        """Count a request that is open from now on."""
+        self._open += 1
+
+    def on_ended(self) -> None:
+        """Count off a request that was answered, refused or lost."""
+        self._open = max(0, self._open - 1)
+
+    def on_report(self, reported_at: float, load: Load) -> None:
+        """Note a report that came through a witness."""
+        lag_s = INDIRECT_LAG_S if self._answered else 0
+        if reported_at > self._reported_at + lag_s:
+            self._answered = False
+            self._note(reported_at, load)
+
+    def on_answer_load(self, now: float, load: Load) -> None:
+        """Note the report that came with an answer."""
+        self._answered = True
+        self._note(now, load)
+
+    def is_misleading(self, expected_s: float, elapsed_s: float) -> bool:
+        """Return whether an answer took far longer than was reported.
+
+        ``expected_s`` is the wait that was expected when it was sent.
+        """
+        limit_s = MISLEADING_FACTOR * (expected_s + self._service_time_s)
+        return elapsed_s > max(limit_s, MISLEADING_FLOOR_S)
+
+    def expect(self, now: float, average_s: float) -> float:
+        """Return the expected wait; stale reports tend to the average.
+
+        The own open requests are counted exactly, whatever the age of the
+        report.
+        """
+        age_s = max(0, now - self._reported_at)
+        weight = math.exp(-age_s / REPORT_LIFETIME_S)
+        reported_s = weight * self._wait_s + (1 - weight) * average_s
+        return reported_s + self._open * self._service_time_s / self._slots
+
+    def _note(self, reported_at: float, load: Load) -> None:
+        self._reported_at = reported_at
+        self._wait_s = load.wait_s
+        self._busy_slots = load.busy_slots
+        if load.service_time_s:
+            self._service_time_s = load.service_time_s
