--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -24,6 +24,7 @@
     HeldItems,
     empty_reply,
 )
+from trefoilhaven_core.ownership.holders import Holders
 from trefoilhaven_core.ownership.leases import LeaseState
 from trefoilhaven_core.ownership.messages import ClaimBuckets, ClaimReply
 from trefoilhaven_core.ownership.siblings import Siblings
@@ -31,6 +32,12 @@
 
 _logger = logging.getLogger(__name__)
 
+# Default of the service file, in seconds: how long keys are remembered.
+RETENTION_S: Final = 600
+
+# Old keys are looked for once in this time, in seconds.
+EXPIRY_S: Final = 10
+
 # Time for which a sibling's claim or denial tells more about the owner than
 # the table, in seconds. Claimants repeat denied claims more often, and
 # older hints of two agents may name each other.
@@ -52,6 +59,7 @@
         incarnation: int,
         buckets: int = BUCKET_COUNT,
         witnesses: Collection[str] = (),
+        retention_s: float = RETENTION_S,
     ) -> None:
         """Start without a view, owning nothing."""
         self.directory = Directory()
@@ -62,6 +70,7 @@
         self._states = [BucketState() for _ in range(buckets)]
         self._fences = FenceBook(service, witnesses)
         self._granter = Granter(self._states, self.directory, self.siblings)
+        self._holders = Holders(self._states, self.directory, self.siblings)
         self._claimant = Claimant(
             service,
             target,
@@ -69,10 +78,13 @@
             self.directory,
             self.siblings,
             self._fences,
+            self._holders,
             Epoch(incarnation, 0),
         )
         self._queued: list[Effect] = []
         self._now = float(0)
+        self._retention_s = retention_s
+        self._expired_at = float('-inf')
 
     def on_lease(self, until: float) -> None:
         """Note the end of the agent's own lease."""
@@ -83,6 +95,7 @@
         if view.service != self._service:
             return []
         self.siblings.update(now, view)
+        self._holders.drop_departed()
         for name, incarnation in self.siblings.incarnations.items():
             epoch = Epoch(incarnation, 0)
             self._claimant.learn(now, name, epoch, heard=False)
@@ -90,7 +103,12 @@
         return self._requests(now)
 
     def on_term(self, term: int) -> list[Effect]:
-        """Drop all ownership and claims, because the agent was fenced."""
+        """Drop all ownership and claims, because the agent was fenced.
+
+        The directory stays until the buckets are granted to the next
+        owner: packets that were sent to holders may still be on their way,
+        and the holders can't report those flows yet.
+        """
         if term <= self._claimant.epoch.term:
             return []
         self._claimant.epoch = self._claimant.epoch._replace(term=term)
@@ -100,7 +118,6 @@
         )
         for state in self._states:
             state.release()
-        self.directory.drop(range(len(self._states)))
         self._claimant.refresh()
         return [Lost(lost, None)] if lost else []
 
@@ -174,7 +191,10 @@
         self.lease.tick(now)
         queued = self._queued
         self._queued = []
-        self._claimant.drop_lost_holders(now)
+        self._holders.drop_long_dead(now)
+        if now - self._expired_at >= EXPIRY_S:
+            self._expired_at = now
+            self.directory.expire(wall - self._retention_s)
         self._claimant.follow_table(now)
         acquired = self._acquire(wall, self._claimant.pending)
         return queued + acquired + self._requests(now)
--- a/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
@@ -264,6 +264,26 @@
         assert agent.directory.find(0, 7) == entry
         assert agent.is_complete(0)
 
+    def test_departed_sibling(self) -> None:
+        """Guards against packets dropped for ever instead of a reset."""
+        agent = make_ownership('t1')
+        agent.on_view(0, self._dead)
+        for witness in WITNESSES:
+            agent.on_fence_vote(1, WALL, vote('t2', witness))
+        agent.on_view(3, view({'t1': MemberState.alive}, version=2))
+        assert agent.is_complete(0)
+
+    def test_long_dead_sibling(self) -> None:
+        """Guards against callers of a dead target that get no reset."""
+        agent = make_ownership('t1')
+        agent.on_view(0, self._dead)
+        for witness in WITNESSES:
+            agent.on_fence_vote(1, WALL, vote('t2', witness))
+        agent.tick(9.9, WALL)
+        assert not agent.is_complete(0)
+        agent.tick(11, WALL)
+        assert agent.is_complete(0)
+
     def test_fenced_agent_drops_all(self) -> None:
         """Guards against an owner that goes on after it was fenced."""
         agent = _sole_owner()
@@ -272,6 +292,24 @@
         assert agent.horizon(0) == float('inf')
         assert Acquired(_ALL) in agent.tick(1, WALL)
 
+    def test_fenced_agent_keeps_entries(self) -> None:
+        """Guards against flows whose first packet is still on its way.
+
+        The holder can't report them when the fenced owner claims again.
+        Seed 1329 of the schedules was the first to show it.
+        """
+        agent = _sole_owner()
+        entry = DirectoryEntry(0, 7, ItemKind.flow, 't3', 1, 0, 0)
+        agent.directory.note(entry)
+        agent.on_term(1)
+        claim = claims_in(make_ownership('t2').on_view(1, _BOTH))[0].claim
+        one = claim._replace(buckets=(0,))
+        agent.on_view(1, alive('t2'))
+        reply = agent.on_claim(1, one, no_items)
+        assert reply.entries == (entry,)
+        assert not reply.ceded
+        assert agent.on_claim(2, one, no_items).entries == (entry,)
+
     def test_service_of_vote(self) -> None:
         """Guards against votes about an agent of another service."""
         agent = make_ownership('t1')
