--- a/packages/core/src/trefoilhaven_core/admission/baselines.py
+++ b/packages/core/src/trefoilhaven_core/admission/baselines.py
@@ -3,16 +3,13 @@
 The baselines are an unbounded first-come-first-served queue and a random
 choice among all targets.
 
-Example: ``compare(crest(1, 7, 2))`` returns a row for each pairing.
+Example: ``compare(scenarios.crest(1, 7, 2))`` returns a row for each pairing.
 """
 
 from typing import Final, NamedTuple
 
-from trefoilhaven_core.admission.models import Job, Model, Pairing, Scenario
-
-# Mean service time of short work and its deadline.
-SERVICE_TIME_S: Final = 0.05
-DEADLINE_S: Final = 1.0
+from trefoilhaven_core.admission.models import Model
+from trefoilhaven_core.admission.scenarios import Job, Pairing, Scenario
 
 _PERCENTILE: Final = 0.99
 
@@ -38,48 +35,6 @@
     long_wait_max_s: float
 
 
-def crest(seed: int, targets: int, slots: int) -> Scenario:
-    """Return a crest of three times the capacity, reached in 1 s.
-
-    Figures count from the moment at which the crest is reached.
-    """
-    return Scenario(
-        seed,
-        targets,
-        slots,
-        SERVICE_TIME_S,
-        load=0.6,
-        crest_load=3,
-        crest_at_s=5,
-        ramp_s=1,
-        length_s=16,
-        measure_from_s=6,
-        deadline_s=DEADLINE_S,
-    )
-
-
-def stragglers(seed: int, targets: int, slots: int, load: float) -> Scenario:
-    """Return a steady load with 5% of work 20 times as long.
-
-    The deadlines are far away, so that all work is served and waits can be
-    compared.
-    """
-    return Scenario(
-        seed,
-        targets,
-        slots,
-        SERVICE_TIME_S,
-        load=load,
-        crest_load=load,
-        crest_at_s=0,
-        ramp_s=1,
-        length_s=120,
-        measure_from_s=10,
-        deadline_s=1000,
-        long_share=0.05,
-    )
-
-
 def compare(scenario: Scenario) -> tuple[Row, ...]:
     """Run a scenario with each pairing of queue and choice."""
     return tuple(
--- a/packages/core/src/trefoilhaven_core/admission/lanes.py
+++ b/packages/core/src/trefoilhaven_core/admission/lanes.py
@@ -7,7 +7,7 @@
 from trefoilhaven_core.admission.estimates import WorkClass
 
 # Long work ages after waiting for this many of its own service times.
-AGEING_SERVICE_TIMES: Final = 2.0
+AGEING_SERVICE_TIMES: Final = 4.0
 
 # Age limit of long work whose service time is not known yet.
 UNKNOWN_AGEING_S: Final = 1.0
--- a/packages/core/src/trefoilhaven_core/admission/limits.py
+++ b/packages/core/src/trefoilhaven_core/admission/limits.py
@@ -10,15 +10,19 @@
 
 SOJOURN_TARGET_S: Final = 0.1
 
-# Long enough for a burst of short work to drain.
-SOJOURN_INTERVAL_S: Final = 0.5
+# Shortest interval. At a crest that is reached in 1 s the limit must fall
+# within a part of it.
+SOJOURN_INTERVAL_S: Final = 0.1
+
+# Fewer starts in an interval tell nothing about a standing queue.
+_MIN_STARTS: Final = 4
 
 # Growth of the limit after an interval without a standing queue.
 _GROWTH: Final = 1.25
 
 # Largest cut after one interval, so that one odd interval can't close the
 # queue.
-_LARGEST_CUT: Final = 0.5
+_LARGEST_CUT: Final = 0.25
 
 
 class SojournLimit:
@@ -31,6 +35,7 @@
         self._limit = float(highest)
         self._interval_end = -math.inf
         self._shortest_s = math.inf
+        self._starts = 0
 
     @property
     def length(self) -> int:
@@ -39,15 +44,16 @@
 
     def on_start(self, now: float, sojourn_s: float) -> None:
         """Note the time in seconds that started work had waited."""
-        if now >= self._interval_end:
-            self._adjust()
-            self._interval_end = now + SOJOURN_INTERVAL_S
-            self._shortest_s = math.inf
         self._shortest_s = min(self._shortest_s, sojourn_s)
+        self._starts += 1
+        if now < self._interval_end or self._starts < _MIN_STARTS:
+            return
+        self._adjust()
+        self._interval_end = now + SOJOURN_INTERVAL_S
+        self._shortest_s = math.inf
+        self._starts = 0
 
     def _adjust(self) -> None:
-        if self._shortest_s == math.inf:
-            return
         if self._shortest_s > SOJOURN_TARGET_S:
             cut = max(_LARGEST_CUT, SOJOURN_TARGET_S / self._shortest_s)
             self._limit = max(self._lowest, self._limit * cut)
--- a/packages/core/src/trefoilhaven_core/admission/models.py
+++ b/packages/core/src/trefoilhaven_core/admission/models.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection
 from typing import Final, NamedTuple
 
+from trefoilhaven_core.admission.lanes import Work
 from trefoilhaven_core.admission.queues import (
     AdmissionQueue,
     Queued,
@@ -18,8 +19,8 @@
     Refused,
     Started,
     Turn,
-    Work,
 )
+from trefoilhaven_core.admission.scenarios import Job, Pairing, Scenario
 from trefoilhaven_core.membership.messages import Load
 from trefoilhaven_core.requests.budgets import RetryBudget
 from trefoilhaven_core.routing.choices import (
@@ -35,95 +36,10 @@
 HEARTBEAT_S: Final = 0.5
 
 _DOMAINS: Final = ('a', 'b', 'c')
-_SHORT_BODY_BYTES: Final = 1_000
-
-# Below the size from which undeclared bodies count as long, so that the
-# class has to be learned.
-_LONG_BODY_BYTES: Final = 40_000
-
 # Spread of service times around their mean (log-normal).
 _SIGMA: Final = 0.5
 
 
-class Scenario(NamedTuple):
-    """A load on one service; times are in seconds.
-
-    ``load`` and ``crest_load`` are shares of the service's capacity; the
-    crest is reached ``ramp_s`` after ``crest_at_s``. Long work gets
-    ``long_factor`` times the deadline as well.
-    """
-
-    seed: int
-    targets: int
-    slots: int
-    service_time_s: float
-    load: float
-    crest_load: float
-    crest_at_s: float
-    ramp_s: float
-    length_s: float
-    measure_from_s: float
-    deadline_s: float
-    long_share: float = 0
-    long_factor: float = 20
-
-
-class Pairing(NamedTuple):
-    """Whether to use the product's queue and choice, or the baselines."""
-
-    admission: bool
-    load_aware: bool
-
-
-class Job:
-    """One request and what became of it; times are in seconds.
-
-    A time is None while the event has not happened.
-    """
-
-    __slots__ = (
-        'arrived_at',
-        'deadline',
-        'finished_at',
-        'is_long',
-        'refused_at',
-        'service_s',
-        'started_at',
-        'token',
-    )
-
-    def __init__(
-        self,
-        token: int,
-        arrived_at: float,
-        service_s: float,
-        is_long: bool,
-        deadline: float,
-    ) -> None:
-        """Describe a request that has just arrived."""
-        self.token = token
-        self.arrived_at = arrived_at
-        self.service_s = service_s
-        self.is_long = is_long
-        self.deadline = deadline
-        self.started_at: float | None = None
-        self.finished_at: float | None = None
-        self.refused_at: float | None = None
-
-    @property
-    def is_in_time(self) -> bool:
-        """Whether the request finished by its deadline."""
-        return self.finished_at is not None and (
-            self.finished_at <= self.deadline
-        )
-
-    @property
-    def work(self) -> Work:
-        """The request as a queue sees it."""
-        size = _LONG_BODY_BYTES if self.is_long else _SHORT_BODY_BYTES
-        return Work(self.token, '', size, self.deadline)
-
-
 class FirstComeQueue:
     """Unbounded first-come-first-served queue with the same interface."""
 
--- a/packages/core/src/trefoilhaven_core/admission/queues.py
+++ b/packages/core/src/trefoilhaven_core/admission/queues.py
@@ -27,6 +27,13 @@
 
 QUEUE_LIMIT: Final = 64
 
+# Short work is refused when its expected wait is above both figures: a time
+# in seconds and a number of mean service times. At a crest this bounds the
+# queue before the measured sojourn does, so that little work has to be
+# refused late.
+LONGEST_WAIT_S: Final = 0.5
+LONGEST_WAIT_SERVICE_TIMES: Final = 4.0
+
 # Callers don't come back sooner, however short the queue is.
 MIN_RETRY_AFTER_S: Final = 0.05
 
@@ -103,17 +110,20 @@
         wait_s = self._expect_wait(now, kind)
         if now + wait_s + expected_s >= work.deadline:
             return _refuse(work, 'the deadline can not be met', wait_s)
-        lane = self._lanes[kind]
-        if not lane.entries and self._pick(now, entry) is entry:
+        if self._may_start_at_once(now, entry):
             self._start(now, entry)
             return Started()
-        if self._is_full(now, kind):
+        if self._is_full(now, kind, wait_s):
             return _refuse(work, 'the queue is full', wait_s)
-        lane.append(entry)
+        self._lanes[kind].append(entry)
         return Queued(wait_s)
 
     def next(self, now: float) -> Turn:
-        """Return the work that starts now; repeat until there is none."""
+        """Return the work that starts now; repeat until there is none.
+
+        To be called after each ``finished`` and on each tick, since long
+        work ages and a cold target gains slots with time.
+        """
         refused: list[Refused] = []
         while True:
             entry = self._pick(now)
@@ -187,17 +197,21 @@
     def _slots(self, now: float) -> int:
         return max(1, math.ceil(self._limits.slots * self._warmth(now)))
 
-    def _is_full(self, now: float, kind: WorkClass) -> bool:
-        if kind == WorkClass.long:
-            limit = int(self._limits.queue_limit * _LONG_SHARE)
-        else:
-            limit = self._sojourn.length
-        limit = max(self._slots(now), int(limit * self._warmth(now)))
+    def _is_full(self, now: float, kind: WorkClass, wait_s: float) -> bool:
         waiting = sum(len(lane) for lane in self._lanes.values())
-        return (
-            len(self._lanes[kind]) >= limit
-            or waiting >= self._limits.queue_limit
-        )
+        if waiting >= self._limits.queue_limit:
+            return True
+        length = len(self._lanes[kind])
+        slots, warmth = self._slots(now), self._warmth(now)
+        if kind == WorkClass.long:
+            limit = self._limits.queue_limit * _LONG_SHARE
+            return length >= max(slots, int(limit * warmth))
+        if length < slots:
+            return False
+        mean_s = self._estimates.mean_of(now, kind)
+        longest_s = max(LONGEST_WAIT_S, LONGEST_WAIT_SERVICE_TIMES * mean_s)
+        limit = int(self._sojourn.length * warmth)
+        return length >= limit or wait_s > longest_s
 
     def _expect_wait(self, now: float, kind: WorkClass) -> float:
         slots = self._slots(now)
@@ -215,16 +229,23 @@
             usable = slots - 1
         return (backlog_s + mean_s) / max(1, usable)
 
-    def _pick(self, now: float, offered: Entry | None = None) -> Entry | None:
+    def _may_start_at_once(self, now: float, entry: Entry) -> bool:
+        free = self._slots(now) - len(self._busy)
+        if free < 1 or self._lanes[WorkClass.short].entries:
+            return False
+        if entry.kind == WorkClass.short:
+            # Aged long work takes the next slot that becomes free.
+            return True
+        if self._lanes[WorkClass.long].entries:
+            return False
+        return self._long_may_start(now, entry, free)
+
+    def _pick(self, now: float) -> Entry | None:
         free = self._slots(now) - len(self._busy)
         if free < 1:
             return None
         short = self._lanes[WorkClass.short].head()
         long = self._lanes[WorkClass.long].head()
-        if offered is not None and offered.kind == WorkClass.short:
-            short = short or offered
-        elif offered is not None:
-            long = long or offered
         if long is None or not self._long_may_start(now, long, free):
             return short
         return long if short is None or long.has_aged(now) else short
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/admission/scenarios.py
@@ -0,0 +1,136 @@
+"""Loads for the queue model, and the requests that make them up."""
+
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.admission.lanes import Work
+
+# Mean service time of short work and its deadline.
+SERVICE_TIME_S: Final = 0.05
+DEADLINE_S: Final = 1.0
+
+_SHORT_BODY_BYTES: Final = 1_000
+
+# Below the size from which undeclared bodies count as long, so that the
+# class has to be learned.
+_LONG_BODY_BYTES: Final = 40_000
+
+
+class Scenario(NamedTuple):
+    """A load on one service; times are in seconds.
+
+    ``load`` and ``crest_load`` are shares of the service's capacity; the
+    crest is reached ``ramp_s`` after ``crest_at_s``. Long work gets
+    ``long_factor`` times the deadline as well.
+    """
+
+    seed: int
+    targets: int
+    slots: int
+    service_time_s: float
+    load: float
+    crest_load: float
+    crest_at_s: float
+    ramp_s: float
+    length_s: float
+    measure_from_s: float
+    deadline_s: float
+    long_share: float = 0
+    long_factor: float = 20
+
+
+class Pairing(NamedTuple):
+    """Whether to use the product's queue and choice, or the baselines."""
+
+    admission: bool
+    load_aware: bool
+
+
+class Job:
+    """One request and what became of it; times are in seconds.
+
+    A time is None while the event has not happened.
+    """
+
+    __slots__ = (
+        'arrived_at',
+        'deadline',
+        'finished_at',
+        'is_long',
+        'refused_at',
+        'service_s',
+        'started_at',
+        'token',
+    )
+
+    def __init__(
+        self,
+        token: int,
+        arrived_at: float,
+        service_s: float,
+        is_long: bool,
+        deadline: float,
+    ) -> None:
+        """Describe a request that has just arrived."""
+        self.token = token
+        self.arrived_at = arrived_at
+        self.service_s = service_s
+        self.is_long = is_long
+        self.deadline = deadline
+        self.started_at: float | None = None
+        self.finished_at: float | None = None
+        self.refused_at: float | None = None
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the request finished by its deadline."""
+        return self.finished_at is not None and (
+            self.finished_at <= self.deadline
+        )
+
+    @property
+    def work(self) -> Work:
+        """The request as a queue sees it."""
+        size = _LONG_BODY_BYTES if self.is_long else _SHORT_BODY_BYTES
+        return Work(self.token, '', size, self.deadline)
+
+
+def crest(seed: int, targets: int, slots: int) -> Scenario:
+    """Return a crest of three times the capacity, reached in 1 s.
+
+    Figures count from the moment at which the crest is reached.
+    """
+    return Scenario(
+        seed,
+        targets,
+        slots,
+        SERVICE_TIME_S,
+        load=0.6,
+        crest_load=3,
+        crest_at_s=5,
+        ramp_s=1,
+        length_s=16,
+        measure_from_s=6,
+        deadline_s=DEADLINE_S,
+    )
+
+
+def stragglers(seed: int, targets: int, slots: int, load: float) -> Scenario:
+    """Return a steady load with 5% of work 20 times as long.
+
+    The deadlines are far away, so that all work is served and waits can be
+    compared.
+    """
+    return Scenario(
+        seed,
+        targets,
+        slots,
+        SERVICE_TIME_S,
+        load=load,
+        crest_load=load,
+        crest_at_s=0,
+        ramp_s=1,
+        length_s=120,
+        measure_from_s=10,
+        deadline_s=1000,
+        long_share=0.05,
+    )
--- a/packages/core/src/trefoilhaven_core/routing/ejections.py
+++ b/packages/core/src/trefoilhaven_core/routing/ejections.py
@@ -15,10 +15,12 @@
 # Failures in a row that eject a target.
 FAILURES: Final = 3
 
-# A crest makes all targets shed and answer later than they reported. Only
-# a target that does so in this much more of its answers than the others do
-# on average is ejected for it.
-CONDUCT_MARGIN: Final = 0.4
+# Share of shed or misleading answers that ejects a target, while the share
+# of the others is below the second figure on average. A crest makes all
+# targets shed and answer later than they reported; ejecting some of them
+# then would only waste their slots.
+BAD_SHARE: Final = 0.5
+CALM_SHARE: Final = 0.1
 
 # Weight of a new answer in the shares of shed and of misleading answers.
 _SHARE_WEIGHT: Final = 0.05
@@ -90,9 +92,9 @@
             for other in self._conducts.values()
             if other is not conduct
         ]
-        if not others:
+        if not others or conduct.bad_share < BAD_SHARE:
             return
-        if conduct.bad_share > sum(others) / len(others) + CONDUCT_MARGIN:
+        if sum(others) / len(others) < CALM_SHARE:
             self._eject(now, conduct)
 
     def _eject(self, now: float, conduct: _Conduct) -> None:
