Reject malformed attempts and times, start a request only once

Cause: an issued_at that is no number passed the checks of horizon and retention, attempt 0 counted as refused before, and nothing but its caller kept a request from being started twice. Change: both are answered as unknown with a reason of their own; a started request has a state of its own and neither starts again nor is handed off.

--- a/packages/core/src/trefoilhaven_core/requests/decisions.py
+++ b/packages/core/src/trefoilhaven_core/requests/decisions.py
@@ -1,5 +1,6 @@
 """Requests as the record table sees them, and what it decides."""
 
+import math
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -21,6 +22,7 @@
     wrong_service = 'this agent does not serve the service'
     wrong_incarnation = 'another incarnation of the agent was meant'
     hash_collision = 'the key collides with another key'
+    malformed = 'attempts start at 1 and issued_at is a finite time'
     future = 'issued_at is in the future'
     not_owner = 'this agent does not own the bucket under a valid lease'
     before_horizon = 'issued_at is before the horizon of the bucket'
@@ -49,6 +51,14 @@
     idempotent: bool = False
     asker: int = 0
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether attempt and time can be compared with others.
+
+        A time that is no number would pass every comparison.
+        """
+        return self.attempt >= 1 and math.isfinite(self.issued_at)
+
 
 class Standing(NamedTuple):
     """What the agent knows about the key's bucket at this moment.
--- a/packages/core/src/trefoilhaven_core/requests/entries.py
+++ b/packages/core/src/trefoilhaven_core/requests/entries.py
@@ -12,7 +12,8 @@
 class RecordState(IntEnum):
     """State of a record; ``remote`` and ``relaying`` name a holder.
 
-    A call to the holder is in progress while the state is ``relaying``.
+    A call to the holder is in progress while the state is ``relaying``. A
+    ``running`` request waits here until it is ``started`` at the target.
     """
 
     running = 1
@@ -20,6 +21,7 @@
     unknown = 3
     remote = 4
     relaying = 5
+    started = 6
 
 
 KIND_OF_STATE: Final = {
@@ -28,6 +30,7 @@
     RecordState.unknown: ItemKind.unknown,
     RecordState.remote: ItemKind.running,
     RecordState.relaying: ItemKind.running,
+    RecordState.started: ItemKind.running,
 }
 
 # Of entries of one attempt the one that is closer to the outcome counts.
@@ -99,7 +102,12 @@
     @property
     def is_open(self) -> bool:
         """Whether this agent still waits for the outcome."""
-        return self.state in {RecordState.running, RecordState.relaying}
+        return self.state == RecordState.relaying or self.is_here
+
+    @property
+    def is_here(self) -> bool:
+        """Whether the request waits or runs at this agent."""
+        return self.state in {RecordState.running, RecordState.started}
 
     def note(self, request: Request) -> int:
         """Make the asker the newest one and return the one before it."""
--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -74,8 +74,9 @@
         ``now`` is the monotonic and ``wall`` the Unix time in seconds.
         """
         self._store.advance(wall)
-        if request.service != self._agent.service:
-            return no_verdict(Reason.wrong_service)
+        rejected = self._reject(request)
+        if rejected is not None:
+            return rejected
         item = self._store.item_of(request.key)
         known = self._decide_known(item, request, standing)
         if known is not None:
@@ -106,8 +107,9 @@
         the owner that it may place the attempt on another agent.
         """
         self._store.advance(wall)
-        if request.service != self._agent.service:
-            return no_verdict(Reason.wrong_service)
+        rejected = self._reject(request)
+        if rejected is not None:
+            return rejected
         if holder_incarnation not in {0, self._agent.incarnation}:
             return no_verdict(Reason.wrong_incarnation)
         item = self._store.item_of(request.key)
@@ -123,15 +125,18 @@
         return self._store.admit(item, request, placed=True)
 
     def on_started(self, key: str, lease_valid: bool) -> bool:
-        """Return whether the target may be given the request now.
+        """Return whether the target is to be given the request now.
 
-        Without a valid lease only placed requests start, because their
+        True at most once for a request. Without a valid lease only placed requests start, because their
         owner has checked its own. The others are to be refused.
         """
         record = self._store.find(self._store.item_of(key))
         if record is None or record.state != RecordState.running:
             return False
-        return lease_valid or record.placed
+        if not lease_valid and not record.placed:
+            return False
+        record.state = RecordState.started
+        return True
 
     def on_finished(self, key: str, answer: bytes) -> Settled:
         """Note the whole answer of a request that ran here or was relayed."""
@@ -174,9 +179,9 @@
         never to the same one again.
         """
         record = self._store.find(self._store.item_of(key))
-        if record is None or not record.is_open or record.placed:
+        if record is None or record.placed or not record.is_open:
             return False
-        if not standing.may_decide:
+        if record.state == RecordState.started or not standing.may_decide:
             return False
         if holder == self._agent.target:
             record.state = RecordState.running
@@ -205,6 +210,11 @@
         self._store.advance(wall)
         self._store.drop_expired()
 
+    def _reject(self, request: Request) -> Conclude | None:
+        if request.service != self._agent.service:
+            return no_verdict(Reason.wrong_service)
+        return None if request.is_valid else unknown(Reason.malformed)
+
     def _decide_known(
         self,
         item: int,
@@ -280,7 +290,7 @@
             settled = self._store.answer_settled(item, record, request)
             if settled is not None:
                 return settled
-            if record.state == RecordState.running:
+            if record.is_here:
                 return Follow(record.note(request))
             # Following a relay could close a circle of relays.
             return no_verdict(Reason.no_record)
--- a/packages/core/src/trefoilhaven_core/requests/tests/schedules.py
+++ b/packages/core/src/trefoilhaven_core/requests/tests/schedules.py
@@ -204,7 +204,8 @@
         self._idempotent = self._world.chance(0.1)
         self._attempt = 0
         self._asks = 0
-        self._issued_at = 0.0
+        # First sending times of attempts that were not answered "not run".
+        self._sent: dict[int, float] = {}
 
     def start(self) -> None:
         """Send the first attempt."""
@@ -212,19 +213,22 @@
 
     def _next_attempt(self) -> None:
         self._attempt += 1
-        self._issued_at = self._world.wall(self._offset_s)
+        self._sent[self._attempt] = self._world.wall(self._offset_s)
         for _ in range(1 + self._world.chance(0.4)):
             self._ask()
+        if self._world.chance(0.15):
+            # An impatient caller does not wait for the outcome.
+            self._world.later(self._world.delay_s(), self._next_attempt)
 
     def _ask(self) -> None:
         self._asks += 1
-        if self._asks > 12:
+        if self._asks > 12 or not self._sent:
             return
         request = Request(
             SERVICE,
             self._key,
             self._attempt,
-            self._issued_at,
+            min(self._sent.values()),
             self._idempotent,
         )
         self._submit(request, self._world.now + 5)
@@ -265,6 +269,7 @@
     def _on_outcome(self, request: Request, reply: Conclude) -> None:
         if reply.outcome == Outcome.not_run:
             self._world.note_not_run(self._key, request.attempt)
+            self._sent.pop(request.attempt, None)
             if request.attempt == self._attempt:
                 self._next_attempt()
         elif self._world.chance(0.6):
--- a/packages/core/src/trefoilhaven_core/requests/tests/test_records.py
+++ b/packages/core/src/trefoilhaven_core/requests/tests/test_records.py
@@ -1,8 +1,11 @@
 """Tests of the rules of the request table, one by one."""
 
+import math
 import tracemalloc
 from typing import Final
 
+import pytest
+
 from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
 from trefoilhaven_core.requests.decisions import (
     Conclude,
@@ -105,6 +108,21 @@
             Reason.past_retention,
         ]
 
+    @pytest.mark.parametrize(
+        'request_',
+        [
+            _request(0),
+            _request()._replace(issued_at=math.nan),
+            _request()._replace(issued_at=math.inf),
+        ],
+    )
+    def test_malformed(self, request_: Request) -> None:
+        """Guards against a time that passes the check of the horizon."""
+        decision = _decide(_table(), request_)
+        assert _reason(decision) == Reason.malformed
+        placed = _table().on_run(0, _WALL, request_, False, 7)
+        assert _reason(placed) == Reason.malformed
+
     def test_retention(self) -> None:
         """Guards against records that are dropped early or never."""
         table = _table()
@@ -167,6 +185,14 @@
         assert not table.on_started('drop-off', lease_valid=False)
         assert table.on_started('drop-off', lease_valid=True)
 
+    def test_single_start(self) -> None:
+        """Guards against a second start or a hand-off of started work."""
+        table = _table()
+        _decide(table, _request())
+        assert table.on_started('drop-off', lease_valid=True)
+        assert not table.on_started('drop-off', lease_valid=True)
+        assert not table.on_handed_off('drop-off', 'truck-2', 9, _OWNER)
+
     def test_hand_off_needs_standing(self) -> None:
         """Guards against a placement by an agent that ceded the bucket."""
         table = _table()
