Learn long work that is declared short

Cause: a declared class counted without a check, so a caller that declares long work as short delayed the short work of all others. Change: only a declared long class counts at once; other work is long when its group of declared class and body size was learned to be.

--- a/packages/core/src/trefoilhaven_core/admission/estimates.py
+++ b/packages/core/src/trefoilhaven_core/admission/estimates.py
@@ -77,12 +77,18 @@
         self._reference_s = 0.0
 
     def classify(self, declared: str, body_bytes: int) -> WorkClass:
-        """Return the class of work; a declared class counts first."""
-        if declared in WorkClass.__members__:
-            return WorkClass[declared]
+        """Return the class of work.
+
+        Work that is declared long is long. Other work is long if its group
+        was learned to be, even if it is declared short.
+        """
+        if declared == WorkClass.long.name:
+            return WorkClass.long
         known = self._groups.get(_group_of(declared, body_bytes))
         if known is not None and known.count >= MIN_SAMPLES:
             is_long = known.mean_s > LONG_FACTOR * self._reference_s
+        elif declared == WorkClass.short.name:
+            is_long = False
         else:
             is_long = body_bytes >= self._long_body_bytes
         return WorkClass.long if is_long else WorkClass.short
