Expect a longer wait for long work

Cause: at a crest with 5% of long work, up to 1 of 200 refusals came later than 50 ms, some after 20 s: short work overtakes long work, so its wait was underestimated and its deadline passed in the queue. Change: the expected wait of long work is doubled. The same margin for short work refused more of it and gained nothing.

--- a/packages/core/src/trefoilhaven_core/admission/queues.py
+++ b/packages/core/src/trefoilhaven_core/admission/queues.py
@@ -34,6 +34,10 @@
 LONGEST_WAIT_S: Final = 0.5
 LONGEST_WAIT_SERVICE_TIMES: Final = 4.0
 
+# Short work overtakes long work, so that long work waits longer than the
+# work before it takes.
+LONG_WAIT_MARGIN: Final = 2.0
+
 # Callers don't come back sooner, however short the queue is.
 MIN_RETRY_AFTER_S: Final = 0.05
 
@@ -227,7 +231,8 @@
         else:
             backlog_s += self._lanes[WorkClass.long].backlog_s
             usable = slots - 1
-        return (backlog_s + mean_s) / max(1, usable)
+        wait_s = (backlog_s + mean_s) / max(1, usable)
+        return wait_s * (1 if kind == WorkClass.short else LONG_WAIT_MARGIN)
 
     def _may_start_at_once(self, now: float, entry: Entry) -> bool:
         free = self._slots(now) - len(self._busy)
