Bound bursts of changes and the size of acknowledgements

Cause: four faults found by reading and shown by new tests: a burst of 400 changes sent 151,260 bytes at once; a replaced process's heartbeats hid its successor's death; a fetch of one service carried all balancers; an acknowledgement carried all siblings' loads (about 9 KB/s at a witness of 11 agents by estimate). Change: changes wait for credit; heartbeats of an older incarnation are no sign of life; balancers travel with a full fetch only; acknowledgements carry siblings' loads in turn. Conclusion: control traffic stays within its budget in a burst.

--- a/packages/core/src/trefoilhaven_core/membership/detectors.py
+++ b/packages/core/src/trefoilhaven_core/membership/detectors.py
@@ -107,8 +107,10 @@
         agent has to be told so that it refutes it.
         """
         key = (member.service, member.target)
-        self._agents[key] = Silence(now, member.failure_domain)
         known = self._store.member(*key)
+        if known is not None and known.incarnation > member.incarnation:
+            return None
+        self._agents[key] = Silence(now, member.failure_domain)
         if known is None or refute(member, known) is None:
             return None
         return known
--- a/packages/core/src/trefoilhaven_core/membership/dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -220,6 +220,8 @@
         return effects
 
     def _spread(self, now: float, items: list[Item]) -> list[Effect]:
+        if not items:
+            return []
         peers = self.peers
         self._rumours.add(items, len(peers))
         self._refute()
--- a/packages/core/src/trefoilhaven_core/membership/loads.py
+++ b/packages/core/src/trefoilhaven_core/membership/loads.py
@@ -2,12 +2,19 @@
 
 from typing import Final, NamedTuple
 
+import xxhash
+
 from trefoilhaven_core.membership.messages import Load, TargetLoad
 
 # After this time a load says nothing about the target any more.
 MAX_LOAD_AGE_S: Final = 5.0
 
 
+# Loads in one acknowledgement. With 11 agents, a witness then sends about
+# 3 KB/s of acknowledgements, and a sibling's load arrives about each second.
+LOADS_PER_ACK: Final = 1
+
+
 class _Report(NamedTuple):
     """A load with the time at which it was heard."""
 
@@ -18,25 +25,52 @@
 class LoadBook:
     """Keeps the latest load of each target of each service."""
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, name: str = '') -> None:
+        """Start empty, at the balancer of that name.
+
+        The name sets where the turn starts, so that the witnesses of one
+        agent tell it different loads at a time.
+        """
         self._loads: dict[str, dict[str, _Report]] = {}
+        self._turns: dict[tuple[str, str], int] = {}
+        self._first_turn = xxhash.xxh64_intdigest(name.encode())
 
     def record(self, now: float, service: str, target: str, load: Load) -> None:
         """Note the load that a heartbeat carried."""
         self._loads.setdefault(service, {})[target] = _Report(now, load)
 
-    def loads(self, now: float, service: str) -> tuple[TargetLoad, ...]:
-        """Return the loads of a service with their age in seconds."""
-        known = self._loads.get(service, {})
+    def loads(
+        self,
+        now: float,
+        service: str,
+        asker: str = '',
+        limit: int = LOADS_PER_ACK,
+    ) -> tuple[TargetLoad, ...]:
+        """Return the next loads of an asker's siblings, with their age.
+
+        Successive calls go through all siblings in turn.
+        """
+        self._expire(now, service)
+        reports = self._loads.get(service, {})
+        names = sorted(reports.keys() - {asker})
+        turn = self._turns.get((service, asker), self._first_turn)
+        self._turns[service, asker] = turn + 1
+        chosen = [
+            names[(turn * limit + step) % len(names)]
+            for step in range(min(limit, len(names)))
+        ]
+        return tuple(
+            TargetLoad(name, reports[name].load, now - reports[name].seen_at)
+            for name in chosen
+        )
+
+    def _expire(self, now: float, service: str) -> None:
+        reports = self._loads.get(service, {})
         expired = [
             target
-            for target, report in known.items()
+            for target, report in reports.items()
             if now - report.seen_at > MAX_LOAD_AGE_S
         ]
         for target in expired:
-            known.pop(target)
-        return tuple(
-            TargetLoad(target, report.load, now - report.seen_at)
-            for target, report in sorted(known.items())
-        )
+            reports.pop(target)
+            self._turns.pop((service, target), None)
--- a/packages/core/src/trefoilhaven_core/membership/rumours.py
+++ b/packages/core/src/trefoilhaven_core/membership/rumours.py
@@ -120,19 +120,30 @@
         self, now: float, peers: list[str], keys: set[ItemKey]
     ) -> list[Send]:
         self._refill(now)
-        if not peers or not keys or self._credit <= 0:
+        if not peers or not keys:
             return []
-        due = sorted(keys)
         chosen = self._rng.sample(peers, min(FANOUT, len(peers)))
+        items = self._take(keys, len(chosen))
         sends: list[Send] = []
-        for key in due:
-            self._fresh.discard(key)
-        items = [self._use(key, len(chosen)) for key in due]
         for message in pack(self._sender, items):
-            self._credit -= size_of(message) * len(chosen)
             sends.extend(Send(peer, message) for peer in chosen)
         return sends
 
+    def _take(self, keys: set[ItemKey], count: int) -> list[Item]:
+        """Return the least sent changes that the credit allows."""
+        items = []
+        for key in sorted(keys, key=self._urgency):
+            if self._credit <= 0:
+                break
+            self._fresh.discard(key)
+            item = self._use(key, count)
+            self._credit -= size_of(item) * count
+            items.append(item)
+        return items
+
+    def _urgency(self, key: ItemKey) -> tuple[int, ItemKey]:
+        return -self._rumours[key].remaining, key
+
     def _use(self, key: ItemKey, count: int) -> Item:
         rumour = self._rumours[key]
         rumour.remaining -= count
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_detectors.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_detectors.py
@@ -123,6 +123,14 @@
         assert watch.store.merge([raised])
         assert watch.detector.on_heartbeat(2, raised) is None
 
+    def test_replaced_process_is_no_life_sign(self) -> None:
+        """Guards against an old process that hides its successor's death."""
+        newer = _FAR._replace(incarnation=2)
+        watch = _Watch(newer)
+        watch.run(0, 2, newer)
+        watch.run(2, 6, _FAR)
+        assert ('desk-9', MemberState.dead) in watch.reports
+
     def test_no_refutation_of_other_incarnation(self) -> None:
         """Guards against a replaced process that revives its record."""
         newer = _FAR._replace(incarnation=2, state=MemberState.dead)
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
@@ -4,6 +4,7 @@
 from typing import TypeVar
 
 from trefoilhaven_core.membership.dissemination import (
+    RUMOUR_BYTES_PER_S,
     Disseminator,
     Effect,
     PullState,
@@ -16,6 +17,7 @@
     SilentDomain,
 )
 from trefoilhaven_core.membership.rumours import (
+    BURST_S,
     DATAGRAM_BYTES,
     EXTRA_RELAYS,
     FANOUT,
@@ -32,6 +34,9 @@
 from trefoilhaven_core.membership.views import ViewStore
 from trefoilhaven_core.wire.codec import make_codec
 
+# Credit of an idle process and one more datagram to each peer.
+_CREDIT_BYTES = RUMOUR_BYTES_PER_S * BURST_S + FANOUT * DATAGRAM_BYTES
+
 _Kind = TypeVar('_Kind')
 
 # Configuration has to be in force within this time today.
@@ -105,6 +110,20 @@
             )
         assert sent <= 4_000 * 10
 
+    def test_burst_keeps_to_budget(self) -> None:
+        """Guards against many changes at once that exceed the budget."""
+        spread = _spread()
+        desks = [make_member(f'desk-{each}') for each in range(400)]
+        effects = spread.on_changes(10, Changes('desk', tuple(desks), ()))
+        sent = sum(
+            len(make_codec().encode(effect.message))
+            for effect in effects
+            if isinstance(effect, Send)
+        )
+        assert 0 < sent <= _CREDIT_BYTES
+        later = [spread.tick(10 + second) for second in range(1, 100)]
+        assert sum(map(len, later)) > 4 * len(effects)
+
     def test_silent_domain_is_relayed_once(self) -> None:
         """Guards against one message for each member, and against loops."""
         spread = _spread()
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_views.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_views.py
@@ -71,6 +71,22 @@
         assert [member.target for member in changed.members] == ['desk-1']
 
 
+class TestState:
+    """Transfer of records to a peer."""
+
+    def test_one_service_without_balancers(self) -> None:
+        """Guards against sending all balancers with each service."""
+        store = ViewStore()
+        store.merge(
+            [make_member(), make_member(service='collect')],
+            [make_balancer()],
+        )
+        state = store.state('entry-1', [SERVICE])
+        assert [member.service for member in state.members] == [SERVICE]
+        assert not state.balancers
+        assert store.state('entry-1').balancers == (make_balancer(),)
+
+
 class TestDigest:
     """Digests kept step by step."""
 
--- a/packages/core/src/trefoilhaven_core/membership/views.py
+++ b/packages/core/src/trefoilhaven_core/membership/views.py
@@ -190,12 +190,16 @@
         return hash_record(self._groups)
 
     def state(self, sender: str, services: Iterable[str] = ()) -> State:
-        """Return all records of some services, or of everything."""
-        names = tuple(services) or self.services
+        """Return all records of some services, or of everything.
+
+        Balancers are included with everything only.
+        """
+        wanted = tuple(services)
+        names = wanted or self.services
         return State(
             sender,
             tuple(member for name in names for member in self.members(name)),
-            self.balancers,
+            () if wanted else self.balancers,
             tuple(self.registry(name) for name in names),
             tuple(self.configuration(name) for name in names),
         )
@@ -215,7 +219,8 @@
     def forget(self, now: float) -> None:
         """Drop records that departed ``RETENTION_S`` ago.
 
-        Members stay as long as they are registered.
+        Members stay as long as they are registered. Call it about every
+        10 s; it goes through all records.
         """
         departed = dict.fromkeys(self._departed_keys(), now)
         for key in departed:
