Send configurations ahead of a burst of changes

Cause: after a burst of 400 changes, a new configuration waited for credit. Change: configurations come first and do not wait. Conclusion: a burst does not delay a configuration.

--- a/packages/core/src/trefoilhaven_core/membership/rumours.py
+++ b/packages/core/src/trefoilhaven_core/membership/rumours.py
@@ -130,10 +130,14 @@
         return sends
 
     def _take(self, keys: set[ItemKey], count: int) -> list[Item]:
-        """Return the least sent changes that the credit allows."""
+        """Return the least sent changes that the credit allows.
+
+        Configurations do not wait for credit: they are rare, and have to
+        be in force within seconds.
+        """
         items = []
         for key in sorted(keys, key=self._urgency):
-            if self._credit <= 0:
+            if self._credit <= 0 and not _is_pressing(key):
                 break
             self._fresh.discard(key)
             item = self._use(key, count)
@@ -141,8 +145,8 @@
             items.append(item)
         return items
 
-    def _urgency(self, key: ItemKey) -> tuple[int, ItemKey]:
-        return -self._rumours[key].remaining, key
+    def _urgency(self, key: ItemKey) -> tuple[bool, int, ItemKey]:
+        return not _is_pressing(key), -self._rumours[key].remaining, key
 
     def _use(self, key: ItemKey, count: int) -> Item:
         rumour = self._rumours[key]
@@ -167,6 +171,10 @@
     )
 
 
+def _is_pressing(key: ItemKey) -> bool:
+    return key[0] in {'configuration', 'mark'}
+
+
 def _key(item: Item) -> ItemKey:
     match item:
         case Member():
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
@@ -124,6 +124,15 @@
         later = [spread.tick(10 + second) for second in range(1, 100)]
         assert sum(map(len, later)) > 4 * len(effects)
 
+    def test_configuration_passes_a_burst(self) -> None:
+        """Guards against a configuration that waits for other changes."""
+        spread = _spread()
+        desks = [make_member(f'desk-{each}') for each in range(400)]
+        spread.on_changes(10, Changes('desk', tuple(desks), ()))
+        notice = ConfigurationNotice('peer-1', SERVICE, 2, b'{}')
+        effects = spread.on_configuration(10, notice)
+        assert len(_sent(effects, ConfigurationNotice)) == FANOUT
+
     def test_silent_domain_is_relayed_once(self) -> None:
         """Guards against one message for each member, and against loops."""
         spread = _spread()
