--- a/packages/core/src/trefoilhaven_core/membership/detectors.py
+++ b/packages/core/src/trefoilhaven_core/membership/detectors.py
@@ -15,11 +15,14 @@
     MemberState,
     SilentDomain,
 )
-from trefoilhaven_core.membership.silence import Silence
+from trefoilhaven_core.membership.peer_timers import PeerTimers
+from trefoilhaven_core.membership.silence import (
+    DEAD_AFTER_S,
+    SUSPECT_AFTER_S,
+    Silence,
+)
 from trefoilhaven_core.membership.views import ViewStore
 
-SUSPECT_AFTER_S: Final = 1.5
-DEAD_AFTER_S: Final = 2.5
 DOMAIN_DEAD_AFTER_S: Final = 5.0
 
 # A member that missed a heartbeat is silent for at least this long. A
@@ -32,8 +35,6 @@
 TICK_INTERVAL_S: Final = 0.25
 PAUSE_S: Final = 1.0
 
-PROBE_INTERVAL_S: Final = 0.5
-
 # A member that this balancer never heard gets longer: the network between
 # them may be cut while other witnesses hear it.
 UNHEARD_DEAD_AFTER_S: Final = 10.0
@@ -63,11 +64,7 @@
     """
     if (record.service, record.target) != (own.service, own.target):
         return None
-    if record.incarnation != own.incarnation:
-        return None
-    if record.state < MemberState.suspect or record.state == own.state:
-        return None
-    if record.sequence < own.sequence:
+    if not _contradicts(own, record):
         return None
     return own._replace(sequence=record.sequence + 1)
 
@@ -76,15 +73,20 @@
     own: BalancerRecord, record: BalancerRecord
 ) -> BalancerRecord | None:
     """Return a balancer's raised record when others report it wrongly."""
-    if record.name != own.name or record.incarnation != own.incarnation:
-        return None
-    if record.state < MemberState.suspect or record.state == own.state:
-        return None
-    if record.sequence < own.sequence:
+    if record.name != own.name or not _contradicts(own, record):
         return None
     return own._replace(sequence=record.sequence + 1)
 
 
+def _contradicts(
+    own: Member | BalancerRecord, record: Member | BalancerRecord
+) -> bool:
+    if record.incarnation != own.incarnation or record.state == own.state:
+        return False
+    is_report = record.state >= MemberState.suspect
+    return is_report and record.sequence >= own.sequence
+
+
 class FailureDetector:
     """Times the silence of agents and peer balancers at one balancer."""
 
@@ -98,7 +100,7 @@
         self._reports = 0
         self._agents: dict[tuple[str, str], Silence] = {}
         self._silent_domains: set[str] = set()
-        self._unanswered: dict[str, Silence] = {}
+        self._peers = PeerTimers(store)
 
     def on_heartbeat(self, now: float, member: Member) -> Member | None:
         """Note a sign of life.
@@ -132,13 +134,11 @@
 
     def on_peer(self, now: float, peer: str) -> None:
         """Note a digest or another message of a peer balancer."""
-        self._unanswered.pop(peer, None)
+        self._peers.on_answer(peer)
 
     def on_probe_sent(self, now: float, peer: str) -> None:
         """Note that a digest went to a peer, which has to answer it."""
-        if peer not in self._unanswered:
-            self._unanswered[peer] = Silence(now, '')
-        self._unanswered[peer].probed_at = now
+        self._peers.on_probe_sent(now, peer)
 
     def tick(self, now: float) -> Detections:
         """Return the reports that are due; call it every 0.25 s.
@@ -152,7 +152,7 @@
             self._restart(now)
             return Detections()
         reports = self._report_domains(now)
-        balancers, probes = self._judge_peers(now)
+        balancers, probes = self._peers.judge(now)
         return Detections(
             tuple(self._judge_agents(now)),
             tuple(balancers),
@@ -164,7 +164,7 @@
         self._silent_domains.clear()
         for silence in self._agents.values():
             silence.restart(now)
-        self._unanswered.clear()
+        self._peers.clear()
 
     def _report_domains(self, now: float) -> list[SilentDomain]:
         domains: dict[str, list[Silence]] = {}
@@ -261,27 +261,6 @@
         silence.suspected = True
         return MemberState.suspect
 
-    def _judge_peers(
-        self, now: float
-    ) -> tuple[list[BalancerRecord], list[str]]:
-        changes = []
-        probes = []
-        for name, silence in list(self._unanswered.items()):
-            record = self._store.balancer(name)
-            if record is None or record.state >= MemberState.dead:
-                self._unanswered.pop(name)
-                continue
-            silent_s = now - silence.since
-            if silent_s >= DEAD_AFTER_S:
-                self._unanswered.pop(name)
-                changes.append(record._replace(state=MemberState.dead))
-            elif silent_s >= SUSPECT_AFTER_S and not silence.suspected:
-                silence.suspected = True
-                changes.append(record._replace(state=MemberState.suspect))
-            if now - silence.probed_at >= PROBE_INTERVAL_S:
-                probes.append(name)
-        return changes, probes
-
 
 def _applies(state: MemberState, known: MemberState) -> bool:
     """Return whether a report changes a record.
--- a/packages/core/src/trefoilhaven_core/membership/dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -85,6 +85,8 @@
         self._comparison = Comparison(own.name, store)
         self._digest_due = _NEVER
         self._seeds = seeds
+        self._peers: list[str] = []
+        self._peers_revision = -1
         self._lost_contact_due = _NEVER
         self._reports: dict[tuple[str, int, int], None] = {}
         self._pulled_at: dict[PullState, float] = {}
@@ -95,11 +97,16 @@
     @property
     def peers(self) -> list[str]:
         """Names of the other balancers that are not dead or left."""
-        return [
-            record.name
-            for record in self._store.balancers
-            if record.state < MemberState.dead and record.name != self.own.name
-        ]
+        revision = self._store.balancers_revision
+        if revision != self._peers_revision:
+            self._peers_revision = revision
+            self._peers = [
+                record.name
+                for record in self._store.balancers
+                if record.state < MemberState.dead
+                and record.name != self.own.name
+            ]
+        return self._peers
 
     def announce(self, now: float, state: MemberState) -> list[Effect]:
         """Change the own state and spread it."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/membership/peer_timers.py
@@ -0,0 +1,65 @@
+"""Silence of peer balancers after a digest that they have to answer."""
+
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.membership.messages import BalancerRecord, MemberState
+from trefoilhaven_core.membership.silence import (
+    DEAD_AFTER_S,
+    SUSPECT_AFTER_S,
+    Silence,
+)
+from trefoilhaven_core.membership.views import ViewStore
+
+# A silent peer gets about five digests before it is reported dead, so that
+# lost datagrams alone do not cause a report.
+PROBE_INTERVAL_S: Final = 0.5
+
+
+class PeerReport(NamedTuple):
+    """Records that changed, and the peers that are due another digest."""
+
+    changes: list[BalancerRecord]
+    probes: list[str]
+
+
+class PeerTimers:
+    """Times how long peers leave digests without an answer."""
+
+    def __init__(self, store: ViewStore) -> None:
+        """Start without digests; records come from ``store``."""
+        self._store = store
+        self._unanswered: dict[str, Silence] = {}
+
+    def on_probe_sent(self, now: float, peer: str) -> None:
+        """Note that a digest went to a peer."""
+        if peer not in self._unanswered:
+            self._unanswered[peer] = Silence(now, '')
+        self._unanswered[peer].probed_at = now
+
+    def on_answer(self, peer: str) -> None:
+        """Note any message of a peer."""
+        self._unanswered.pop(peer, None)
+
+    def clear(self) -> None:
+        """Forget all digests, after a pause of the own process."""
+        self._unanswered.clear()
+
+    def judge(self, now: float) -> PeerReport:
+        """Return the reports and digests that are due."""
+        changes = []
+        probes = []
+        for name, silence in list(self._unanswered.items()):
+            record = self._store.balancer(name)
+            if record is None or record.state >= MemberState.dead:
+                self._unanswered.pop(name)
+                continue
+            silent_s = now - silence.since
+            if silent_s >= DEAD_AFTER_S:
+                self._unanswered.pop(name)
+                changes.append(record._replace(state=MemberState.dead))
+            elif silent_s >= SUSPECT_AFTER_S and not silence.suspected:
+                silence.suspected = True
+                changes.append(record._replace(state=MemberState.suspect))
+            if now - silence.probed_at >= PROBE_INTERVAL_S:
+                probes.append(name)
+        return PeerReport(changes, probes)
--- a/packages/core/src/trefoilhaven_core/membership/silence.py
+++ b/packages/core/src/trefoilhaven_core/membership/silence.py
@@ -1,5 +1,10 @@
 """Timers of one silent agent or peer."""
 
+from typing import Final
+
+SUSPECT_AFTER_S: Final = 1.5
+DEAD_AFTER_S: Final = 2.5
+
 
 class Silence:
     """Since when an agent or peer is silent and what was reported of it.
--- a/packages/core/src/trefoilhaven_core/membership/views.py
+++ b/packages/core/src/trefoilhaven_core/membership/views.py
@@ -41,7 +41,11 @@
     """Merges records and answers what is known now."""
 
     def __init__(self) -> None:
-        """Start without any record."""
+        """Start without any record.
+
+        ``balancers_revision`` rises with each change of a balancer.
+        """
+        self.balancers_revision = 0
         self._services: dict[str, ServiceRecords] = {}
         self._balancers: dict[str, BalancerRecord] = {}
         self._groups = [0] * GROUP_COUNT
@@ -234,6 +238,7 @@
                 self._services[service].members.pop(name)
             else:
                 self._balancers.pop(name)
+                self.balancers_revision += 1
         self._departed = departed
 
     def _departed_keys(self) -> Iterable[tuple[str, str]]:
@@ -273,6 +278,7 @@
         if old is not None and not supersedes(record, old):
             return False
         self._balancers[record.name] = record
+        self.balancers_revision += 1
         gain = weigh_balancer(record) - weigh_balancer(old)
         self._shift(group_of(record.name), gain)
         return True
