Relay a silent domain's report only when it is news

Cause: each witness of a silent domain reported it, and all reports were relayed; and the schedules let balancers that are no witness watch agents, which hid that no member record should travel. Change: a report that changes nothing is not relayed; only witnesses watch in the schedules; a test counts the messages of a silent domain. Conclusion: a silent domain travels as one report of each witness at most, and as no member record.

--- a/packages/core/src/trefoilhaven_core/membership/dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -120,8 +120,8 @@
         merged = self._store.merge(changes.members, changes.balancers)
         items: list[Item] = [*merged.members, *merged.balancers]
         for report in changes.silent_domains:
-            if self._note_report(report):
-                self._store.suspect_domain(report)
+            is_new = self._note_report(report)
+            if is_new and self._store.suspect_domain(report):
                 items.append(report)
         return self._spread(now, items)
 
--- a/packages/core/src/trefoilhaven_core/membership/tests/fleets.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/fleets.py
@@ -68,6 +68,7 @@
         self.name = name
         self.store = ViewStore()
         self.paused_until = 0.0
+        self._is_witness = name in seeds
         self.detector = FailureDetector(own, self.store, now)
         self.spread = Disseminator(own, self.store, rng, seeds)
         self._planner = RegistrationPlanner(name, self.store)
@@ -87,7 +88,9 @@
         if now >= self._next_second:
             self._next_second = now + 1
             for service in self.store.services:
-                self.detector.watch(now, self.store.members(service))
+                if self._is_witness:
+                    members = self.store.members(service)
+                    self.detector.watch(now, members)
                 self._register(now, service)
 
     def receive(self, now: float, sender: str, message: object) -> None:
--- a/packages/core/src/trefoilhaven_core/membership/tests/pools.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/pools.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 
@@ -23,6 +24,10 @@
     message: object
 
 
+def _ignore(message: object) -> None:
+    """Stands for an observer."""
+
+
 class Pool:
     """Delivers messages out of order, doubled, late or never."""
 
@@ -30,7 +35,7 @@
         """Start empty, without faults."""
         self.faults = Faults()
         self.cut: set[frozenset[str]] = set()
-        self.sent_count = 0
+        self.on_send: Callable[[object], object] = _ignore
         self._rng = rng
         self._queue: list[Delivery] = []
 
@@ -38,7 +43,7 @@
         self, now: float, sender: str, receiver: str, message: object
     ) -> None:
         """Put a message on its way, or lose it."""
-        self.sent_count += 1
+        self.on_send(message)
         if frozenset((sender, receiver)) in self.cut:
             return
         if self._rng.random() < self.faults.loss:
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_view_schedules.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_view_schedules.py
@@ -6,8 +6,14 @@
 import pytest
 
 from trefoilhaven_core.membership import views
-from trefoilhaven_core.membership.tests.support import schedule_seeds
-from trefoilhaven_core.membership.tests.view_runs import ViewRun
+from trefoilhaven_core.membership.detectors import DOMAIN_DEAD_AFTER_S
+from trefoilhaven_core.membership.messages import Changes, MemberState
+from trefoilhaven_core.membership.tests.support import WITNESSES, schedule_seeds
+from trefoilhaven_core.membership.tests.view_runs import (
+    DOMAINS,
+    SERVICES,
+    ViewRun,
+)
 
 
 class TestViewSchedules:
@@ -26,4 +32,37 @@
             views, 'supersedes', lambda record, known: record != known
         )
         run = ViewRun(0)
-        assert not run.run() or run.reverted
+        has_converged = run.run()
+        assert run.reverted or not has_converged
+
+
+class TestSilentDomain:
+    """A failure domain that falls silent as a whole."""
+
+    def test_travels_as_one_report(self) -> None:
+        """Guards against a message for each of its members."""
+        run = ViewRun(0)
+        while run.now < 10:
+            run.step()
+        for agent in run.agents.values():
+            if agent.member.failure_domain == DOMAINS[0]:
+                agent.is_up = False
+        sent: list[object] = []
+        run.pool.on_send = sent.append
+        deadline = run.now + DOMAIN_DEAD_AFTER_S - 1
+        while run.now < deadline:
+            run.step()
+        changes = [each for each in sent if isinstance(each, Changes)]
+        assert not any(each.members for each in changes)
+        reports = {report for each in changes for report in each.silent_domains}
+        reporters = [report.reporter for report in reports]
+        assert 1 <= len(reporters) <= len(WITNESSES)
+        assert len(set(reporters)) == len(reporters)
+        for balancer in run.balancers.values():
+            states = {
+                member.state
+                for service in SERVICES
+                for member in balancer.store.members(service)
+                if member.failure_domain == DOMAINS[0]
+            }
+            assert states == {MemberState.suspect}
