Replace the lease holder in the schedules

Cause: the schedules had no restarted agent beside its paused old process, and no restart of all witnesses at once. Change: both are faults of the schedules now.

--- a/packages/core/src/trefoilhaven_core/membership/leases.py
+++ b/packages/core/src/trefoilhaven_core/membership/leases.py
@@ -72,6 +72,7 @@
         witnesses: tuple[str, ...],
     ) -> None:
         """Start without a lease; ``witnesses`` holds an odd number."""
+        self.incarnation = incarnation
         self.term = 1
         self.superseded = False
         self._identity = (service, target, incarnation)
--- a/packages/core/src/trefoilhaven_core/membership/tests/lease_runs.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/lease_runs.py
@@ -1,4 +1,4 @@
-"""A run of one lease holder, its witnesses and a claimant under faults."""
+"""A run of a lease holder, its witnesses and a claimant under faults."""
 
 import random
 from typing import NamedTuple
@@ -24,21 +24,29 @@
 RUN_S = 40.0
 
 _HOLDER = 'desk-1'
+_REPLACED = 'desk-1-replaced'
 _CLAIMANT = 'desk-2'
 
 
-class Vote(NamedTuple):
-    """A witness's agreement, at a time of the run."""
+class Agreement(NamedTuple):
+    """A witness that agreed to fence a term, and all below it."""
 
-    cast_at: float
+    witness: str
     incarnation: int
     term: int
+
+
+class Vote(NamedTuple):
+    """When an agreement was cast last, and whether a restart forgot it."""
+
+    cast_at: float
     is_forgotten: bool
 
 
 class LeaseRun:
     """Checks that no fenced term has a valid lease.
 
+    The target may be started again while its old process is paused.
     Each process reads a clock of its own, whose rate is up to 10% off.
     """
 
@@ -52,29 +60,33 @@
         self.violations: list[str] = []
         self.fence_count = 0
         self.valid_count = 0
-        names = (_HOLDER, _CLAIMANT, *WITNESSES)
+        names = (_HOLDER, _REPLACED, _CLAIMANT, *WITNESSES)
         self._rates = {
             name: 1 + self.rng.uniform(-clock_error, clock_error)
             for name in names
         }
+        self._rates[_REPLACED] = self._rates[_HOLDER]
         self._paused_until = dict.fromkeys(names, 0.0)
         self._cut_until: dict[frozenset[str], float] = {}
         self._inbox: dict[str, list[Delivery]] = {name: [] for name in names}
-        self.holder = self.holder_class(SERVICE, _HOLDER, 1, WITNESSES)
+        self._incarnation = 0
+        self._holders: dict[str, LeaseHolder] = {}
+        self._start_holder()
         self._witnesses = {
             name: self.witness_class(name, 0) for name in WITNESSES
         }
         self._tally = self._make_tally()
         self._next_tally_at = 0.0
-        self._votes: dict[str, Vote] = {}
-        self._fenced = (0, 0)
+        self._votes: dict[Agreement, Vote] = {}
+        self._fenced: dict[int, int] = {}
 
     def run(self) -> None:
         """Run to the end, with faults of several kinds at random times."""
         for step in range(int(RUN_S / STEP_S)):
             now = step * STEP_S
             self._inject(now)
-            self._check(now)
+            for name in self._holders:
+                self._check(now, name)
             for delivery in self.pool.due(now):
                 self._inbox[delivery.receiver].append(delivery)
             for name, inbox in self._inbox.items():
@@ -88,21 +100,37 @@
         return now * self._rates[name]
 
     def _make_tally(self) -> FenceTally:
-        term = max(1, self.holder.term - self.rng.randrange(2))
-        request = FenceRequest(SERVICE, _HOLDER, 1, term, _CLAIMANT)
+        holder = self.rng.choice(list(self._holders.values()))
+        term = max(1, holder.term - self.rng.randrange(2))
+        request = FenceRequest(
+            SERVICE, _HOLDER, holder.incarnation, term, _CLAIMANT
+        )
         return FenceTally(request, WITNESSES)
 
+    def _start_holder(self) -> None:
+        self._incarnation += 1
+        self._holders[_HOLDER] = self.holder_class(
+            SERVICE, _HOLDER, self._incarnation, WITNESSES
+        )
+
     def _inject(self, now: float) -> None:
         if self.rng.random() < 0.005:
             name = self.rng.choice(list(self._paused_until))
             self._paused_until[name] = now + self.rng.uniform(0.5, 6)
         if self.rng.random() < 0.005:
-            self._restart(now, self.rng.choice(WITNESSES))
+            count = self.rng.choice((1, 1, 3))
+            for name in self.rng.sample(WITNESSES, count):
+                self._restart(now, name)
+        if self.rng.random() < 0.002:
+            self._holders[_REPLACED] = self._holders[_HOLDER]
+            self._paused_until[_REPLACED] = now + self.rng.uniform(0, 6)
+            self._start_holder()
         if self.rng.random() < 0.01:
             count = self.rng.choice((1, 1, 2, 3))
             for witness in self.rng.sample(WITNESSES, count):
                 until = now + self.rng.uniform(0.5, 6)
-                self._cut_until[frozenset((_HOLDER, witness))] = until
+                for name in self._holders:
+                    self._cut_until[frozenset((name, witness))] = until
         self.pool.cut = {
             pair for pair, until in self._cut_until.items() if now < until
         }
@@ -117,26 +145,31 @@
         started_at = self._clock(name, now)
         self._witnesses[name] = self.witness_class(name, started_at)
         self._inbox[name] = []
-        if name in self._votes:
-            vote = self._votes[name]
-            self._votes[name] = vote._replace(is_forgotten=True)
+        for key, vote in self._votes.items():
+            if key.witness == name:
+                self._votes[key] = vote._replace(is_forgotten=True)
 
-    def _check(self, now: float) -> None:
-        if now < self._paused_until[_HOLDER]:
+    def _check(self, now: float, name: str) -> None:
+        if now < self._paused_until[name]:
             return
-        if not self.holder.lease_valid(self._clock(_HOLDER, now)):
+        holder = self._holders[name]
+        if not holder.lease_valid(self._clock(name, now)):
             return
         self.valid_count += 1
-        if (1, self.holder.term) <= self._fenced:
-            self.violations.append(f'{now:.2f} s: term {self.holder.term}')
+        if holder.term <= self._fenced.get(holder.incarnation, 0):
+            self.violations.append(
+                f'{now:.2f} s: {holder.incarnation}, {holder.term}'
+            )
 
     def _send(self, now: float) -> None:
-        if now >= self._paused_until[_HOLDER]:
-            clock = self._clock(_HOLDER, now)
-            for witness, heartbeat in self.holder.heartbeats(
-                clock, make_member(_HOLDER), NO_LOAD, 0
+        for name, holder in self._holders.items():
+            if now < self._paused_until[name]:
+                continue
+            member = make_member(_HOLDER, incarnation=holder.incarnation)
+            for witness, heartbeat in holder.heartbeats(
+                self._clock(name, now), member, NO_LOAD, 0
             ):
-                self.pool.send(now, _HOLDER, witness, heartbeat)
+                self.pool.send(now, name, witness, heartbeat)
         if now >= self._paused_until[_CLAIMANT]:
             if now >= self._next_tally_at:
                 self._next_tally_at = now + self.rng.uniform(1, 8)
@@ -157,9 +190,9 @@
                 answer = witness.on_fence(clock, request)
                 self._note(now, answer)
             case HeartbeatAck() as ack:
-                self.holder.on_ack(clock, ack)
+                self._holders[delivery.receiver].on_ack(clock, ack)
             case HeartbeatRefused() as refused:
-                self.holder.on_refused(clock, refused)
+                self._holders[delivery.receiver].on_refused(clock, refused)
             case FenceVote() as vote:
                 if self._tally.on_vote(clock, vote):
                     wanted = self._tally.request
@@ -173,16 +206,22 @@
         if not vote.agreed:
             return
         pair = (vote.incarnation, vote.term)
-        self._votes[vote.witness] = Vote(now, *pair, is_forgotten=False)
-        agreeing = [
-            other
-            for other in self._votes.values()
-            if (other.incarnation, other.term) >= pair
+        key = Agreement(vote.witness, *pair)
+        self._votes[key] = Vote(now, is_forgotten=False)
+        agreeing = {
+            key.witness
+            for key, other in self._votes.items()
+            if (key.incarnation, key.term) >= pair
             and (not other.is_forgotten or now - other.cast_at <= VOTE_LIFE_S)
-        ]
+        }
         if len(agreeing) > len(WITNESSES) // 2:
             self._fence(*pair)
 
     def _fence(self, incarnation: int, term: int) -> None:
         self.fence_count += 1
-        self._fenced = max(self._fenced, (incarnation, term))
+        known = self._fenced.get(incarnation, 0)
+        self._fenced[incarnation] = max(known, term)
+        for holder in self._holders.values():
+            if holder.incarnation < incarnation:
+                known = self._fenced.get(holder.incarnation, 0)
+                self._fenced[holder.incarnation] = max(known, holder.term)
