Stop judging members that have other witnesses

Cause: a balancer that is no witness of a service any more would report its members dead again each minute. Change: a detector releases services. The schedules show that forgetting the lease of an old process is noticed, and a test holds heartbeats and acknowledgements to the control budget of today. Conclusion: a change of witnesses needs a call of release.

--- a/packages/core/src/trefoilhaven_core/membership/detectors.py
+++ b/packages/core/src/trefoilhaven_core/membership/detectors.py
@@ -132,6 +132,15 @@
                 )
                 self._agents.setdefault(key, silence)
 
+    def release(self, services: Iterable[str]) -> None:
+        """Stop judging members of services that have other witnesses now."""
+        released = set(services)
+        self._agents = {
+            key: silence
+            for key, silence in self._agents.items()
+            if key[0] not in released
+        }
+
     def on_peer(self, now: float, peer: str) -> None:
         """Note a digest or another message of a peer balancer."""
         self._peers.on_answer(peer)
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_detectors.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_detectors.py
@@ -103,6 +103,15 @@
         watch.run(UNHEARD_DEAD_AFTER_S - 0.5, UNHEARD_DEAD_AFTER_S)
         assert (_FAR.target, MemberState.dead) in watch.reports
 
+    def test_released_service(self) -> None:
+        """Guards against deaths by a balancer that is no witness now."""
+        watch = _Watch(*_DESKS)
+        watch.run(0, 5, *_DESKS)
+        watch.detector.release([_FAR.service])
+        watch.run(5, 12)
+        assert not watch.reports
+        assert not watch.domains
+
     def test_own_pause(self) -> None:
         """Guards against a paused balancer that declares all dead."""
         watch = _Watch(*_DESKS, _FAR)
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_lease_schedules.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_lease_schedules.py
@@ -7,6 +7,7 @@
 
 from trefoilhaven_core.membership import fencing, leases
 from trefoilhaven_core.membership.fencing import FenceTally
+from trefoilhaven_core.membership.grants import NEVER, Grant
 from trefoilhaven_core.membership.leases import (
     HEARTBEAT_INTERVAL_S,
     LeaseHolder,
@@ -110,6 +111,17 @@
         monkeypatch.setattr(leases, 'FENCE_AFTER_S', leases.LEASE_S)
         assert _is_noticed(LeaseRun)
 
+    def test_forgotten_process(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against schedules that miss the lease of an old process."""
+        advance = Grant.advance
+
+        def advance_and_forget(grant: Grant, *pair: int) -> None:
+            advance(grant, *pair)
+            grant.older_acked_at = NEVER
+
+        monkeypatch.setattr(Grant, 'advance', advance_and_forget)
+        assert _is_noticed(LeaseRun)
+
 
 class TestRollingOutage:
     """One witness after the other loses the holder; one restarts.
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_slopes.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_slopes.py
@@ -1,14 +1,43 @@
 """Tests of the measurements."""
 
+from trefoilhaven_core.membership.leases import HEARTBEAT_INTERVAL_S
 from trefoilhaven_core.membership.slopes import (
     MemoryRow,
     MessageRow,
     Size,
     TimeRow,
     measure_all,
+    measure_messages,
 )
 
 
+# Kind and clock of a datagram.
+_ENVELOPE_BYTES = 12
+
+# Control traffic that a process may send today.
+_BUDGET_BYTES_PER_S = 4_000
+
+# Agents of the larger of today's operators, and witnesses of a service.
+_AGENTS = 11
+_WITNESSES = 3
+
+
+class TestMessageSizes:
+    """Traffic by the sizes of messages and today's numbers."""
+
+    def test_heartbeats_keep_to_budget(self) -> None:
+        """Guards against messages that outgrow the control budget."""
+        sizes = {
+            row.message: row.encoded_bytes + _ENVELOPE_BYTES
+            for row in measure_messages()
+        }
+        rate = 1 / HEARTBEAT_INTERVAL_S
+        by_agent = _WITNESSES * rate * sizes['Heartbeat']
+        by_witness = _AGENTS * rate * sizes['HeartbeatAck']
+        assert by_agent < _BUDGET_BYTES_PER_S
+        assert by_witness < _BUDGET_BYTES_PER_S
+
+
 class TestMeasureAll:
     """The rows that the capacity page is written from."""
 
