Refute a death learned from a full state, and hurry drains

Cause: a balancer that pulled a state with many changes did not refute its own death in it; a drain waited for credit behind a burst of changes. Change: the own record is checked after every merge; drains do not wait. Conclusion: a leaving target is announced at once during a burst.

--- a/packages/core/src/trefoilhaven_core/membership/dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -154,9 +154,9 @@
                 items.append(self._comparison.notice_of_configuration(name))
         changed = self._store.merge(state.members, state.balancers)
         items.extend(changed.members + changed.balancers)
-        return self._spread(
-            now, items if len(items) <= MAX_RELAYED_PULLS else []
-        )
+        if len(items) > MAX_RELAYED_PULLS:
+            items = []
+        return self._spread(now, items)
 
     def tick(self, now: float) -> list[Effect]:
         """Return what is due: relays, and a digest to a random peer.
@@ -227,20 +227,22 @@
         return effects
 
     def _spread(self, now: float, items: list[Item]) -> list[Effect]:
-        if not items:
+        is_refuted = self._refute()
+        if not items and not is_refuted:
             return []
         peers = self.peers
-        self._rumours.add(items, len(peers))
-        self._refute()
+        own = [self.own] if is_refuted else []
+        self._rumours.add([*items, *own], len(peers))
         return list(self._rumours.send_fresh(now, peers))
 
-    def _refute(self) -> None:
+    def _refute(self) -> bool:
         known = self._store.balancer(self.own.name)
         raised = known and refute_balancer(self.own, known)
-        if raised:
-            self.own = raised
-            self._store.merge(balancers=[raised])
-            self._rumours.add([raised], len(self.peers))
+        if not raised:
+            return False
+        self.own = raised
+        self._store.merge(balancers=[raised])
+        return True
 
     def _note_report(self, report: SilentDomain) -> bool:
         key = (report.reporter, report.incarnation, report.number)
--- a/packages/core/src/trefoilhaven_core/membership/rumours.py
+++ b/packages/core/src/trefoilhaven_core/membership/rumours.py
@@ -18,6 +18,7 @@
     ConfigurationNotice,
     Digest,
     Member,
+    MemberState,
     RegistryNotice,
     SilentDomain,
 )
@@ -132,12 +133,12 @@
     def _take(self, keys: set[ItemKey], count: int) -> list[Item]:
         """Return the least sent changes that the credit allows.
 
-        Configurations do not wait for credit: they are rare, and have to
-        be in force within seconds.
+        Configurations and drains do not wait for credit: they are rare,
+        and have to be in force within seconds.
         """
         items = []
         for key in sorted(keys, key=self._urgency):
-            if self._credit <= 0 and not _is_pressing(key):
+            if self._credit <= 0 and not self._is_pressing(key):
                 break
             self._fresh.discard(key)
             item = self._use(key, count)
@@ -146,7 +147,14 @@
         return items
 
     def _urgency(self, key: ItemKey) -> tuple[bool, int, ItemKey]:
-        return not _is_pressing(key), -self._rumours[key].remaining, key
+        remaining = self._rumours[key].remaining
+        return not self._is_pressing(key), -remaining, key
+
+    def _is_pressing(self, key: ItemKey) -> bool:
+        item = self._rumours[key].item
+        if isinstance(item, Member):
+            return item.state == MemberState.draining
+        return isinstance(item, ConfigurationNotice | Digest)
 
     def _use(self, key: ItemKey, count: int) -> Item:
         rumour = self._rumours[key]
@@ -171,10 +179,6 @@
     )
 
 
-def _is_pressing(key: ItemKey) -> bool:
-    return key[0] in {'configuration', 'mark'}
-
-
 def _key(item: Item) -> ItemKey:
     match item:
         case Member():
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
@@ -133,6 +133,15 @@
         effects = spread.on_configuration(10, notice)
         assert len(_sent(effects, ConfigurationNotice)) == FANOUT
 
+    def test_drain_passes_a_burst(self) -> None:
+        """Guards against new work at a leaving target during a burst."""
+        spread = _spread()
+        desks = [make_member(f'desk-{each}') for each in range(400)]
+        spread.on_changes(10, Changes('desk', tuple(desks), ()))
+        drained = make_member(sequence=2, state=MemberState.draining)
+        changes = Changes('desk-1', (drained,), ())
+        assert len(_sent(spread.on_changes(10, changes), Changes)) == FANOUT
+
     def test_silent_domain_is_relayed_once(self) -> None:
         """Guards against one message for each member, and against loops."""
         spread = _spread()
@@ -160,6 +169,17 @@
         ]
         assert set(records) == {spread.own}
 
+    def test_refutes_own_record_in_a_large_state(self) -> None:
+        """Guards against a balancer that joins again and stays dead."""
+        spread = _spread()
+        store = ViewStore()
+        store.merge(make_member(f'desk-{each}') for each in range(50))
+        store.merge(balancers=[spread.own])
+        dead = spread.own._replace(state=MemberState.dead)
+        store.merge(balancers=[dead])
+        spread.on_state(10, store.state('peer-1'))
+        assert spread.own.sequence == dead.sequence + 1
+
 
 class TestConfigurations:
     """Versions of configurations."""
