--- a/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_dissemination.py
@@ -4,6 +4,7 @@
 from typing import TypeVar
 
 from trefoilhaven_core.membership.dissemination import (
+    RUMOUR_BYTES_PER_S,
     Disseminator,
     Effect,
     PullState,
@@ -16,6 +17,7 @@
     SilentDomain,
 )
 from trefoilhaven_core.membership.rumours import (
+    BURST_S,
     DATAGRAM_BYTES,
     EXTRA_RELAYS,
     FANOUT,
@@ -32,6 +34,9 @@
 from trefoilhaven_core.membership.views import ViewStore
 from trefoilhaven_core.wire.codec import make_codec
 
+# Credit of an idle process and one more datagram to each peer.
+_CREDIT_BYTES = RUMOUR_BYTES_PER_S * BURST_S + FANOUT * DATAGRAM_BYTES
+
 _Kind = TypeVar('_Kind')
 
 # Configuration has to be in force within this time today.
@@ -105,6 +110,38 @@
             )
         assert sent <= 4_000 * 10
 
+    def test_burst_keeps_to_budget(self) -> None:
+        """Guards against many changes at once that exceed the budget."""
+        spread = _spread()
+        desks = [make_member(f'desk-{each}') for each in range(400)]
+        effects = spread.on_changes(10, Changes('desk', tuple(desks), ()))
+        sent = sum(
+            len(make_codec().encode(effect.message))
+            for effect in effects
+            if isinstance(effect, Send)
+        )
+        assert 0 < sent <= _CREDIT_BYTES
+        later = [spread.tick(10 + second) for second in range(1, 100)]
+        assert sum(map(len, later)) > 4 * len(effects)
+
+    def test_configuration_passes_a_burst(self) -> None:
+        """Guards against a configuration that waits for other changes."""
+        spread = _spread()
+        desks = [make_member(f'desk-{each}') for each in range(400)]
+        spread.on_changes(10, Changes('desk', tuple(desks), ()))
+        notice = ConfigurationNotice('peer-1', SERVICE, 2, b'{}')
+        effects = spread.on_configuration(10, notice)
+        assert len(_sent(effects, ConfigurationNotice)) == FANOUT
+
+    def test_drain_passes_a_burst(self) -> None:
+        """Guards against new work at a leaving target during a burst."""
+        spread = _spread()
+        desks = [make_member(f'desk-{each}') for each in range(400)]
+        spread.on_changes(10, Changes('desk', tuple(desks), ()))
+        drained = make_member(sequence=2, state=MemberState.draining)
+        changes = Changes('desk-1', (drained,), ())
+        assert len(_sent(spread.on_changes(10, changes), Changes)) == FANOUT
+
     def test_silent_domain_is_relayed_once(self) -> None:
         """Guards against one message for each member, and against loops."""
         spread = _spread()
@@ -132,6 +169,17 @@
         ]
         assert set(records) == {spread.own}
 
+    def test_refutes_own_record_in_a_large_state(self) -> None:
+        """Guards against a balancer that joins again and stays dead."""
+        spread = _spread()
+        store = ViewStore()
+        store.merge(make_member(f'desk-{each}') for each in range(50))
+        store.merge(balancers=[spread.own])
+        dead = spread.own._replace(state=MemberState.dead)
+        store.merge(balancers=[dead])
+        spread.on_state(10, store.state('peer-1'))
+        assert spread.own.sequence == dead.sequence + 1
+
 
 class TestConfigurations:
     """Versions of configurations."""
