Keep one definition of each constant

Cause: defaults.py repeated constants that the decision code defines for itself, under other names and without a user.

Change: the 14 constants without a user and the copy of the hop limit are removed, and a field kind that no table uses.

Conclusion: a change of a constant takes effect in one place.

--- a/packages/balancer/src/trefoilhaven/commands/explanations.py
+++ b/packages/balancer/src/trefoilhaven/commands/explanations.py
@@ -15,10 +15,10 @@
 )
 from trefoilhaven.commands.printing import print_json
 from trefoilhaven.commands.surveys import ask, ask_balancer
+from trefoilhaven_core.flows.resolvers import HOP_LIMIT
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.routing.routes import flow_item
 from trefoilhaven_core.routing.tables import bucket_of, hash_item
-from trefoilhaven_core.settings import defaults
 from trefoilhaven_core.telemetry.messages import (
     ExplainReply,
     ExplainRequest,
@@ -96,7 +96,7 @@
     ]
     owner, holder, complete = '', '', True
     target, asked = first.first, set[str]()
-    while target and target not in asked and len(asked) < defaults.HOP_LIMIT:
+    while target and target not in asked and len(asked) < HOP_LIMIT:
         asked.add(target)
         reply = await _ask_agent(status, question, target)
         if isinstance(reply, str):
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -1,4 +1,7 @@
-"""Defaults of all settings, with their units.
+"""Defaults of settings, service files, calls and observability.
+
+Constants of the decision code, such as the time of a lease, stand beside
+that code with their reasons.
 
 Names end in the unit of their value: ``_S`` seconds, ``_BYTES`` bytes.
 Numbers without a unit are counts or shares.
@@ -20,34 +23,9 @@
 WARM_UP_S: Final = 5.0
 EJECT_SHARE: Final = 0.33
 
-# Leases and liveness.
-HEARTBEAT_INTERVAL_S: Final = 0.5
-LEASE_S: Final = 2.0
-# Two clocks may run at different rates; a fence waits this much longer
-# than the lease.
-CLOCK_RATE_MARGIN_S: Final = 0.5
-SUSPECT_AFTER_S: Final = 1.5
-DEAD_AFTER_S: Final = 2.5
-SILENT_DOMAIN_DEAD_AFTER_S: Final = 5.0
-
-# Dissemination.
-CHANGE_FANOUT: Final = 4
-DIGEST_INTERVAL_S: Final = 1.0
-PLATFORM_WATCHERS: Final = 2
-
-# Ownership and flow packets.
-CLAIM_RETRY_S: Final = 0.2
-HOP_LIMIT: Final = 6
-WAITING_PACKETS_PER_BUCKET: Final = 64
-WAITING_PACKET_S: Final = 1.0
-
-# Request records.
-REQUEST_RECORDS: Final = 10_000
-REFUSAL_RECORDS: Final = 40_000
-# Error between the wall clocks of callers and agents.
-WALL_CLOCK_ERROR_S: Final = 0.25
-
 # Calls between processes and to the platform.
+# Balancers that watch the platform; each waiting watch counts as a call.
+PLATFORM_WATCHERS: Final = 2
 PEER_CALL_TIMEOUT_S: Final = 2.0
 PLATFORM_CALL_TIMEOUT_S: Final = 3.0
 PLATFORM_WATCH_TIMEOUT_S: Final = 25.0
--- a/packages/core/src/trefoilhaven_core/settings/fields.py
+++ b/packages/core/src/trefoilhaven_core/settings/fields.py
@@ -12,7 +12,6 @@
     """Kind of a field's value."""
 
     name = 'name'
-    text = 'text'
     address = 'address'
     url = 'url'
     integer = 'integer'
--- a/packages/core/src/trefoilhaven_core/settings/readers.py
+++ b/packages/core/src/trefoilhaven_core/settings/readers.py
@@ -83,7 +83,6 @@
         self._document = document
         self._checks: dict[FieldKind, Callable[[str, Any, Field], Any]] = {
             FieldKind.name: self._name,
-            FieldKind.text: self._text,
             FieldKind.address: self._address,
             FieldKind.url: self._url,
             FieldKind.integer: self._integer,
@@ -129,13 +128,13 @@
         shown = key if key.isprintable() else ascii(key)
         self._fault(join_path(path, key), f'unknown key "{shown}"{hint}')
 
-    def _text(self, path: str, raw: Any, field: Field) -> Any:
+    def _text(self, path: str, raw: Any) -> Any:
         if not isinstance(raw, str):
             return self._wrong_type(path, raw, 'a string')
         return raw or self._fault(path, 'the string is empty')
 
     def _name(self, path: str, raw: Any, field: Field) -> Any:
-        text = self._text(path, raw, field)
+        text = self._text(path, raw)
         if text is _FAULTY or re.match(NAME_PATTERN, text):
             return text
         return self._fault(
@@ -145,7 +144,7 @@
         )
 
     def _address(self, path: str, raw: Any, field: Field) -> Any:
-        text = self._text(path, raw, field)
+        text = self._text(path, raw)
         if text is _FAULTY:
             return text
         address = parse_address(text)
@@ -158,7 +157,7 @@
         )
 
     def _url(self, path: str, raw: Any, field: Field) -> Any:
-        text = self._text(path, raw, field)
+        text = self._text(path, raw)
         if text is _FAULTY:
             return text
         if is_platform_url(text):
--- a/packages/core/src/trefoilhaven_core/settings/schemas.py
+++ b/packages/core/src/trefoilhaven_core/settings/schemas.py
@@ -87,9 +87,7 @@
         FieldKind.address: ADDRESS_PATTERN,
         FieldKind.url: '^http://',
     }
-    if kind in patterns:
-        return {'type': 'string', 'pattern': patterns[kind]}
-    return {'type': 'string', 'minLength': 1}
+    return {'type': 'string', 'pattern': patterns[kind]}
 
 
 def _list(field: Field, entry: _Schema) -> _Schema:
