--- a/features/steps/deployments.py
+++ b/features/steps/deployments.py
@@ -113,27 +113,64 @@
     context.loop.run(context.stage.deployment.kill(name))
 
 
-@when('the agent of "{target}" is paused until it counts as dead')
-def pause_agent(context: Any, target: str) -> None:
-    """Pause an agent past its lease and past its failure detection."""
-    stage = context.stage
-    stage.deployment.pause(f'agent-{target}')
-
-    async def seen_dead() -> bool:
-        seen = await stage.commands.states_seen(target)
-        return seen == {MemberState.dead}
-
-    context.loop.run(stage.until(seen_dead))
+@when('the agent of "{target}" is paused until it counts as {state}')
+def pause_agent(context: Any, target: str, state: str) -> None:
+    """Pause an agent until all balancers see it in a state."""
+    context.stage.deployment.pause(f'agent-{target}')
+    _await_state(context, target, MemberState[state])
 
 
 @when('the agent of "{target}" goes on')
 def resume_agent(context: Any, target: str) -> None:
     """Continue a paused agent and wait until it counts as alive."""
+    context.stage.deployment.resume(f'agent-{target}')
+    _await_state(context, target, MemberState.alive)
+
+
+@when('"{domain}" is cut off until "{target}" counts as {state}')
+def isolate_domain(
+    context: Any,
+    domain: str,
+    target: str,
+    state: str,
+) -> None:
+    """Cut a failure domain's links to the others; clients reach it."""
+    stage = context.stage
+    stage.noted['isolated'] = domain
+    context.loop.run(stage.deployment.isolate(domain, cut=True))
+    _await_state(context, target, MemberState[state])
+
+
+@when('"{domain}" is connected again until "{target}" counts as alive')
+def connect_domain(context: Any, domain: str, target: str) -> None:
+    """Heal a failure domain's links to the others."""
+    stage = context.stage
+    context.loop.run(stage.deployment.isolate(domain, cut=False))
+    stage.noted.pop('isolated')
+    _await_state(context, target, MemberState.alive)
+
+
+@given('links that lose {loss:g}% and reorder {reordering:g}% of datagrams')
+def degrade_links(context: Any, loss: float, reordering: float) -> None:
+    """Degrade all UDP links."""
+    context.loop.run(
+        context.stage.deployment.set_links(
+            'udp',
+            loss=loss / 100,
+            reordering=reordering / 100,
+            duplication=reordering / 100,
+            jitter_s=LIN_DOMAIN_DELAY_S,
+        ),
+    )
+
+
+def _await_state(context: Any, target: str, state: MemberState) -> None:
+    """Wait until all balancers outside a cut-off domain agree."""
     stage = context.stage
-    stage.deployment.resume(f'agent-{target}')
+    isolated = stage.noted.get('isolated')
 
-    async def seen_alive() -> bool:
-        seen = await stage.commands.states_seen(target)
-        return seen == {MemberState.alive}
+    async def agreed() -> bool:
+        seen = await stage.commands.states_seen(target, isolated)
+        return seen == {state}
 
-    context.loop.run(stage.until(seen_alive))
+    context.loop.run(stage.until(agreed))
--- a/packages/bench/src/trefoilhaven_bench/deployments/commands.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/commands.py
@@ -111,12 +111,19 @@
             if reply.is_ok() and isinstance(reply.ok.message, StatusReply)
         }
 
-    async def states_seen(self, target: str) -> set[MemberState]:
-        """Return the states in which the balancers see a target."""
+    async def states_seen(
+        self,
+        target: str,
+        left_out: str | None = None,
+    ) -> set[MemberState]:
+        """Return the states in which the balancers see a target.
+
+        Balancers of the failure domain ``left_out`` don't count.
+        """
         return {
             status.member.state
             for reply in (await self.statuses()).values()
-            if reply.role == 'balancer'
+            if reply.role == 'balancer' and reply.failure_domain != left_out
             for status in reply.members
             if status.member.target == target
         }
--- a/packages/bench/src/trefoilhaven_bench/deployments/running.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/running.py
@@ -150,6 +150,19 @@
         url = f'http://{self.layout.proxy_control}/domains/{one}/{other}'
         await self.send('PUT', url, {'cut': cut})
 
+    async def set_links(self, protocol: str, **changes: Any) -> None:
+        """Change values of all links of a protocol in the fault proxy."""
+        links = f'http://{self.layout.proxy_control}/links'
+        for name, link in (await self.fetch(links)).items():
+            if link['protocol'] == protocol:
+                await self.send('PUT', f'{links}/{name}', changes)
+
+    async def isolate(self, domain: str, *, cut: bool) -> None:
+        """Cut or heal a failure domain's links to all other domains."""
+        for other in self.description.failure_domains:
+            if other != domain:
+                await self.set_cut(domain, other, cut=cut)
+
     async def set_platform_faults(self, **faults: Any) -> None:
         """Change the faults of the platform stand-in."""
         url = f'http://{self.layout.platform}/faults'
--- a/packages/bench/src/trefoilhaven_bench/fault_proxy/links.py
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/links.py
@@ -55,6 +55,7 @@
         """Start with every pair connected."""
         self.links = {link.name: link for link in cfg.links}
         self.random = random.Random(cfg.seed)
+        self.domains = cfg.domains
         self._cfg = cfg
         self._cuts: set[frozenset[str]] = set()
 
@@ -78,7 +79,7 @@
         """Return the failure domain of a sender, ``*`` when unknown."""
         if link.from_domain != ANY_DOMAIN:
             return link.from_domain
-        return self._cfg.domains.get(host, ANY_DOMAIN)
+        return self.domains.get(host, ANY_DOMAIN)
 
     def is_cut(self, link: Link, source: str) -> bool:
         """Say whether a sender's traffic is blocked on a link."""
--- a/packages/bench/src/trefoilhaven_bench/fault_proxy/streams.py
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/streams.py
@@ -4,7 +4,12 @@
 import contextlib
 from collections import Counter
 
-from trefoilhaven_bench.fault_proxy.links import Link, Network
+from trefoilhaven_bench.fault_proxy.links import (
+    ANY_DOMAIN,
+    Link,
+    Network,
+)
+from trefoilhaven_bench.fault_proxy.senders import find_domain
 from trefoilhaven_bench.processes import parse_address
 from trefoilhaven_bench.settings import POLL_S, TCP_RETRANSMIT_S
 
@@ -15,6 +20,15 @@
 _Block = tuple[float, bytes]
 
 
+class _Sender:
+    """Where a connection comes from, as far as it is known."""
+
+    def __init__(self, peer: tuple[str, int], domain: str) -> None:
+        self.peer = peer
+        self.domain = domain
+        self.searched = False
+
+
 class StreamLink:
     """A TCP link; each connection has one upstream connection."""
 
@@ -53,11 +67,12 @@
             self._connections.add(task)
             task.add_done_callback(self._connections.discard)
         self.counts['connections'] += 1
-        peer_host = writer.get_extra_info('peername')[0]
-        source = self._network.source_domain(self.link, peer_host)
+        peer = writer.get_extra_info('peername')
+        domain = self._network.source_domain(self.link, peer[0])
+        sender = _Sender(peer, domain)
         try:
-            await self._until_connected(source)
-            await self._join(reader, writer, source)
+            await self._until_connected(sender)
+            await self._join(reader, writer, sender)
         except (OSError, asyncio.CancelledError):
             self.counts['ended'] += 1
         finally:
@@ -67,13 +82,13 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        source: str,
+        sender: _Sender,
     ) -> None:
         address = parse_address(self.link.forward)
         up_reader, up_writer = await asyncio.open_connection(*address)
         directions = [
-            asyncio.ensure_future(self._pump(reader, up_writer, source)),
-            asyncio.ensure_future(self._pump(up_reader, writer, source)),
+            asyncio.ensure_future(self._pump(reader, up_writer, sender)),
+            asyncio.ensure_future(self._pump(up_reader, writer, sender)),
         ]
         try:
             await asyncio.wait(
@@ -90,30 +105,30 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        source: str,
+        sender: _Sender,
     ) -> None:
         """Copy one direction until the sender closes."""
         blocks: asyncio.Queue[_Block | None] = asyncio.Queue(_MAX_BLOCKS)
-        sender = asyncio.ensure_future(self._send(blocks, writer, source))
+        sending = asyncio.ensure_future(self._send(blocks, writer, sender))
         loop = asyncio.get_running_loop()
         try:
             while block := await reader.read(_BLOCK_BYTES):
-                delay_s = self._network.delay(self.link, source)
+                delay_s = self._network.delay(self.link, sender.domain)
                 if self._network.draw(self.link.loss):
                     delay_s += TCP_RETRANSMIT_S
                 await blocks.put((loop.time() + delay_s, block))
             await blocks.put(None)
-            await sender
+            await sending
         finally:
-            sender.cancel()
+            sending.cancel()
             with contextlib.suppress(OSError, asyncio.CancelledError):
-                await sender
+                await sending
 
     async def _send(
         self,
         blocks: 'asyncio.Queue[_Block | None]',
         writer: asyncio.StreamWriter,
-        source: str,
+        sender: _Sender,
     ) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -122,11 +137,25 @@
                 return
             due_at, block = entry
             await asyncio.sleep(max(0, due_at - loop.time()))
-            await self._until_connected(source)
+            await self._until_connected(sender)
             self.counts['bytes'] += len(block)
             writer.write(block)
             await writer.drain()
 
-    async def _until_connected(self, source: str) -> None:
-        while self._network.is_cut(self.link, source):
+    async def _until_connected(self, sender: _Sender) -> None:
+        """Wait while the sender's domain is cut off.
+
+        The search for the sender takes tens of milliseconds, so it is
+        left until a cut is in force.
+        """
+        network = self._network
+        if network.cuts() and not sender.searched:
+            sender.searched = True
+            if sender.domain == ANY_DOMAIN:
+                sender.domain = await asyncio.to_thread(
+                    find_domain,
+                    sender.peer,
+                    network.domains,
+                )
+        while network.is_cut(self.link, sender.domain):
             await asyncio.sleep(POLL_S)
--- a/packages/bench/src/trefoilhaven_bench/settings.py
+++ b/packages/bench/src/trefoilhaven_bench/settings.py
@@ -18,8 +18,10 @@
 
 # Seconds without an answer after which an open flow counts as broken.
 FLOW_SILENCE_S: Final = 5.0
-# Seconds without an answer after which a flow repeats its last packet.
-FLOW_RETRANSMIT_S: Final = 0.3
+# Seconds without an answer after which a flow repeats its last packet. Each
+# repetition reaches another balancer; when two of three can't pass it on,
+# 25 of them within the limit above all fail once in 25,000 times.
+FLOW_RETRANSMIT_S: Final = 0.2
 
 # Deadline of one call of a request in seconds.
 REQUEST_DEADLINE_S: Final = 5.0
