--- a/packages/bench/src/trefoilhaven_bench/deployments/running.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/running.py
@@ -166,6 +166,12 @@
             if link['protocol'] == 'udp':
                 await self.send('PUT', f'{base}/{name}', changes)
 
+    async def isolate(self, domain: str, *, cut: bool) -> None:
+        """Cut or heal a failure domain's links to all other domains."""
+        for other in self.description.failure_domains:
+            if other != domain:
+                await self.set_cut(domain, other, cut=cut)
+
     async def set_platform_faults(self, **faults: Any) -> None:
         """Change the faults of the platform stand-in."""
         url = f'http://{self.layout.platform}/faults'
