Refuse to explain a service without configuration

Cause: explain of a misspelt service followed the table of a service that the balancer does not have.

Change: it ends with code 1 and names the balancer that has no configuration of the service.

--- a/packages/balancer/src/trefoilhaven/commands/explanations.py
+++ b/packages/balancer/src/trefoilhaven/commands/explanations.py
@@ -13,7 +13,7 @@
     read_address,
     read_flow,
 )
-from trefoilhaven.commands.printing import print_json
+from trefoilhaven.commands.printing import fail, print_json
 from trefoilhaven.commands.surveys import ask, ask_balancer
 from trefoilhaven_core.flows.resolvers import HOP_LIMIT
 from trefoilhaven_core.membership.messages import Address
@@ -87,8 +87,11 @@
     question: ExplainRequest,
     subject: str,
 ) -> Explanation:
-    first = await ask_balancer(balancer, question, ExplainReply)
     status = await ask_balancer(balancer, StatusRequest(), StatusReply)
+    if question.service not in status.versions:
+        message = f'{status.process} has no configuration of'
+        fail(ExitCode.refused, f'{message} {question.service}')
+    first = await ask_balancer(balancer, question, ExplainReply)
     steps = [
         f'{subject} of {question.service} is in bucket {question.bucket}',
         f'{first.process}: the table names {first.first or "no target"} '
--- a/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
@@ -259,6 +259,12 @@
         assert 'owner: not known' in outcome.stdout
         assert outcome.exit_code == 4
 
+    def test_unknown_service(self, peers: Peers) -> None:
+        """Guards against an explanation of a service with a typing error."""
+        outcome = _run('explain', *_BALANCER, '--service=certfy', '--key=k')
+        assert outcome.exit_code == 1
+        assert 'no configuration of certfy' in outcome.stderr
+
     @pytest.mark.parametrize(
         'subject',
         [(), ('--key=k', f'--flow={_FLOW}'), ('--flow=17,a,1,b,2',)],
