--- a/packages/agent/src/trefoilhaven_agent/flows/tasks.py
+++ b/packages/agent/src/trefoilhaven_agent/flows/tasks.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Iterable
 from typing import Final
 
@@ -24,6 +23,7 @@
 )
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
 
 logger = logging.getLogger(__name__)
@@ -46,9 +46,9 @@
         self._log = RateLimitedLog(logger)
         metrics = state.runtime.metrics
         metrics.gauge('open_flows', lambda: len(state.flows))
-        metrics.gauge('flows_opened', lambda: state.flows.counters.opened)
-        metrics.gauge('flows_broken', lambda: state.flows.counters.broken)
-        metrics.gauge(
+        metrics.total('flows_opened', lambda: state.flows.counters.opened)
+        metrics.total('flows_broken', lambda: state.flows.counters.broken)
+        metrics.total(
             'flows_redirected',
             lambda: state.flows.counters.redirected,
         )
@@ -60,14 +60,14 @@
         while True:
             await asyncio.sleep(TICK_S)
             state = self._state
-            now = time.monotonic()
+            now = monotonic()
             self._apply(state.flows.tick(now, state.ownership, state.loads))
 
     def on_acquired(self, buckets: Iterable[int]) -> None:
         """Decide about packets that waited for some buckets."""
         state = self._state
         effects = state.flows.on_acquired(
-            time.monotonic(),
+            monotonic(),
             tuple(buckets),
             state.ownership,
             state.loads,
@@ -81,7 +81,7 @@
     def _on_packet(self, packet: FlowPacket, sender: Address) -> None:
         state = self._state
         effects = state.flows.on_packet(
-            time.monotonic(),
+            monotonic(),
             packet,
             state.ownership,
             state.loads,
@@ -92,7 +92,7 @@
         self._state.flows.on_ended(notice, self._state.ownership)
 
     def _on_answer(self, flow: FlowKey, payload: bytes) -> None:
-        answer = self._state.flows.on_answer(time.monotonic(), flow, payload)
+        answer = self._state.flows.on_answer(monotonic(), flow, payload)
         if answer is None:
             self._sockets.close(flow)
             return
@@ -103,7 +103,7 @@
         if not len(state.flows):
             return
         state.target_alive = False
-        effects = state.flows.on_target_lost(time.monotonic())
+        effects = state.flows.on_target_lost(monotonic())
         state.runtime.publish(
             'target lost',
             state.cfg.service,
@@ -125,7 +125,7 @@
                 self._forward(effect.target, effect.message)
             elif isinstance(effect, Dropped):
                 self._log.warn(
-                    time.monotonic(),
+                    monotonic(),
                     effect.reason.name,
                     'flow packet dropped',
                     reason=effect.reason.value,
--- a/packages/agent/src/trefoilhaven_agent/membership/tasks.py
+++ b/packages/agent/src/trefoilhaven_agent/membership/tasks.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from typing import Final
 
 from trefoilhaven_agent.ownership.tasks import OwnershipTask
@@ -21,6 +20,7 @@
     StateRequest,
 )
 from trefoilhaven_core.settings.types import Witness
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.calls import call_peer
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
 
@@ -95,7 +95,7 @@
     def _send_heartbeats(self) -> None:
         state = self._state
         due = state.lease.heartbeats(
-            time.monotonic(),
+            monotonic(),
             state.member,
             state.load(),
             state.configurations.version(state.cfg.service),
@@ -113,7 +113,7 @@
 
     def _on_ack(self, ack: HeartbeatAck, sender: Address) -> None:
         state = self._state
-        now = time.monotonic()
+        now = monotonic()
         if state.lease.on_ack(now, ack):
             self._ownership.on_term(state.lease.term)
         state.ownership.on_lease(state.lease.lease_until)
@@ -130,7 +130,7 @@
 
     def _on_refused(self, refused: HeartbeatRefused, sender: Address) -> None:
         state = self._state
-        if state.lease.on_refused(time.monotonic(), refused):
+        if state.lease.on_refused(monotonic(), refused):
             state.runtime.publish(
                 'lease refused',
                 refused.service,
--- a/packages/agent/src/trefoilhaven_agent/ownership/tasks.py
+++ b/packages/agent/src/trefoilhaven_agent/ownership/tasks.py
@@ -24,6 +24,7 @@
     ClaimReply,
     DirectoryEntry,
 )
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.calls import call_channel
 from trefoilhaven_core.wire.channels import ChannelPool
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
@@ -71,12 +72,12 @@
     def tick(self) -> None:
         """Repeat what is due."""
         ownership = self._state.ownership
-        self.apply(ownership.tick(time.monotonic(), time.time()))
+        self.apply(ownership.tick(monotonic(), time.time()))
 
     def on_view(self) -> None:
         """Take the current view of the service."""
         view = self._state.store.view(self._state.cfg.service)
-        self.apply(self._state.ownership.on_view(time.monotonic(), view))
+        self.apply(self._state.ownership.on_view(monotonic(), view))
 
     def on_term(self, term: int) -> None:
         """Drop all ownership for a new term."""
@@ -85,7 +86,7 @@
     async def on_claim(self, claim: ClaimBuckets) -> ClaimReply:
         """Answer the claim of a sibling."""
         reply = self._state.ownership.on_claim(
-            time.monotonic(),
+            monotonic(),
             claim,
             self._items,
         )
@@ -161,7 +162,7 @@
         reply = called.ok.message
         if isinstance(reply, ClaimReply):
             effects = self._state.ownership.on_reply(
-                time.monotonic(),
+                monotonic(),
                 time.time(),
                 reply,
             )
@@ -173,7 +174,7 @@
 
     def _on_vote(self, vote: FenceVote, sender: Address) -> None:
         effects = self._state.ownership.on_fence_vote(
-            time.monotonic(),
+            monotonic(),
             time.time(),
             vote,
         )
--- a/packages/agent/src/trefoilhaven_agent/peers.py
+++ b/packages/agent/src/trefoilhaven_agent/peers.py
@@ -1,7 +1,5 @@
 """Calls of siblings and of operator commands at an agent."""
 
-import time
-
 from trefoilhaven_agent.membership.tasks import MembershipTask
 from trefoilhaven_agent.ownership.tasks import OwnershipTask
 from trefoilhaven_agent.state import AgentState
@@ -18,6 +16,7 @@
     StatusRequest,
 )
 from trefoilhaven_core.timeline.messages import TimelineReply, TimelineRequest
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.peers import PeerService
 
 
@@ -80,7 +79,7 @@
         table = ownership.siblings.table
         owns = ownership.standing(req.bucket) is Standing.owned
         entry = ownership.directory.find(req.bucket, req.item)
-        lease = self._state.lease.lease_valid(time.monotonic())
+        lease = self._state.lease.lease_valid(monotonic())
         return ExplainReply(
             self._state.cfg.name,
             table.first(req.bucket) or '',
--- a/packages/agent/src/trefoilhaven_agent/process.py
+++ b/packages/agent/src/trefoilhaven_agent/process.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import signal
-import time
 from typing import Final
 
 from grpclib.server import Server
@@ -26,6 +25,7 @@
 from trefoilhaven_core.telemetry.endpoints import TelemetryEndpoint
 from trefoilhaven_core.telemetry.logs import configure_logging
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.channels import ChannelPool
 from trefoilhaven_core.wire.codec import make_codec
 from trefoilhaven_core.wire.endpoints import (
@@ -134,7 +134,7 @@
         state = self._state
         if not state.target_alive:
             return 'the target does not answer'
-        if not state.lease.lease_valid(time.monotonic()):
+        if not state.lease.lease_valid(monotonic()):
             return 'no lease'
         if not state.ownership.siblings.can_claim():
             return 'not registered at the platform'
--- a/packages/agent/src/trefoilhaven_agent/requests/relays.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/relays.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import time
 from typing import Final
 
 from trefoilhaven_agent.requests.answers import AnswerBuffer
@@ -14,6 +13,7 @@
 from trefoilhaven_core.requests.decisions import RelayTo
 from trefoilhaven_core.routing.choices import ChoiceSettings, TargetChooser
 from trefoilhaven_core.routing.waits import Candidate
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.channels import CALL_ERRORS, ChannelPool
 from trefoilhaven_core.wire.proto import calls_pb2 as pb
 from trefoilhaven_core.wire.proto.calls_grpc import PlacementStub
@@ -59,7 +59,7 @@
         refuses gives the request back.
         """
         load = self._state.load()
-        if load.busy_slots < self._state.cfg.slots:
+        if load.busy_slots < self._state.member.slots:
             await self._runner.execute(run)
             return
         sibling = self._choose()
@@ -143,7 +143,7 @@
             holder_incarnation=incarnation,
             follow_only=follow_only,
         )
-        timeout_s = max(run.deadline - time.monotonic(), MIN_TIMEOUT_S)
+        timeout_s = max(run.deadline - monotonic(), MIN_TIMEOUT_S)
         stub = PlacementStub(self._channels.get(address))
         assembler = AnswerAssembler(run.req.service, run.req.key)
         connected = False
@@ -198,11 +198,11 @@
             run.req.key,
             holder,
             member.incarnation,
-            self._state.standing(run.req.key, time.monotonic()),
+            self._state.standing(run.req.key, monotonic()),
         )
 
     def _choose(self) -> str | None:
-        now = time.monotonic()
+        now = monotonic()
         state = self._state
         siblings = [
             member
--- a/packages/agent/src/trefoilhaven_agent/requests/runs.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/runs.py
@@ -21,6 +21,7 @@
     split_answer,
 )
 from trefoilhaven_core.requests.decisions import Conclude, Replay, Settled
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.proto.calls_pb2 import (
     AnswerPart,
     CallerRequest,
@@ -65,7 +66,7 @@
         """Refuse what became too late, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
-            now = time.monotonic()
+            now = monotonic()
             for refused in self._state.queue.expire(now):
                 self._wake(refused.token, refused)
             self._start_next()
@@ -79,14 +80,14 @@
         if refused is not None:
             self.refuse(run, refused.reason, refused.retry_after_s)
             return
-        started = time.monotonic()
+        started = monotonic()
         took_s: float | None = None
         try:
             if await self._call_target(run):
-                took_s = time.monotonic() - started
+                took_s = monotonic() - started
                 self._service_time.observe(took_s)
         finally:
-            self._state.queue.finished(time.monotonic(), token, took_s)
+            self._state.queue.finished(monotonic(), token, took_s)
             self._start_next()
 
     def refuse(
@@ -153,7 +154,7 @@
         )
 
     async def _admit(self, token: int, run: QueuedRun) -> Refused | None:
-        now = time.monotonic()
+        now = monotonic()
         work = lanes.Work(
             token,
             run.req.work_class,
@@ -175,7 +176,7 @@
         except asyncio.CancelledError:
             self._withdraw(token, fut)
             raise
-        self._wait_time.observe(time.monotonic() - now)
+        self._wait_time.observe(monotonic() - now)
         return refused
 
     def _withdraw(
@@ -186,12 +187,12 @@
         self._waiting.pop(token, None)
         if not self._state.queue.cancel(token) and not fut.cancelled():
             # The work got its slot in the same turn of the loop.
-            self._state.queue.finished(time.monotonic(), token, None)
+            self._state.queue.finished(monotonic(), token, None)
             self._start_next()
 
     def _start_next(self) -> None:
         while True:
-            turn = self._state.queue.next(time.monotonic())
+            turn = self._state.queue.next(monotonic())
             for refused in turn.refused:
                 self._wake(refused.token, refused)
             if turn.start is None:
@@ -204,7 +205,7 @@
             fut.set_result(refused)
 
     async def _call_target(self, run: QueuedRun) -> bool:
-        now = time.monotonic()
+        now = monotonic()
         if run.recorded and not self._state.requests.on_started(
             run.req.key,
             self._state.lease.lease_valid(now),
--- a/packages/agent/src/trefoilhaven_agent/requests/services.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/services.py
@@ -25,6 +25,7 @@
     Request,
     RunHere,
 )
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.proto import calls_pb2 as pb
 from trefoilhaven_core.wire.proto.calls_grpc import PlacementBase
 from trefoilhaven_core.wire.proto.calls_pb2 import (
@@ -76,7 +77,7 @@
     async def Decide(self, stream: PlacedStream) -> None:  # noqa: N802
         """Decide about a request as the owner of its key's bucket."""
         placed = await _receive(stream)
-        now = time.monotonic()
+        now = monotonic()
         decision = self._state.requests.on_decide(
             now,
             time.time(),
@@ -89,7 +90,7 @@
         """Run or follow a request that a balancer or an owner placed."""
         placed = await _receive(stream)
         decision = self._state.requests.on_run(
-            time.monotonic(),
+            monotonic(),
             time.time(),
             _request(placed.request),
             placed.follow_only,
@@ -230,7 +231,7 @@
     remaining = DEFAULT_DEADLINE_S
     if stream.deadline is not None:
         remaining = stream.deadline.time_remaining()
-    return time.monotonic() + remaining
+    return monotonic() + remaining
 
 
 def seeded_generator(state: AgentState) -> random.Random:
--- a/packages/agent/src/trefoilhaven_agent/state.py
+++ b/packages/agent/src/trefoilhaven_agent/state.py
@@ -2,7 +2,6 @@
 
 import json
 import logging
-import time
 from typing import Final
 
 from trefoilhaven_core.admission.queues import AdmissionQueue, QueueLimits
@@ -22,6 +21,7 @@
 from trefoilhaven_core.routing.tables import bucket_of, hash_item
 from trefoilhaven_core.settings.types import AgentSettings
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
+from trefoilhaven_core.timeline.monotonic import monotonic
 
 logger = logging.getLogger(__name__)
 
@@ -44,7 +44,7 @@
         self.ownership = BucketOwnership(*identity, witnesses=names)
         self.flows = FlowTable(*identity)
         self.requests = RequestTable(*identity)
-        self.queue = AdmissionQueue(QueueLimits(cfg.slots), time.monotonic())
+        self.queue = AdmissionQueue(QueueLimits(cfg.slots), monotonic())
         self.loads: dict[str, Load] = {}
         self.target_alive = False
         self.drain_requested = False
@@ -66,7 +66,7 @@
 
     def load(self) -> Load:
         """Return the load of the target as the agent counts it."""
-        return self.queue.load(time.monotonic(), len(self.flows))
+        return self.queue.load(monotonic(), len(self.flows))
 
     def update_member(self) -> bool:
         """Announce a new state when it changed; tell whether it did.
@@ -121,7 +121,10 @@
         held = self.store.configuration(service)
         if held.version <= self.configurations.version(service):
             return
-        content = json.loads(held.content)
+        try:
+            content = json.loads(held.content)
+        except ValueError:
+            content = None
         if not self.configurations.offer(service, held.version, content):
             logger.error(
                 'configuration not taken',
@@ -137,14 +140,25 @@
             self.requests.set_retention(configuration.requests.retention_s)
             self.queue.set_limits(
                 QueueLimits(
-                    self.cfg.slots,
+                    configuration.requests.slots,
                     configuration.requests.queue_limit,
                     configuration.requests.long_body_bytes,
                     configuration.warm_up_s,
                 ),
             )
+            self._announce_slots(configuration.requests.slots)
         self.runtime.publish(
             'configuration in force',
             service,
             detail=f'version {held.version}',
         )
+
+    def _announce_slots(self, slots: int) -> None:
+        """Announce the slots of the service file in place of the settings."""
+        if self.member.slots != slots:
+            self.set_member(
+                self.member._replace(
+                    slots=slots,
+                    sequence=self.member.sequence + 1,
+                ),
+            )
--- a/packages/balancer/src/trefoilhaven/balancer/control.py
+++ b/packages/balancer/src/trefoilhaven/balancer/control.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Iterable
 from typing import Final
 
@@ -17,7 +16,11 @@
     Effect,
     PullState,
 )
-from trefoilhaven_core.membership.leases import AckSummary, LeaseWitness
+from trefoilhaven_core.membership.leases import (
+    AckSummary,
+    LeaseWitness,
+    TargetKey,
+)
 from trefoilhaven_core.membership.messages import (
     Address,
     BalancerRecord,
@@ -33,15 +36,19 @@
     StateRequest,
 )
 from trefoilhaven_core.settings.types import BalancerSettings
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.calls import call_peer
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
 
 logger = logging.getLogger(__name__)
 
+# Senders can name any peer, which must not fill the memory.
+MAX_HEARD: Final = 1024
+
 TICK_S: Final = 0.25
 
-# A seed that is not known as a peer is contacted this often.
-SEED_INTERVAL_S: Final = 1.0
+# Members that others told about are looked through this often.
+WATCH_INTERVAL_S: Final = 1.0
 
 
 class ControlTask:
@@ -55,7 +62,7 @@
         endpoint: DatagramEndpoint,
     ) -> None:
         """Register the handlers of the control socket."""
-        now = time.monotonic()
+        now = monotonic()
         self.disseminator = disseminator
         self._cfg = cfg
         self._state = state
@@ -65,7 +72,9 @@
         self._seeds = {
             seed.name: seed for seed in cfg.seeds if seed.name != cfg.name
         }
-        self._seeds_due = now
+        self._watch_due = now
+        # Peers that are not known yet are answered at their source address.
+        self._heard: dict[str, Address] = {}
         self._pulls: set[asyncio.Task[None]] = set()
         endpoint.on(Heartbeat, self._on_heartbeat)
         endpoint.on(FenceRequest, self._on_fence)
@@ -77,7 +86,7 @@
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
-            self._tick(time.monotonic())
+            self._tick(monotonic())
             await asyncio.sleep(TICK_S)
 
     def apply(self, effects: Iterable[Effect]) -> None:
@@ -90,25 +99,25 @@
             if address is None:
                 continue
             if isinstance(effect.message, Digest):
-                now = time.monotonic()
+                now = monotonic()
                 if not effect.message.is_reply:
                     self._detector.on_probe_sent(now, effect.peer)
             self._endpoint.send(effect.message, address)
 
     def announce(self, state: MemberState) -> None:
         """Spread a new state of this balancer."""
-        self.apply(self.disseminator.announce(time.monotonic(), state))
+        self.apply(self.disseminator.announce(monotonic(), state))
 
     def take_configuration(self, notice: ConfigurationNotice) -> None:
         """Take a version that this process read from the platform."""
         self.apply(
-            self.disseminator.on_configuration(time.monotonic(), notice),
+            self.disseminator.on_configuration(monotonic(), notice),
         )
         self._state.refresh([notice.service])
 
     def take_registry(self, notice: RegistryNotice) -> None:
         """Take registrations that this process read or wrote."""
-        self.apply(self.disseminator.on_registry(time.monotonic(), notice))
+        self.apply(self.disseminator.on_registry(monotonic(), notice))
         self._state.refresh([notice.service])
 
     async def pull_from_seeds(self) -> bool:
@@ -132,10 +141,26 @@
             self._state.refresh_all()
         self.apply(self.disseminator.probe(peer) for peer in found.probes)
         self.apply(self.disseminator.tick(now))
-        if now >= self._seeds_due:
-            self._seeds_due = now + SEED_INTERVAL_S
-            self._contact_seeds()
-            self._state.store.forget(now)
+        if now >= self._watch_due:
+            self._watch_due = now + WATCH_INTERVAL_S
+            self._watch(now)
+
+    def _watch(self, now: float) -> None:
+        """Expect heartbeats of all members, as a witness."""
+        store = self._state.store
+        store.forget(now)
+        if self._cfg.name not in self._cfg.witnesses:
+            return
+        in_views: set[TargetKey] = set()
+        for service in store.services:
+            members = store.members(service)
+            self._detector.watch(now, members)
+            in_views.update((service, member.target) for member in members)
+            in_views.update(
+                (service, entry.target)
+                for entry in store.registry(service).registrations
+            )
+        self._witness.forget(now, in_views)
 
     def _report(
         self,
@@ -153,30 +178,22 @@
         for balancer in balancers:
             publish(f'balancer {balancer.state.name}', host=balancer.name)
 
-    def _contact_seeds(self) -> None:
-        known = {record.name for record in self._state.store.balancers}
-        for name, seed in self._seeds.items():
-            if name not in known:
-                own = self.disseminator.own
-                message = Changes(self._cfg.name, (), (own,), ())
-                self._endpoint.send(message, seed.control)
-
     def _on_heartbeat(self, heartbeat: Heartbeat, sender: Address) -> None:
-        now = time.monotonic()
+        now = monotonic()
         member = heartbeat.member
         service = member.service
-        contradiction = self._detector.on_heartbeat(now, member)
-        if contradiction is not None:
-            report = Changes(self._cfg.name, (contradiction,), (), ())
-            self._endpoint.send(report, sender)
         known = self._state.store.member(service, member.target)
         if known != member:
             self._note_change(now, heartbeat)
+        contradiction = self._detector.on_heartbeat(now, member)
+        if contradiction is not None:
+            report = Changes(self._cfg.name, (contradiction,), ())
+            self._endpoint.send(report, sender)
         self._state.loads.record(now, service, member.target, heartbeat.load)
         summary = AckSummary(
             self._state.store.digest(service),
             self._state.store.configuration(service).version,
-            self._state.loads.loads(now, service),
+            self._state.loads.loads(now, service, member.target),
         )
         reply = self._witness.on_heartbeat(now, heartbeat, summary)
         if reply is not None:
@@ -196,7 +213,7 @@
             )
 
     def _on_fence(self, req: FenceRequest, sender: Address) -> None:
-        vote = self._witness.on_fence(time.monotonic(), req)
+        vote = self._witness.on_fence(monotonic(), req)
         if vote.agreed:
             self._state.runtime.publish(
                 'lease fenced',
@@ -207,7 +224,7 @@
         self._endpoint.send(vote, sender)
 
     def _on_changes(self, changes: Changes, sender: Address) -> None:
-        now = time.monotonic()
+        now = monotonic()
         self._detector.on_peer(now, changes.sender)
         self.apply(self.disseminator.on_changes(now, changes))
         services = {member.service for member in changes.members}
@@ -216,8 +233,9 @@
         self._state.refresh(services)
 
     def _on_digest(self, digest: Digest, sender: Address) -> None:
-        now = time.monotonic()
+        now = monotonic()
         self._detector.on_peer(now, digest.sender)
+        self._note_source(digest.sender, sender)
         self.apply(self.disseminator.on_digest(now, digest))
 
     def _on_configuration(
@@ -230,19 +248,26 @@
     def _on_registry(self, notice: RegistryNotice, sender: Address) -> None:
         self.take_registry(notice)
 
+    def _note_source(self, peer: str, address: Address) -> None:
+        if self._state.store.balancer(peer) is not None:
+            self._heard.pop(peer, None)
+        elif len(self._heard) < MAX_HEARD:
+            self._heard[peer] = address
+
     def _control_of(self, peer: str) -> Address | None:
         record = self._state.store.balancer(peer)
         if record is not None:
             return record.control
         seed = self._seeds.get(peer)
-        return seed.control if seed else None
+        return seed.control if seed else self._heard.get(peer)
 
     def _start_pull(self, effect: PullState) -> None:
         record = self._state.store.balancer(effect.peer)
-        if record is None:
+        source = record or self._seeds.get(effect.peer)
+        if source is None:
             return
         task = asyncio.create_task(
-            self._pull_later(record.rpc, effect.services),
+            self._pull_later(source.rpc, effect.services),
         )
         self._pulls.add(task)
         task.add_done_callback(self._pulls.discard)
@@ -267,7 +292,7 @@
             return False
         self._state.runtime.clock.observe(called.ok.clock)
         self.apply(
-            self.disseminator.on_state(time.monotonic(), called.ok.message),
+            self.disseminator.on_state(monotonic(), called.ok.message),
         )
         self._state.refresh_all()
         return True
--- a/packages/balancer/src/trefoilhaven/balancer/forwarding.py
+++ b/packages/balancer/src/trefoilhaven/balancer/forwarding.py
@@ -1,13 +1,13 @@
 """Flow packets from the fabric to the agents. Nothing is kept for a flow."""
 
 import logging
-import time
 
 from trefoilhaven.balancer.state import BalancerState
 from trefoilhaven_core.flows.messages import FlowMark, FlowPacket
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.routing.routes import NoRoute
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
 
 logger = logging.getLogger(__name__)
@@ -48,7 +48,7 @@
         self._dropped[reason].add()
         flow = packet.flow
         self._log.warn(
-            time.monotonic(),
+            monotonic(),
             reason.name,
             'flow packet dropped',
             reason=reason.value,
--- a/packages/balancer/src/trefoilhaven/balancer/peers.py
+++ b/packages/balancer/src/trefoilhaven/balancer/peers.py
@@ -1,7 +1,5 @@
 """Calls of other processes and of operator commands at a balancer."""
 
-import time
-
 from trefoilhaven.balancer.control import ControlTask
 from trefoilhaven.balancer.state import BalancerState
 from trefoilhaven_core.membership.messages import Load, State, StateRequest
@@ -16,6 +14,7 @@
     StatusRequest,
 )
 from trefoilhaven_core.timeline.messages import TimelineReply, TimelineRequest
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.calls import call_peer
 from trefoilhaven_core.wire.peers import PeerService
 
@@ -114,13 +113,18 @@
         return reply
 
     def _member_statuses(self, service: str) -> list[MemberStatus]:
-        now = time.monotonic()
+        now = monotonic()
+        members = self._state.store.members(service)
         loads = {
             known.target: known
-            for known in self._state.loads.loads(now, service)
+            for known in self._state.loads.loads(
+                now,
+                service,
+                limit=len(members),
+            )
         }
         statuses = []
-        for member in self._state.store.members(service):
+        for member in members:
             known = loads.get(member.target)
             statuses.append(
                 MemberStatus(
--- a/packages/balancer/src/trefoilhaven/balancer/platforms.py
+++ b/packages/balancer/src/trefoilhaven/balancer/platforms.py
@@ -8,7 +8,6 @@
 import json
 import logging
 import random
-import time
 from typing import Any, Final
 
 import msgspec
@@ -30,6 +29,7 @@
 from trefoilhaven_core.platform.errors import Conflict
 from trefoilhaven_core.platform.watchers import Watcher
 from trefoilhaven_core.settings import defaults
+from trefoilhaven_core.timeline.monotonic import monotonic
 
 logger = logging.getLogger(__name__)
 
@@ -103,7 +103,7 @@
         while True:
             await asyncio.sleep(REGISTER_INTERVAL_S)
             for service in self._state.store.services:
-                plan = self._planner.plan(time.monotonic(), service)
+                plan = self._planner.plan(monotonic(), service)
                 if plan is not None:
                     await self._write(plan)
 
--- a/packages/balancer/src/trefoilhaven/balancer/process.py
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -68,7 +68,8 @@
             cfg.advertise_control,
             cfg.advertise_rpc,
         )
-        self._disseminator = Disseminator(own, self._state.store, rng)
+        seeds = tuple(seed.name for seed in cfg.seeds)
+        self._disseminator = Disseminator(own, self._state.store, rng, seeds)
         self._state.store.merge(balancers=[own])
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/packages/balancer/src/trefoilhaven/balancer/requests.py
+++ b/packages/balancer/src/trefoilhaven/balancer/requests.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import time
 from typing import Final, NamedTuple
 
 from grpclib.const import Status
@@ -19,6 +18,7 @@
 from trefoilhaven.balancer.state import BalancerState
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.routing.tables import bucket_of, hash_item
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.channels import ChannelPool
 from trefoilhaven_core.wire.proto.calls_grpc import RequestsBase
 from trefoilhaven_core.wire.proto.calls_pb2 import (
@@ -85,7 +85,7 @@
         self._check(req)
         self._open += 1
         self._idle.clear()
-        started = time.monotonic()
+        started = monotonic()
         try:
             await self._serve(stream, req, _deadline_of(stream, started))
         finally:
@@ -122,7 +122,7 @@
             sender=self._name,
             clock=self._state.runtime.clock.stamp(),
         )
-        started = time.monotonic()
+        started = monotonic()
         if req.idempotent:
             closing = await self._spreader.serve(stream, placed, deadline)
         else:
@@ -135,8 +135,8 @@
             service=req.service,
             outcome=outcome.removeprefix('OUTCOME_').lower(),
         ).add()
-        metrics.histogram('request_time', service=req.service).observe(
-            time.monotonic() - started,
+        metrics.histogram('request_time').observe(
+            monotonic() - started,
         )
         if closing.closing.outcome == pb.OUTCOME_UNKNOWN:
             self._state.runtime.publish(
@@ -156,7 +156,7 @@
         reason = 'no agent owns the bucket of the key'
         abandoned: list[Relay] = []
         hint = ''
-        while time.monotonic() < deadline:
+        while monotonic() < deadline:
             owner = self._owner_of(req, hint)
             hint = ''
             if owner is None:
@@ -166,7 +166,7 @@
                 self._channels.get(owner.address),
                 placed,
                 owner=True,
-                timeout_s=max(deadline - time.monotonic(), ANSWER_MARGIN_S),
+                timeout_s=max(deadline - monotonic(), ANSWER_MARGIN_S),
             )
             closing = await self._follow(stream, relay, owner, deadline)
             if isinstance(closing, AnswerPart):
@@ -197,7 +197,7 @@
                 part = await relay.next_part(OWNER_CHECK_S)
                 if part is None:
                     moved = self._owner_of(req, '') != owner
-                    if moved or time.monotonic() >= deadline:
+                    if moved or monotonic() >= deadline:
                         return None
                 elif isinstance(part, Silence) or part.HasField('closing'):
                     return part
--- a/packages/balancer/src/trefoilhaven/balancer/spreading.py
+++ b/packages/balancer/src/trefoilhaven/balancer/spreading.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from typing import Final, NamedTuple
 
 from grpclib.server import Stream
@@ -21,6 +20,7 @@
     TargetChooser,
 )
 from trefoilhaven_core.routing.waits import Candidate
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.channels import ChannelPool
 from trefoilhaven_core.wire.proto import calls_pb2 as pb
 from trefoilhaven_core.wire.proto.calls_pb2 import (
@@ -90,7 +90,7 @@
             pb.OUTCOME_UNKNOWN,
             'no target answered before the deadline',
         )
-        while time.monotonic() < deadline:
+        while monotonic() < deadline:
             copy = self._send(service, placed, deadline, tried)
             if copy is None:
                 await asyncio.sleep(NO_TARGET_WAIT_S)
@@ -124,7 +124,7 @@
         running = [_Parts(copy)]
         hedged = False
         try:
-            while time.monotonic() < deadline:
+            while monotonic() < deadline:
                 for parts in running:
                     await parts.read(HEDGE_CHECK_S / len(running))
                 ended = [parts for parts in running if parts.ended]
@@ -132,7 +132,7 @@
                 if best or len(ended) == len(running):
                     return (best or ended)[0]
                 if not hedged and service.hedging.should_hedge(
-                    time.monotonic(),
+                    monotonic(),
                     copy.sent_at,
                     idempotent=True,
                     copies=1,
@@ -158,7 +158,7 @@
         deadline: float,
         tried: set[str],
     ) -> _Copy | None:
-        now = time.monotonic()
+        now = monotonic()
         name = placed.request.service
         self._update(service, now, name)
         choice = service.chooser.choose(now, self._rng, tried)
@@ -174,7 +174,7 @@
         return _Copy(choice, relay, now)
 
     def _note(self, service: _Service, parts: '_Parts') -> AnswerPart | None:
-        now = time.monotonic()
+        now = monotonic()
         choice = parts.copy.choice
         closing = parts.closing
         if closing is None:
@@ -225,7 +225,9 @@
             )
             for member in members
         )
-        for known_load in self._state.loads.loads(now, name):
+        for known_load in self._state.loads.loads(
+            now, name, limit=len(members)
+        ):
             service.chooser.on_report(
                 now,
                 known_load.target,
--- a/packages/balancer/src/trefoilhaven/balancer/state.py
+++ b/packages/balancer/src/trefoilhaven/balancer/state.py
@@ -28,7 +28,7 @@
         self.store = ViewStore()
         self.configurations = ConfigurationStore()
         self.routes = FlowRoutes()
-        self.loads = LoadBook()
+        self.loads = LoadBook(runtime.process)
         self._digests: dict[str, int] = {}
         self._offered: dict[str, int] = {}
 
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision code and of running processes."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/timeline/monotonic.py
@@ -0,0 +1,12 @@
+"""The monotonic clock of the processes."""
+
+import time
+
+
+def monotonic() -> float:
+    """Return seconds of a clock that also runs while the host is suspended.
+
+    ``time.monotonic`` stops then, so that a lease would outlive its time
+    on a host that was suspended.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/core/src/trefoilhaven_core/wire/endpoints.py
+++ b/packages/core/src/trefoilhaven_core/wire/endpoints.py
@@ -137,9 +137,9 @@
 ) -> None:
     """Export the counts of a socket under its name."""
     counters = endpoint.counters
-    metrics.gauge(f'{name}_received', lambda: counters.received)
-    metrics.gauge(f'{name}_received_bytes', lambda: counters.received_bytes)
-    metrics.gauge(f'{name}_sent', lambda: counters.sent)
-    metrics.gauge(f'{name}_sent_bytes', lambda: counters.sent_bytes)
-    metrics.gauge(f'{name}_malformed', lambda: counters.malformed)
-    metrics.gauge(f'{name}_unexpected', lambda: counters.unexpected)
+    metrics.total(f'{name}_received', lambda: counters.received)
+    metrics.total(f'{name}_received_bytes', lambda: counters.received_bytes)
+    metrics.total(f'{name}_sent', lambda: counters.sent)
+    metrics.total(f'{name}_sent_bytes', lambda: counters.sent_bytes)
+    metrics.total(f'{name}_malformed', lambda: counters.malformed)
+    metrics.total(f'{name}_unexpected', lambda: counters.unexpected)
