Stop a balancer although callers go on asking it

Change: a stopping balancer turns new requests away with a clear error and waits for those in progress only. The throughput measurement lets the agent refuse flows in place of pausing it, since a paused agent leaves the table.

--- a/packages/balancer/src/trefoilhaven/balancer/process.py
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -138,8 +138,8 @@
     async def _stop(self, control: ControlTask) -> None:
         logger.info('planned stop: waiting for requests in progress')
         control.announce(MemberState.left)
+        await self._requests.drain()
         await asyncio.sleep(STOP_DELAY_S)
-        await self._requests.wait_idle()
         self._runtime.publish('balancer stopped', host=self._cfg.name)
 
 
--- a/packages/balancer/src/trefoilhaven/balancer/requests.py
+++ b/packages/balancer/src/trefoilhaven/balancer/requests.py
@@ -71,10 +71,12 @@
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._draining = False
         state.runtime.metrics.gauge('open_requests', lambda: self._open)
 
-    async def wait_idle(self) -> None:
-        """Return when no request is in progress."""
+    async def drain(self) -> None:
+        """Take no new requests; return when none is in progress."""
+        self._draining = True
         await self._idle.wait()
 
     async def Submit(self, stream: CallerStream) -> None:  # noqa: N802
@@ -82,6 +84,11 @@
         req = await stream.recv_message()
         if req is None:
             raise GRPCError(Status.INVALID_ARGUMENT, 'no request was sent')
+        if self._draining:
+            raise GRPCError(
+                Status.UNAVAILABLE,
+                f'{self._name} is stopping; ask another balancer',
+            )
         self._check(req)
         self._open += 1
         self._idle.clear()
--- a/packages/bench/src/trefoilhaven_bench/measurements/throughput.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/throughput.py
@@ -26,6 +26,7 @@
 # Offered rates in new flows a second; each lasts ``STEP_S``.
 RATES: Final = (2_500, 5_000, 10_000, 15_000)
 STEP_S: Final = 5.0
+IN_FORCE_S: Final = 10.0
 
 _BATCHES_PER_S: Final = 100
 _DRAIN_S: Final = 1.0
@@ -65,15 +66,17 @@
         await deployment.start_product()
         name = deployment.running_balancers()[0]
         # The agent would open a socket for each flow; only the balancer is
-        # measured here.
-        target = deployment.targets(SERVICE)[0]
-        deployment.pause(f'agent-{target}')
+        # measured here, so that the agent refuses all but one.
+        version = await commands.change_service(
+            SERVICE,
+            flows={'connection_limit': 1},
+        )
+        await commands.until_in_force(SERVICE, version, IN_FORCE_S)
         rows = []
         first = 0
         for rate in RATES:
             rows.append(await _measure(deployment, name, rate, first))
             first += int(rate * STEP_S)
-        deployment.resume(f'agent-{target}')
     return table_of('throughput', 'New flows at one balancer process', rows)
 
 
