--- a/packages/core/src/trefoilhaven_core/flows/owned_routers.py
+++ b/packages/core/src/trefoilhaven_core/flows/owned_routers.py
@@ -193,6 +193,7 @@
                 witness,
                 now - killed_at >= _FENCE_S,
                 now - killed_at,
+                request.sent_at,
             )
             effects.extend(sender.ownership.on_fence_vote(now, now, vote))
         return effects
--- a/packages/core/src/trefoilhaven_core/ownership/claimants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claimants.py
@@ -202,7 +202,7 @@
             is_due = asked_at is None or now - asked_at >= RETRY_S
             if is_due and self._needs_fence(now, sibling):
                 self._fenced_at[sibling] = now
-                request = self._fences.request(sibling, self._target)
+                request = self._fences.request(now, sibling, self._target)
                 effects.append(SendFence(request))
         return effects
 
--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -38,6 +38,9 @@
 # Old keys are looked for once in this time, in seconds.
 EXPIRY_S: Final = 10
 
+# Term of a new agent, like that of its lease.
+FIRST_TERM: Final = 1
+
 # Time for which a sibling's claim or denial tells more about the owner than
 # the table, in seconds. Claimants repeat denied claims more often, and
 # older hints of two agents may name each other.
@@ -79,7 +82,7 @@
             self.siblings,
             self._fences,
             self._holders,
-            Epoch(incarnation, 0),
+            Epoch(incarnation, FIRST_TERM),
         )
         self._queued: list[Effect] = []
         self._now = float(0)
@@ -129,13 +132,17 @@
         Buckets that are lost by this are reported by the next ``tick``.
         """
         epoch = Epoch(claim.incarnation, claim.term)
+        foreign = claim.service != self._service
+        is_valid = not foreign and not self._fences.is_old(
+            claim.claimant, epoch
+        )
+        if is_valid:
+            self._claimant.learn(now, claim.claimant, epoch)
         head = empty_reply(
             claim, self._target, self._claimant.epoch, self._fences.seen()
         )
-        foreign = claim.service != self._service
-        if foreign or self._fences.is_old(claim.claimant, epoch):
+        if not is_valid:
             return head
-        self._claimant.learn(now, claim.claimant, epoch)
         owned = [
             bucket for bucket, state in enumerate(self._states) if state.owned
         ]
@@ -179,7 +186,7 @@
         if not vote.agreed:
             epoch = Epoch(vote.incarnation, vote.term)
             self._claimant.learn(now, vote.target, epoch)
-        elif self._fences.add_vote(vote):
+        if self._fences.add_vote(now, vote):
             _logger.info('%s is fenced in %s', vote.target, self._service)
             self._claimant.restart_rounds(now, lacking=vote.target)
         acquired = self._acquire(wall, self._claimant.pending)
--- a/packages/core/src/trefoilhaven_core/ownership/fences.py
+++ b/packages/core/src/trefoilhaven_core/ownership/fences.py
@@ -7,6 +7,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from trefoilhaven_core.membership.fencing import VOTE_LIFE_S
 from trefoilhaven_core.membership.messages import FenceRequest, FenceVote
 from trefoilhaven_core.ownership.messages import SeenTerm
 
@@ -30,7 +31,9 @@
         self._witnesses = frozenset(witnesses)
         self._majority = len(self._witnesses) // 2 + 1
         self._epochs: dict[str, Epoch] = {}
-        self._votes: dict[str, set[str]] = {}
+        # Send times of the requests that witnesses agreed to.
+        self._votes: dict[str, dict[str, float]] = {}
+        self._fenced: set[str] = set()
 
     def epoch(self, target: str) -> Epoch | None:
         """Return the highest epoch seen of a target, None if none was."""
@@ -42,6 +45,7 @@
         if known is None or epoch > known:
             self._epochs[target] = epoch
             self._votes.pop(target, None)
+            self._fenced.discard(target)
 
     def is_old(self, target: str, epoch: Epoch) -> bool:
         """Return whether a newer epoch of the target was seen."""
@@ -50,29 +54,49 @@
 
     def is_fenced(self, target: str) -> bool:
         """Return whether a majority fenced the highest known epoch."""
-        return len(self._votes.get(target, ())) >= self._majority
+        return target in self._fenced
 
-    def add_vote(self, vote: FenceVote) -> bool:
+    def add_vote(self, now: float, vote: FenceVote) -> bool:
         """Count a vote; return whether it completed the proof.
 
         A vote for another term than the highest known one proves nothing.
         Votes of processes that aren't configured as witnesses and repeated
-        votes of one witness don't count.
+        votes of one witness don't count, and neither do votes that were
+        cast far apart, since a restarted witness forgets its own. A
+        complete proof stays, because an agent never resumes a term whose
+        lease lapsed.
         """
-        epoch = Epoch(vote.incarnation, vote.term)
         if vote.service != self._service or vote.witness not in self._witnesses:
             return False
-        if not vote.agreed or self._epochs.get(vote.target) != epoch:
+        epoch = Epoch(vote.incarnation, vote.term)
+        if self._epochs.get(vote.target) != epoch or self.is_fenced(
+            vote.target
+        ):
+            return False
+        votes = self._votes.setdefault(vote.target, {})
+        votes.pop(vote.witness, None)
+        if vote.agreed:
+            votes[vote.witness] = vote.sent_at
+        recent = [
+            sent_at
+            for sent_at in votes.values()
+            if 0 <= now - sent_at <= VOTE_LIFE_S
+        ]
+        if len(recent) < self._majority:
             return False
-        fenced_before = self.is_fenced(vote.target)
-        self._votes.setdefault(vote.target, set()).add(vote.witness)
-        return not fenced_before and self.is_fenced(vote.target)
+        self._fenced.add(vote.target)
+        return True
 
-    def request(self, target: str, claimant: str) -> FenceRequest:
+    def request(self, now: float, target: str, claimant: str) -> FenceRequest:
         """Return the request to fence a target's highest known epoch."""
         epoch = self._epochs[target]
         return FenceRequest(
-            self._service, target, epoch.incarnation, epoch.term, claimant
+            self._service,
+            target,
+            epoch.incarnation,
+            epoch.term,
+            claimant,
+            now,
         )
 
     def seen(self) -> tuple[SeenTerm, ...]:
