Start claims anew when an owner may be lost, hand on recent entries

A horizon that was ceded to a claim before another owner came and went could have been used; no schedule showed this, it was found by reading. Change: a fence, a restart or a newer term of a sibling starts the open claims with a new id and forgets an inherited horizon; so does a former owner that grants without a cession. Only an owner hands over a horizon. The entries of a cession go to other claimants for 10 s. Late replies never replace what an owner noted.

--- a/packages/core/src/trefoilhaven_core/ownership/buckets.py
+++ b/packages/core/src/trefoilhaven_core/ownership/buckets.py
@@ -16,6 +16,7 @@
     claimant: str
     epoch: Epoch
     claim_id: int
+    ceded_at: float
     horizon: float | None
     entries: tuple[DirectoryEntry, ...]
 
@@ -27,14 +28,15 @@
     granted to a sibling. ``inherited`` is the horizon of a cession that
     arrived before the acquisition. ``missing`` names fenced siblings whose
     items are unknown. ``granted_ids`` holds the last claim granted to each
-    sibling.
+    sibling. ``denied_by`` is the sibling that last answered that it owns the
+    bucket.
     """
 
     __slots__ = (
         'ceded',
         'claim_id',
         'claiming',
-        'denied',
+        'denied_by',
         'granted_ids',
         'grants',
         'hint',
@@ -51,7 +53,7 @@
         """Start as a bucket that some other agent may own."""
         self.owned = False
         self.claiming = False
-        self.denied = False
+        self.denied_by: str | None = None
         self.claim_id = 0
         self.round_number = 0
         self.round_started = float(0)
@@ -70,10 +72,10 @@
         self.hinted_at = now
 
     def begin(self, now: float, claim_id: int) -> None:
-        """Start a claim, or the next round of one that was never granted.
+        """Start a claim, or the next round of one that was paused.
 
-        The claim id stays when the agent neither owned nor granted the
-        bucket since, so that a cession whose reply was lost is repeated.
+        The claim id stays when nobody can have owned the bucket since, so
+        that a cession whose reply was lost is repeated.
         """
         self.claiming = True
         self.claim_id = self.claim_id or claim_id
@@ -84,12 +86,18 @@
         self.round_number += 1
         self.round_started = now
         self.grants.clear()
-        self.denied = False
+        self.denied_by = None
+
+    def restart(self, now: float, claim_id: int) -> None:
+        """Claim anew and forget a horizon that may be outdated."""
+        self.inherited = None
+        self.claim_id = claim_id
+        self.next_round(now)
 
     def pause_claim(self) -> None:
         """Stop the claim but keep what was ceded to it."""
         self.claiming = False
-        self.denied = False
+        self.denied_by = None
         self.grants.clear()
 
     def release(self) -> None:
--- a/packages/core/src/trefoilhaven_core/ownership/claimants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claimants.py
@@ -4,10 +4,7 @@
 from typing import Final
 
 from trefoilhaven_core.ownership.buckets import BucketState
-from trefoilhaven_core.ownership.directories import (
-    Directory,
-    without_own,
-)
+from trefoilhaven_core.ownership.directories import Directory, without_own
 from trefoilhaven_core.ownership.effects import SendClaim, SendFence
 from trefoilhaven_core.ownership.fences import Epoch, FenceBook
 from trefoilhaven_core.ownership.holders import Holders
@@ -98,9 +95,8 @@
         """Note the epoch of a sibling.
 
         A sibling with a newer epoch may have owned buckets under the older
-        one without ceding them. The items that the others reported before
-        may then be incomplete, so all claims ask again. The first message
-        of a sibling needs this for old rounds only.
+        one without ceding them, so all claims start anew. The first message
+        of a sibling needs this for old claims only.
         """
         known = self._fences.epoch(target)
         self._fences.learn(target, epoch)
@@ -113,43 +109,49 @@
         if restarted:
             self._directory.lose_holder(target, epoch.incarnation - 1)
         unnoticed = is_first and not restarted
-        self.restart_rounds(now, older_than=_FENCE_S if unnoticed else 0)
+        self.restart(now, older_than=_FENCE_S if unnoticed else 0)
 
-    def restart_rounds(
+    def restart(
         self, now: float, lacking: str | None = None, older_than: float = 0
     ) -> None:
-        """Ask all siblings again about the pending buckets.
+        """Claim anew what an owner may have lost without ceding it.
 
-        With ``lacking`` only the buckets that this sibling has not granted
-        are asked again.
+        What the siblings reported before may be incomplete, and a horizon
+        that was ceded before may be older than that owner's last key. With
+        ``lacking`` only the buckets that this sibling has not granted are
+        meant.
         """
-        for bucket in self.pending:
-            state = self._states[bucket]
+        self._last_claim_id += 1
+        for state in self._states:
             is_old = now - state.round_started >= older_than
-            if is_old and lacking not in state.grants:
-                state.next_round(now)
+            if state.owned or not is_old or lacking in state.grants:
+                continue
+            state.restart(now, self._last_claim_id if state.claiming else 0)
         self._asked_at.clear()
 
     def take(self, now: float, reply: ClaimReply, epoch: Epoch) -> None:
-        """Count a reply; grants of dropped claims are not counted."""
+        """Count a reply; grants of dropped claims are not counted.
+
+        A late reply for an owned bucket counts only if the sibling's items
+        are missing, and never replaces what the owner has noted since.
+        """
         valid = {
             bucket
             for bucket in reply.granted
-            if self._is_current(bucket, reply.claim_id)
+            if self._is_expected(bucket, reply)
         }
         entries = without_own(
             reply.entries, self._target, self.epoch.incarnation
         )
-        self._directory.merge(
-            (entry for entry in entries if entry.bucket in valid),
-            reply.sibling,
-        )
+        for entry in entries:
+            if entry.bucket in valid:
+                owned = self._states[entry.bucket].owned
+                self._directory.merge(entry, reply.sibling, keep_known=owned)
         for bucket in valid:
             state = self._states[bucket]
             state.missing.discard(reply.sibling)
             if state.claiming and state.round_number == reply.round_number:
-                state.grants[reply.sibling] = epoch
-                state.denied = False
+                self._take_grant(now, bucket, reply, epoch)
         self._take_horizons(reply, valid)
         for bucket in reply.owned:
             self._take_denial(now, bucket, reply)
@@ -243,6 +245,12 @@
         known = 0 <= bucket < len(self._states)
         return known and self._states[bucket].claim_id == claim_id
 
+    def _is_expected(self, bucket: int, reply: ClaimReply) -> bool:
+        if not self._is_current(bucket, reply.claim_id):
+            return False
+        state = self._states[bucket]
+        return not state.owned or reply.sibling in state.missing
+
     def _is_granted(self, bucket: int) -> bool:
         grants = self._states[bucket].grants
         return all(
@@ -250,6 +258,21 @@
             for name in self._siblings.names
         )
 
+    def _take_grant(
+        self, now: float, bucket: int, reply: ClaimReply, epoch: Epoch
+    ) -> None:
+        state = self._states[bucket]
+        ceded = any(cession.bucket == bucket for cession in reply.ceded)
+        if state.denied_by == reply.sibling and not ceded:
+            # The former owner has ceded the bucket to another sibling, which
+            # may hold the directory and must be asked again.
+            self._last_claim_id += 1
+            state.restart(now, self._last_claim_id)
+            self._asked_at.clear()
+            return
+        state.grants[reply.sibling] = epoch
+        state.denied_by = None
+
     def _take_horizons(self, reply: ClaimReply, valid: set[int]) -> None:
         for bucket, horizon in reply.ceded:
             state = self._states[bucket]
@@ -261,7 +284,7 @@
             return
         state = self._states[bucket]
         if state.claiming and reply.sibling not in state.grants:
-            state.denied = True
+            state.denied_by = reply.sibling
             state.note_owner(now, reply.sibling)
 
     def _needs_fence(self, now: float, sibling: str) -> bool:
--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -188,7 +188,7 @@
             self._claimant.learn(now, vote.target, epoch)
         if self._fences.add_vote(now, vote):
             _logger.info('%s is fenced in %s', vote.target, self._service)
-            self._claimant.restart_rounds(now, lacking=vote.target)
+            self._claimant.restart(now, lacking=vote.target)
         acquired = self._acquire(wall, self._claimant.pending)
         return acquired + self._requests(now)
 
@@ -215,7 +215,7 @@
         state = self._states[bucket]
         if state.owned:
             return Standing.owned
-        if bucket in self.siblings.named_buckets and not state.denied:
+        if bucket in self.siblings.named_buckets and state.denied_by is None:
             return Standing.acquiring
         return Standing.elsewhere
 
--- a/packages/core/src/trefoilhaven_core/ownership/directories.py
+++ b/packages/core/src/trefoilhaven_core/ownership/directories.py
@@ -41,19 +41,25 @@
             if not entries:
                 self._buckets.pop(bucket)
 
-    def merge(self, entries: Iterable[DirectoryEntry], source: str) -> None:
-        """Add the entries that an agent reported.
+    def merge(
+        self, entry: DirectoryEntry, source: str, keep_known: bool = False
+    ) -> None:
+        """Add an entry that an agent reported.
 
         The higher attempt wins. At equal attempts the report of the holder
-        itself wins over what an earlier owner noted about it.
+        itself wins over what an earlier owner noted about it, and a newer
+        incarnation of a holder over an older one. With ``keep_known``
+        nothing is replaced at equal attempts.
         """
-        for entry in entries:
-            if not self._supersedes(entry, source):
-                continue
-            self.note(entry)
-            if entry.holder == source:
-                confirmed = self._confirmed.setdefault(entry.bucket, set())
-                confirmed.add(entry.item)
+        known = self.find(entry.bucket, entry.item)
+        if known is not None and not self._supersedes(
+            entry, known, source, keep_known
+        ):
+            return
+        self.note(entry)
+        if entry.holder == source:
+            confirmed = self._confirmed.setdefault(entry.bucket, set())
+            confirmed.add(entry.item)
 
     def entries(self, buckets: Iterable[int]) -> list[DirectoryEntry]:
         """Return all entries of some buckets."""
@@ -63,6 +69,15 @@
             for entry in self._buckets.get(bucket, {}).values()
         ]
 
+    def holders(self) -> set[str]:
+        """Return the names of all holders of flows."""
+        return {
+            entry.holder
+            for entries in self._buckets.values()
+            for entry in entries.values()
+            if entry.kind is ItemKind.flow
+        }
+
     def drop(self, buckets: Iterable[int]) -> None:
         """Remove all entries of some buckets."""
         for bucket in buckets:
@@ -97,13 +112,20 @@
             if is_request and entry.issued_at < issued_before:
                 self.forget(entry.bucket, entry.item)
 
-    def _supersedes(self, entry: DirectoryEntry, source: str) -> bool:
-        known = self.find(entry.bucket, entry.item)
-        if known is None or entry.holder == source:
-            return known is None or entry.attempt >= known.attempt
-        if entry.attempt != known.attempt:
+    def _supersedes(
+        self,
+        entry: DirectoryEntry,
+        known: DirectoryEntry,
+        source: str,
+        keep_known: bool,
+    ) -> bool:
+        if entry.attempt != known.attempt or keep_known:
             return entry.attempt > known.attempt
-        return entry.item not in self._confirmed.get(entry.bucket, set())
+        older = known.holder_incarnation
+        if entry.holder == known.holder and entry.holder_incarnation != older:
+            return entry.holder_incarnation > older
+        confirmed = self._confirmed.get(entry.bucket, set())
+        return entry.holder == source or entry.item not in confirmed
 
 
 def without_own(
--- a/packages/core/src/trefoilhaven_core/ownership/grants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/grants.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 from enum import Enum
+from typing import Final
 
 from trefoilhaven_core.ownership.buckets import BucketState, Cession
 from trefoilhaven_core.ownership.directories import Directory
@@ -15,6 +16,10 @@
 )
 from trefoilhaven_core.ownership.siblings import Siblings
 
+# The entries of a cession also go to other claimants for this time, in
+# seconds, because the first one may have lost the bucket or its reply.
+HANDED_ON_S: Final = 10
+
 HeldItems = Callable[[Collection[int]], Iterable[DirectoryEntry]]
 
 
@@ -83,7 +88,7 @@
         cessions = {
             bucket: cession
             for bucket in granted
-            if (cession := self.grant(claim, bucket, leased)) is not None
+            if (cession := self.grant(now, claim, bucket, leased)) is not None
         }
         for bucket in granted:
             self._states[bucket].note_owner(now, claim.claimant)
@@ -104,34 +109,31 @@
         )
 
     def grant(
-        self, claim: ClaimBuckets, bucket: int, leased: bool
+        self, now: float, claim: ClaimBuckets, bucket: int, leased: bool
     ) -> Cession | None:
         """Grant a bucket; return what is handed over with it.
 
-        The agent hands over a bucket that it owns, and also one that was
-        ceded to it while its own claim was not yet complete. After it was
-        fenced it hands over the entries that it still has. Granting drops
-        the agent's own claim.
+        The agent hands over all entries that it has, also those of a
+        bucket that was ceded to it while its own claim was not complete, or
+        that it owned before it was fenced. Only an owner with a lease hands
+        over its horizon. Granting drops the agent's own claim.
         """
         state = self._states[bucket]
-        if state.granted_ids.get(claim.claimant) == claim.claim_id:
-            return _repeat(state, claim)
-        state.granted_ids[claim.claimant] = claim.claim_id
-        entries = tuple(self._directory.entries((bucket,)))
-        if state.owned or state.inherited is not None or entries:
-            horizon = state.horizon if state.owned else state.inherited
-            state.ceded = Cession(
-                claim.claimant,
-                Epoch(claim.incarnation, claim.term),
-                claim.claim_id,
-                horizon if leased else None,
-                entries,
-            )
-        elif state.ceded and state.ceded.claimant == claim.claimant:
-            state.ceded = None
-        self._directory.drop((bucket,))
-        state.release()
-        return _repeat(state, claim)
+        if state.granted_ids.get(claim.claimant) != claim.claim_id:
+            state.granted_ids[claim.claimant] = claim.claim_id
+            entries = tuple(self._directory.entries((bucket,)))
+            if state.owned or entries:
+                state.ceded = Cession(
+                    claim.claimant,
+                    Epoch(claim.incarnation, claim.term),
+                    claim.claim_id,
+                    now,
+                    state.horizon if state.owned and leased else None,
+                    entries,
+                )
+            self._directory.drop((bucket,))
+            state.release()
+        return _repeat(now, state.ceded, claim)
 
 
 def empty_reply(
@@ -157,8 +159,14 @@
     )
 
 
-def _repeat(state: BucketState, claim: ClaimBuckets) -> Cession | None:
-    cession = state.ceded
+def _repeat(
+    now: float, cession: Cession | None, claim: ClaimBuckets
+) -> Cession | None:
+    """Return what a claim gets of the last cession of a bucket.
+
+    Another claim than the one that it was made for gets the entries only,
+    since a later owner may have decided about newer keys.
+    """
     if cession is None:
         return None
     asked = (
@@ -166,4 +174,8 @@
         Epoch(claim.incarnation, claim.term),
         claim.claim_id,
     )
-    return cession if cession[:3] == asked else None
+    if cession[:3] == asked:
+        return cession
+    if now - cession.ceded_at < HANDED_ON_S:
+        return cession._replace(horizon=None)
+    return None
--- a/packages/core/src/trefoilhaven_core/ownership/holders.py
+++ b/packages/core/src/trefoilhaven_core/ownership/holders.py
@@ -35,6 +35,7 @@
         self._siblings = siblings
         self._incomplete: set[int] = set()
         self._checked_at = float('-inf')
+        self._unknown_since: dict[str, float] = {}
 
     def note_missing(self, bucket: int, missing: set[str]) -> None:
         """Note whose items of an acquired bucket are unknown."""
@@ -59,7 +60,7 @@
         }
 
     def drop_long_dead(self, now: float) -> None:
-        """Forget what siblings held that were dead for a long time."""
+        """Forget what was held by siblings that are dead for a long time."""
         if now - self._checked_at < LOST_CHECK_S:
             return
         self._checked_at = now
@@ -69,6 +70,7 @@
             if is_gone and silent_s >= HOLDER_LOST_S:
                 incarnation = self._siblings.incarnation_of(sibling)
                 self.lose(sibling, incarnation)
+        self._drop_unknown(now)
 
     def drop_departed(self) -> None:
         """Forget what members held that left the registry."""
@@ -81,3 +83,17 @@
         for bucket in self._incomplete:
             self._states[bucket].missing.discard(target)
         self.refresh()
+
+    def _drop_unknown(self, now: float) -> None:
+        """Forget what is held by names that no registry version lists.
+
+        Such a holder joined or left in a version that only the former
+        owner has seen.
+        """
+        unknown = self._directory.holders().difference(self._siblings.names)
+        self._unknown_since = {
+            holder: self._unknown_since.get(holder, now) for holder in unknown
+        }
+        for holder, since in self._unknown_since.items():
+            if now - since >= HOLDER_LOST_S:
+                self.lose(holder, sys.maxsize)
