Ask to fence the first term of a sibling that was never heard

Cause: a claimant that had never heard a sibling asked to fence its term 0. Change: the term of a sibling that was never heard is taken as 1, the first term of a lease. Witnesses refuse with the term they know.

--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -100,7 +100,7 @@
         self.siblings.update(now, view)
         self._holders.drop_departed()
         for name, incarnation in self.siblings.incarnations.items():
-            epoch = Epoch(incarnation, 0)
+            epoch = Epoch(incarnation, FIRST_TERM)
             self._claimant.learn(now, name, epoch, heard=False)
         self._claimant.follow_table(now)
         return self._requests(now)
--- a/packages/core/src/trefoilhaven_core/ownership/tests/support.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/support.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 
+from trefoilhaven_core.membership.leases import LeaseHolder
 from trefoilhaven_core.membership.messages import (
     Address,
     FenceVote,
@@ -76,6 +77,11 @@
     return agent
 
 
+def make_lease(target: str) -> LeaseHolder:
+    """Return the lease of a new agent."""
+    return LeaseHolder(SERVICE, target, 1, WITNESSES)
+
+
 def no_items(buckets: Collection[int]) -> Iterable[DirectoryEntry]:
     """Return no items, as an agent without flows does."""
     return ()
@@ -112,7 +118,7 @@
 
 
 def vote(
-    target: str, witness: str, term: int = 0, agreed: bool = True
+    target: str, witness: str, term: int = 1, agreed: bool = True
 ) -> FenceVote:
     """Return a witness's vote about the first incarnation of a target."""
     return FenceVote(SERVICE, target, 1, term, witness, agreed, 3)
--- a/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
@@ -13,6 +13,7 @@
     claims_in,
     exchange,
     fences_in,
+    make_lease,
     make_ownership,
     no_items,
     view,
@@ -274,6 +275,16 @@
         assert agent.on_fence_vote(2.3, WALL, repeated)
         assert len(_owned(agent)) == BUCKETS
 
+    def test_first_term_is_asked(self) -> None:
+        """Guards against a fence of term 0, which no agent ever has.
+
+        Witnesses agree to it at once. Seed 13 of the schedules with keys
+        was the first to show two owners by it.
+        """
+        agent = make_ownership('t1')
+        request = fences_in(agent.on_view(0, self._dead))[0].request
+        assert request.term == make_lease('t2').term
+
     def test_newer_term(self) -> None:
         """Guards against a fence of a term that the sibling has left."""
         agent = make_ownership('t1')
