Start the retention of a record when its attempt was first seen

Cause: 12 of 100,000 schedules ran a key twice or told 'not run' about work that ran. An ask may carry a later issued_at than an earlier ask of the same attempt, once an older attempt is answered 'not run'; the record was dropped by the earlier time. And after a record was dropped, an older directory entry of the key led to a holder that refused the attempt. Change: retention runs from the first sight of the highest attempt plus the clock error, in records, refusals and directory entries; an attempt above the entry's is unknown once its issued_at is past the retention. Conclusion: issued_at of a directory entry is the start of its retention.

--- a/packages/core/src/trefoilhaven_core/requests/decisions.py
+++ b/packages/core/src/trefoilhaven_core/requests/decisions.py
@@ -2,10 +2,13 @@
 
 import math
 from enum import IntEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from trefoilhaven_core.ownership.messages import DirectoryEntry
 
+# Largest difference between the wall clocks of callers and agents.
+CLOCK_ERROR_S: Final = 0.25
+
 
 class Outcome(IntEnum):
     """What an asker learns; the numbers are those of ``calls.proto``."""
--- a/packages/core/src/trefoilhaven_core/requests/entries.py
+++ b/packages/core/src/trefoilhaven_core/requests/entries.py
@@ -1,4 +1,10 @@
-"""A single request record and its form in a bucket's directory."""
+"""A single request record and its form in a bucket's directory.
+
+The retention of a record starts when its highest attempt was first seen,
+not at ``issued_at``: once an older attempt is answered *not run*, asks for
+the same attempt carry a later ``issued_at``, which is never later than the
+first ask. ``issued_at`` of a directory entry is this start as well.
+"""
 
 from enum import IntEnum
 from typing import Final
@@ -6,7 +12,11 @@
 import xxhash
 
 from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
-from trefoilhaven_core.requests.decisions import RelayTo, Request
+from trefoilhaven_core.requests.decisions import (
+    CLOCK_ERROR_S,
+    RelayTo,
+    Request,
+)
 
 
 class RecordState(IntEnum):
@@ -69,6 +79,11 @@
     return second if rank(second) > rank(first) else first
 
 
+def first_seen(request: Request, wall: float) -> float:
+    """Return a bound of all times that asks of the attempt may carry."""
+    return max(request.issued_at, wall + CLOCK_ERROR_S)
+
+
 class Record:
     """One request key."""
 
@@ -78,13 +93,12 @@
         'digest',
         'holder',
         'holder_incarnation',
-        'issued_at',
         'keep_from',
         'placed',
         'state',
     )
 
-    def __init__(self, request: Request, placed: bool) -> None:
+    def __init__(self, request: Request, placed: bool, wall: float) -> None:
         """Describe a running request.
 
         ``keep_from`` is the Unix time at which its retention starts.
@@ -92,8 +106,7 @@
         self.digest = digest_key(request.key)
         self.state = RecordState.running
         self.attempt = request.attempt
-        self.issued_at = request.issued_at
-        self.keep_from = request.issued_at
+        self.keep_from = first_seen(request, wall)
         self.asker = request.asker
         self.placed = placed
         self.holder = ''
@@ -109,17 +122,18 @@
         """Whether the request waits or runs at this agent."""
         return self.state in {RecordState.running, RecordState.started}
 
-    def note(self, request: Request) -> int:
+    def note(self, request: Request, wall: float) -> int:
         """Make the asker the newest one and return the one before it."""
         superseded = self.asker
         self.asker = request.asker
-        self.raise_attempt(request.attempt, request.issued_at)
+        if request.attempt > self.attempt:
+            self.raise_attempt(request.attempt, first_seen(request, wall))
         return 0 if superseded == request.asker else superseded
 
-    def raise_attempt(self, attempt: int, issued_at: float) -> None:
+    def raise_attempt(self, attempt: int, keep_from: float) -> None:
         """Note an attempt that may be the highest so far."""
         self.attempt = max(self.attempt, attempt)
-        self.issued_at = max(self.issued_at, issued_at)
+        self.keep_from = max(self.keep_from, keep_from)
 
     def relay_to(self, holder: str, incarnation: int) -> RelayTo:
         """Name the agent that a call in progress asks."""
@@ -131,5 +145,5 @@
     def settle(self, state: RecordState, wall: float) -> None:
         """Note the outcome, known at a Unix time."""
         self.state = state
-        self.keep_from = max(self.issued_at, wall)
+        self.keep_from = max(self.keep_from, wall)
         self.holder = ''
--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -10,10 +10,10 @@
 """
 
 from collections.abc import Collection, Iterator
-from typing import Final
 
 from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
 from trefoilhaven_core.requests.decisions import (
+    CLOCK_ERROR_S,
     Conclude,
     Decision,
     Follow,
@@ -34,9 +34,6 @@
     StoreLimits,
 )
 
-# Largest difference between the wall clocks of callers and agents.
-CLOCK_ERROR_S: Final = 0.25
-
 
 class RequestTable:
     """Decides about each request of one service at one agent.
@@ -235,8 +232,8 @@
         elif request.attempt > record.attempt or not record.is_open:
             return no_verdict(Reason.not_owner)
         if record.is_open:
-            return Follow(record.note(request))
-        record.note(request)
+            return Follow(self._store.note(record, request))
+        self._store.note(record, request)
         return record.relay_to(record.holder, record.holder_incarnation)
 
     def _decide_listed(
@@ -260,6 +257,9 @@
         if entry.holder == self._agent.target:
             # The record was dropped, or was one of an older incarnation.
             return unknown(Reason.lost)
+        if request.attempt > entry.attempt and self._store.is_expired(request):
+            # A record of the higher attempt may have been dropped.
+            return unknown(Reason.past_retention)
         return self._store.relay(item, request, entry)
 
     def _decide_new(
@@ -291,7 +291,7 @@
             if settled is not None:
                 return settled
             if record.is_here:
-                return Follow(record.note(request))
+                return Follow(self._store.note(record, request))
             # Following a relay could close a circle of relays.
             return no_verdict(Reason.no_record)
         if follow_only and refused:
--- a/packages/core/src/trefoilhaven_core/requests/refusals.py
+++ b/packages/core/src/trefoilhaven_core/requests/refusals.py
@@ -13,16 +13,17 @@
 
     The owner's refusal is ``final``: no agent runs the attempt. A refused
     placement (``placed``) only means that it never runs on this agent; the
-    owner may place the attempt on another one.
+    owner may place the attempt on another one. ``keep_from`` is the Unix
+    time in seconds at which the retention starts.
     """
 
-    __slots__ = ('final', 'issued_at', 'placed')
+    __slots__ = ('final', 'keep_from', 'placed')
 
     def __init__(self) -> None:
         """Start without refused attempts."""
         self.final = 0
         self.placed = 0
-        self.issued_at = 0.0
+        self.keep_from = 0.0
 
 
 class KnownRefusal(NamedTuple):
@@ -63,7 +64,7 @@
         self,
         item: int,
         attempt: int,
-        issued_at: float,
+        keep_from: float,
         placed: bool,
     ) -> bool:
         """Note a refusal; False when the table has no room for it."""
@@ -77,15 +78,15 @@
             refusal.placed = max(refusal.placed, attempt)
         else:
             refusal.final = max(refusal.final, attempt)
-        refusal.issued_at = max(refusal.issued_at, issued_at)
+        refusal.keep_from = max(refusal.keep_from, keep_from)
         return True
 
-    def drop_before(self, issued_at: float) -> None:
-        """Drop the refusals of requests issued before a Unix time."""
+    def drop_before(self, oldest: float) -> None:
+        """Drop the refusals whose retention started before a Unix time."""
         expired = [
             item
             for item, refusal in self._refusals.items()
-            if refusal.issued_at < issued_at
+            if refusal.keep_from < oldest
         ]
         for item in expired:
             self._refusals.pop(item)
--- a/packages/core/src/trefoilhaven_core/requests/stores.py
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -25,6 +25,7 @@
     Record,
     RecordState,
     digest_key,
+    first_seen,
 )
 from trefoilhaven_core.requests.kept import KeptAnswers
 from trefoilhaven_core.requests.refusals import MAX_REFUSALS, RefusalTable
@@ -90,6 +91,14 @@
         """Return the record of a key hash, or None."""
         return self._records.get(item)
 
+    def is_expired(self, request: Request) -> bool:
+        """Return whether what was known of a request may be dropped."""
+        return request.issued_at < self._wall - self._limits.retention_s
+
+    def note(self, record: Record, request: Request) -> int:
+        """Make the asker the newest one and return the one before it."""
+        return record.note(request, self._wall)
+
     def admit(
         self,
         item: int,
@@ -97,11 +106,11 @@
         placed: bool,
     ) -> RunHere | Conclude:
         """Write the record of new work, or tell why there is none."""
-        if request.issued_at < self._wall - self._limits.retention_s:
+        if self.is_expired(request):
             return unknown(Reason.past_retention)
         if self._is_full():
             return self.refuse(item, request, Reason.table_full, placed)
-        self._records[item] = Record(request, placed)
+        self._records[item] = Record(request, placed, self._wall)
         return RunHere(recorded=True)
 
     def relay(
@@ -113,7 +122,7 @@
         """Write the record of a request that another agent holds."""
         if self._is_full():
             return no_verdict(Reason.table_full)
-        record = Record(request, placed=False)
+        record = Record(request, placed=False, wall=self._wall)
         record.raise_attempt(entry.attempt, entry.issued_at)
         self._records[item] = record
         return record.relay_to(entry.holder, entry.holder_incarnation)
@@ -126,8 +135,8 @@
         placed: bool,
     ) -> Conclude:
         """Refuse a request without a record."""
-        attempt, issued_at = request.attempt, request.issued_at
-        if self.refusals.remember(item, attempt, issued_at, placed):
+        keep_from = first_seen(request, self._wall)
+        if self.refusals.remember(item, request.attempt, keep_from, placed):
             return not_run(reason, FULL_RETRY_AFTER_S)
         return no_verdict(Reason.refusals_full)
 
@@ -171,7 +180,7 @@
         if not self.refusals.remember(
             item,
             max(attempt, record.attempt),
-            record.issued_at,
+            record.keep_from,
             record.placed,
         ):
             record.settle(RecordState.unknown, self._wall)
@@ -202,7 +211,7 @@
                     agent.target,
                     agent.incarnation,
                     refusal.final,
-                    refusal.issued_at,
+                    refusal.keep_from,
                 )
 
     def drop_expired(self) -> None:
@@ -239,5 +248,5 @@
             holder,
             incarnation,
             record.attempt,
-            record.issued_at,
+            record.keep_from,
         )
--- a/packages/core/src/trefoilhaven_core/requests/tests/test_records.py
+++ b/packages/core/src/trefoilhaven_core/requests/tests/test_records.py
@@ -135,6 +135,22 @@
         table.tick(0, _WALL + 1311)
         assert not len(table)
 
+    def test_rising_time(self) -> None:
+        """Guards against an ask that carries a later time than the record.
+
+        Found by schedule 10615: attempt 3 was first sent while attempt 1
+        was open, so its time rose once attempt 1 was refused, and the
+        record was dropped before the later time expired.
+        """
+        table = _table()
+        _decide(table, _request(3), wall=_WALL + 5)
+        table.on_handed_off('drop-off', 'truck-2', 9, _OWNER)
+        table.on_unreachable('drop-off')
+        table.tick(0, _WALL + 604)
+        later = _request(3)._replace(issued_at=_WALL + 4.9)
+        decision = _decide(table, later, wall=_WALL + 604)
+        assert decision == RelayTo('truck-2', 9, 3)
+
     def test_full_table(self) -> None:
         """Guards against refusals that are not remembered."""
         table = _table(records=1, refusals=1)
@@ -221,6 +237,16 @@
         decision = _decide(_table(), _request(2), standing)
         assert decision == RelayTo('truck-2', 9, 3)
 
+    def test_superseded_entry(self) -> None:
+        """Guards against an old entry that hides a dropped record.
+
+        Found by schedule 94112: attempt 4 was done and dropped, and the
+        entry of attempt 1 led to a holder that refused attempt 4.
+        """
+        standing = _OWNER._replace(entry=_entry(ItemKind.running, 1))
+        decision = _decide(_table(), _request(4), standing, _WALL + 601)
+        assert _reason(decision) == Reason.past_retention
+
     def test_refused_listed(self) -> None:
         """Guards against a ceded refusal that is forgotten."""
         standing = _OWNER._replace(entry=_entry(ItemKind.refused, 2))
