--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -83,11 +83,9 @@
         if not standing.may_decide:
             return no_verdict(Reason.not_owner)
         listed = self._decide_listed(item, request, standing)
-        if listed is not None:
-            return listed
-        if request.issued_at > wall + CLOCK_ERROR_S:
+        if listed is None and request.issued_at > wall + CLOCK_ERROR_S:
             return unknown(Reason.future)
-        return self._decide_new(item, request, standing.horizon)
+        return listed or self._decide_new(item, request, standing.horizon)
 
     def on_run(
         self,
@@ -151,10 +149,9 @@
         All attempts up to the highest seen one are refused. A refusal that
         can't be remembered is reported as unknown.
         """
+        answer = not_run(reason, retry_after_s)
         return self._store.refuse_open(
-            self._store.item_of(key),
-            attempt,
-            not_run(reason, retry_after_s),
+            self._store.item_of(key), attempt, answer
         )
 
     def on_lost(self, key: str) -> Settled:
@@ -202,6 +199,10 @@
         """Iterate over the entries of some buckets for the hand-over."""
         return self._store.entries(buckets)
 
+    def set_retention(self, retention_s: float) -> None:
+        """Change the retention in seconds."""
+        self._store.set_retention(retention_s)
+
     def tick(self, now: float, wall: float) -> None:
         """Drop what is past the retention; nothing is dropped earlier."""
         self._store.advance(wall)
--- a/packages/core/src/trefoilhaven_core/requests/stores.py
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -72,6 +72,8 @@
         self._records: dict[int, Record] = {}
         self._kept = KeptAnswers()
         self._wall = 0.0
+        # Nothing issued before this Unix time is remembered any more.
+        self._dropped_before = 0.0
         self._next_search = 0.0
         self.refusals = RefusalTable(limits.refusals)
 
@@ -93,7 +95,7 @@
 
     def is_expired(self, request: Request) -> bool:
         """Return whether what was known of a request may be dropped."""
-        return request.issued_at < self._wall - self._limits.retention_s
+        return request.issued_at < max(self._oldest(), self._dropped_before)
 
     def note(self, record: Record, request: Request) -> int:
         """Make the asker the newest one and return the one before it."""
@@ -214,6 +216,13 @@
                     refusal.keep_from,
                 )
 
+    def set_retention(self, retention_s: float) -> None:
+        """Change the retention in seconds.
+
+        A longer retention does not bring back what was dropped before.
+        """
+        self._limits = self._limits._replace(retention_s=retention_s)
+
     def drop_expired(self) -> None:
         """Drop what is past the retention; nothing is dropped earlier.
 
@@ -223,7 +232,8 @@
             return
         retention_s = self._limits.retention_s
         self._next_search = self._wall + retention_s * _SEARCH_SHARE
-        oldest = self._wall - retention_s
+        oldest = self._oldest()
+        self._dropped_before = max(self._dropped_before, oldest)
         expired = [
             item
             for item, record in self._records.items()
@@ -234,6 +244,9 @@
             self._kept.drop(item)
         self.refusals.drop_before(oldest)
 
+    def _oldest(self) -> float:
+        return self._wall - self._limits.retention_s
+
     def _is_full(self) -> bool:
         return len(self._records) >= self._limits.records
 
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -0,0 +1,52 @@
+"""Defaults of settings, service files, calls and observability.
+
+Constants of the decision code, such as the time of a lease, stand beside
+that code with their reasons.
+
+Names end in the unit of their value: ``_S`` seconds, ``_BYTES`` bytes.
+Numbers without a unit are counts or shares.
+"""
+
+from typing import Final
+
+# Process settings.
+LOG_LEVEL: Final = 'info'
+SLOTS: Final = 2
+
+# Service files.
+IDLE_TIMEOUT_S: Final = 3600.0
+CONNECTION_LIMIT: Final = 2000
+QUEUE_LIMIT: Final = 64
+LONG_BODY_BYTES: Final = 65_536
+RETENTION_S: Final = 600.0
+RETRY_BUDGET: Final = 0.1
+WARM_UP_S: Final = 5.0
+EJECT_SHARE: Final = 0.33
+
+# Calls between processes and to the platform.
+# Balancers that watch the platform; each waiting watch counts as a call.
+PLATFORM_WATCHERS: Final = 2
+PEER_CALL_TIMEOUT_S: Final = 2.0
+PLATFORM_CALL_TIMEOUT_S: Final = 3.0
+PLATFORM_WATCH_TIMEOUT_S: Final = 25.0
+PLATFORM_BACKOFF_S: Final = 0.1
+PLATFORM_BACKOFF_LIMIT_S: Final = 5.0
+# A longer wait that the platform asks for is taken for a fault in it.
+PLATFORM_RETRY_AFTER_LIMIT_S: Final = 60.0
+PLATFORM_OBJECT_BYTES: Final = 1_000_000
+
+# Publishing.
+# A doubtful write is read back over 10 s, longer than a lost connection
+# usually lasts.
+PUBLISH_READ_BACKS: Final = 10
+PUBLISH_READ_BACK_WAIT_S: Final = 1.0
+PUBLISH_WAIT_S: Final = 30.0
+PUBLISH_POLL_S: Final = 0.25
+
+# Observability.
+TIMELINE_EVENTS: Final = 4096
+LOG_LINES_PER_S: Final = 1.0
+# Histograms cover 1 microsecond to 1 hour with 2 significant digits.
+HISTOGRAM_LOWEST_S: Final = 0.000001
+HISTOGRAM_HIGHEST_S: Final = 3600.0
+HISTOGRAM_DIGITS: Final = 2
