--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -10,10 +10,10 @@
 """
 
 from collections.abc import Collection, Iterator
-from typing import Final
 
 from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
 from trefoilhaven_core.requests.decisions import (
+    CLOCK_ERROR_S,
     Conclude,
     Decision,
     Follow,
@@ -34,9 +34,6 @@
     StoreLimits,
 )
 
-# Largest difference between the wall clocks of callers and agents.
-CLOCK_ERROR_S: Final = 0.25
-
 
 class RequestTable:
     """Decides about each request of one service at one agent.
@@ -86,11 +83,9 @@
         if not standing.may_decide:
             return no_verdict(Reason.not_owner)
         listed = self._decide_listed(item, request, standing)
-        if listed is not None:
-            return listed
-        if request.issued_at > wall + CLOCK_ERROR_S:
+        if listed is None and request.issued_at > wall + CLOCK_ERROR_S:
             return unknown(Reason.future)
-        return self._decide_new(item, request, standing.horizon)
+        return listed or self._decide_new(item, request, standing.horizon)
 
     def on_run(
         self,
@@ -154,10 +149,9 @@
         All attempts up to the highest seen one are refused. A refusal that
         can't be remembered is reported as unknown.
         """
+        answer = not_run(reason, retry_after_s)
         return self._store.refuse_open(
-            self._store.item_of(key),
-            attempt,
-            not_run(reason, retry_after_s),
+            self._store.item_of(key), attempt, answer
         )
 
     def on_lost(self, key: str) -> Settled:
@@ -239,8 +233,8 @@
         elif request.attempt > record.attempt or not record.is_open:
             return no_verdict(Reason.not_owner)
         if record.is_open:
-            return Follow(record.note(request))
-        record.note(request)
+            return Follow(self._store.note(record, request))
+        self._store.note(record, request)
         return record.relay_to(record.holder, record.holder_incarnation)
 
     def _decide_listed(
@@ -264,6 +258,9 @@
         if entry.holder == self._agent.target:
             # The record was dropped, or was one of an older incarnation.
             return unknown(Reason.lost)
+        if request.attempt > entry.attempt and self._store.is_expired(request):
+            # A record of the higher attempt may have been dropped.
+            return unknown(Reason.past_retention)
         return self._store.relay(item, request, entry)
 
     def _decide_new(
@@ -295,7 +292,7 @@
             if settled is not None:
                 return settled
             if record.is_here:
-                return Follow(record.note(request))
+                return Follow(self._store.note(record, request))
             # Following a relay could close a circle of relays.
             return no_verdict(Reason.no_record)
         if follow_only and refused:
