Compare own flows with a sibling's at the time of its load

Cause: an owner compared its present number of flows with a sibling's load of up to two seconds ago. While flows open quickly, every sibling seemed to lag behind, and all owners placed flows on the one with the oldest load. Change: the sibling is taken to have grown like the own target since its load came in, and a placement counts once for each sibling, since all owners fill the same gap. The two placement tests that relied on a load that never changes now refresh it, with the same bounds; a new test fails with the old comparison.

--- a/packages/core/src/trefoilhaven_core/flows/placement.py
+++ b/packages/core/src/trefoilhaven_core/flows/placement.py
@@ -11,26 +11,39 @@
 SHARE_AHEAD: Final = 0.04
 
 
+class _Report:
+    """A sibling's load, with what changed here since it came in."""
+
+    __slots__ = ('load', 'own_flows', 'placed')
+
+    def __init__(self, load: Load, own_flows: int) -> None:
+        self.load = load
+        self.own_flows = own_flows
+        self.placed = 0
+
+
 class Placement:
     """Estimates the flows of the siblings from loads and own placements.
 
-    Loads are up to a heartbeat old. Flows that were placed since a load
-    was received are added to it, or all new flows would go to one sibling
-    until its next load arrives.
+    A load is up to two seconds old when it is used. The sibling is taken
+    to have grown by as many flows as this target since then; otherwise
+    every sibling would seem to lag behind while flows open quickly, and
+    all owners would place flows on the one with the oldest load. Each
+    placement counts once for every sibling, since all other owners see
+    the same load and fill the same gap.
     """
 
     def __init__(self, connection_limit: int) -> None:
         """Start without placements."""
         self.connection_limit = connection_limit
-        self._loads: dict[str, Load] = {}
-        self._placed: dict[str, int] = {}
+        self._reports: dict[str, _Report] = {}
 
-    def estimate(self, target: str, load: Load) -> int:
-        """Return the estimated number of open flows of a sibling."""
-        if self._loads.get(target) != load:
-            self._loads[target] = load
-            self._placed[target] = 0
-        return load.open_flows + self._placed[target]
+    def observe(self, own_flows: int, loads: Mapping[str, Load]) -> None:
+        """Note the loads that came in since the last call."""
+        for target, load in loads.items():
+            known = self._reports.get(target)
+            if known is None or known.load is not load:
+                self._reports[target] = _Report(load, own_flows)
 
     def choose_sibling(
         self,
@@ -44,10 +57,10 @@
         With ``must_leave`` any sibling below the connection limit is
         taken, also one whose load is not known yet.
         """
+        self.observe(own_flows, loads)
+        names = [name for name in siblings if must_leave or name in loads]
         estimates = {
-            name: self.estimate(name, loads.get(name, Load()))
-            for name in siblings
-            if must_leave or name in loads
+            name: self._estimate(own_flows, name, len(names)) for name in names
         }
         if not estimates:
             return None
@@ -60,6 +73,19 @@
             1 + SHARE_AHEAD
         )
         if must_leave or is_ahead:
-            self._placed[fewest] += 1
+            self._report(own_flows, fewest).placed += 1
             return fewest
         return None
+
+    def _report(self, own_flows: int, target: str) -> _Report:
+        report = self._reports.get(target)
+        if report is None:
+            report = _Report(Load(), own_flows)
+            self._reports[target] = report
+        return report
+
+    def _estimate(self, own_flows: int, target: str, siblings: int) -> int:
+        report = self._report(own_flows, target)
+        grown = own_flows - report.own_flows
+        placed = report.placed * siblings
+        return max(0, report.load.open_flows + grown + placed)
--- a/packages/core/src/trefoilhaven_core/flows/resolvers.py
+++ b/packages/core/src/trefoilhaven_core/flows/resolvers.py
@@ -68,6 +68,10 @@
         self._limit = connection_limit
         self._placement.connection_limit = connection_limit
 
+    def observe(self, own_flows: int, loads: Loads) -> None:
+        """Note the siblings' loads that came in."""
+        self._placement.observe(own_flows, loads)
+
     def resolve(
         self,
         now: float,
--- a/packages/core/src/trefoilhaven_core/flows/tables.py
+++ b/packages/core/src/trefoilhaven_core/flows/tables.py
@@ -159,6 +159,7 @@
         self, now: float, ownership: BucketOwnership, loads: Loads
     ) -> list[Effect]:
         """End idle flows and decide about packets that need not wait."""
+        self._resolver.observe(len(self), loads)
         effects: list[Effect] = []
         for flow in self._held.idle(now):
             self._end(now, flow)
