--- a/packages/bench/src/trefoilhaven_bench/processes.py
+++ b/packages/bench/src/trefoilhaven_bench/processes.py
@@ -11,7 +11,6 @@
 
 import msgspec
 import typer
-import uvloop
 from aiohttp import web
 
 from trefoilhaven_bench.records import record_from
@@ -53,7 +52,7 @@
         stream=sys.stdout,
         format='%(asctime)s %(name)s %(levelname)s %(message)s',
     )
-    uvloop.run(_serve_until_signal(serve))
+    asyncio.run(_serve_until_signal(serve))
 
 
 async def _serve_until_signal(
