End the requests of a cancelled load, shorten the end of scenarios

Cause: a cancelled load left its requests pending, and scenarios waited 10 s for agents whose flows' last packets were lost. Change: the load awaits its cancelled requests; the fabric learns of dead balancers before the loads end, and the end of a scenario waits 3 s.

--- a/packages/bench/src/trefoilhaven_bench/caller/requests.py
+++ b/packages/bench/src/trefoilhaven_bench/caller/requests.py
@@ -86,6 +86,7 @@
         finally:
             for task in running:
                 task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
             for channel in self._channels.values():
                 channel.close()
         return self.report()
--- a/packages/bench/src/trefoilhaven_bench/deployments/running.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/running.py
@@ -15,6 +15,7 @@
 )
 from trefoilhaven_bench.deployments.layouts import Layout, ProcessPlan
 from trefoilhaven_bench.processes import parse_address
+from trefoilhaven_bench.settings import STOP_TIMEOUT_S
 from trefoilhaven_core.membership.messages import Address
 
 
@@ -81,14 +82,14 @@
             *[child.until_ready(self.session) for child in started],
         )
 
-    async def stop(self) -> list[str]:
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> list[str]:
         """Stop all processes; return those that had to be killed."""
         by_role: dict[bool, list[Child]] = {True: [], False: []}
         for child in self.children.values():
             is_product = child.plan.role in {'balancer', 'agent'}
             by_role[is_product].append(child)
-        late = await stop_all(by_role[True])
-        late.extend(await stop_all(by_role[False]))
+        late = await stop_all(by_role[True], timeout_s)
+        late.extend(await stop_all(by_role[False], timeout_s))
         if self._session is not None:
             await self._session.close()
         return late
--- a/packages/bench/src/trefoilhaven_bench/scenarios/stages.py
+++ b/packages/bench/src/trefoilhaven_bench/scenarios/stages.py
@@ -18,6 +18,10 @@
 
 # Loads run until the scenario stops them; this bounds a hanging scenario.
 LOAD_LIMIT_S = 120.0
+# An agent stops when its flows have ended. Flows whose last packet was lost
+# stay until their idle timeout, so the end of a scenario kills it earlier
+# than a planned stop would.
+STOP_TIMEOUT_S = 3.0
 
 
 class Stage:
@@ -50,7 +54,7 @@
         for task in self._running.values():
             task.cancel()
         await asyncio.gather(*self._running.values(), return_exceptions=True)
-        return await self.deployment.stop()
+        return await self.deployment.stop(STOP_TIMEOUT_S)
 
     async def start_flows(
         self,
@@ -92,7 +96,12 @@
     async def stop_loads(
         self,
     ) -> tuple[list[FlowReport], list[RequestReport]]:
-        """End all loads and return their reports."""
+        """End all loads and return their reports.
+
+        The fabric learns which balancers run, so that the last packets of
+        the flows arrive.
+        """
+        await self.deployment.spray_over_running()
         loads: dict[str, FlowLoad | RequestLoad] = {
             **{f'flows {name}': load for name, load in self.flows.items()},
             **{
