--- a/packages/balancer/src/trefoilhaven/balancer/process.py
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -68,7 +68,8 @@
             cfg.advertise_control,
             cfg.advertise_rpc,
         )
-        self._disseminator = Disseminator(own, self._state.store, rng)
+        seeds = tuple(seed.name for seed in cfg.seeds)
+        self._disseminator = Disseminator(own, self._state.store, rng, seeds)
         self._state.store.merge(balancers=[own])
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -137,8 +138,8 @@
     async def _stop(self, control: ControlTask) -> None:
         logger.info('planned stop: waiting for requests in progress')
         control.announce(MemberState.left)
+        await self._requests.drain()
         await asyncio.sleep(STOP_DELAY_S)
-        await self._requests.wait_idle()
         self._runtime.publish('balancer stopped', host=self._cfg.name)
 
 
--- a/packages/balancer/src/trefoilhaven/balancer/requests.py
+++ b/packages/balancer/src/trefoilhaven/balancer/requests.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import time
 from typing import Final, NamedTuple
 
 from grpclib.const import Status
@@ -19,6 +18,7 @@
 from trefoilhaven.balancer.state import BalancerState
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.routing.tables import bucket_of, hash_item
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.channels import ChannelPool
 from trefoilhaven_core.wire.proto.calls_grpc import RequestsBase
 from trefoilhaven_core.wire.proto.calls_pb2 import (
@@ -71,10 +71,12 @@
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._draining = False
         state.runtime.metrics.gauge('open_requests', lambda: self._open)
 
-    async def wait_idle(self) -> None:
-        """Return when no request is in progress."""
+    async def drain(self) -> None:
+        """Take no new requests; return when none is in progress."""
+        self._draining = True
         await self._idle.wait()
 
     async def Submit(self, stream: CallerStream) -> None:  # noqa: N802
@@ -82,10 +84,15 @@
         req = await stream.recv_message()
         if req is None:
             raise GRPCError(Status.INVALID_ARGUMENT, 'no request was sent')
+        if self._draining:
+            raise GRPCError(
+                Status.UNAVAILABLE,
+                f'{self._name} is stopping; ask another balancer',
+            )
         self._check(req)
         self._open += 1
         self._idle.clear()
-        started = time.monotonic()
+        started = monotonic()
         try:
             await self._serve(stream, req, _deadline_of(stream, started))
         finally:
@@ -122,7 +129,7 @@
             sender=self._name,
             clock=self._state.runtime.clock.stamp(),
         )
-        started = time.monotonic()
+        started = monotonic()
         if req.idempotent:
             closing = await self._spreader.serve(stream, placed, deadline)
         else:
@@ -135,8 +142,8 @@
             service=req.service,
             outcome=outcome.removeprefix('OUTCOME_').lower(),
         ).add()
-        metrics.histogram('request_time', service=req.service).observe(
-            time.monotonic() - started,
+        metrics.histogram('request_time').observe(
+            monotonic() - started,
         )
         if closing.closing.outcome == pb.OUTCOME_UNKNOWN:
             self._state.runtime.publish(
@@ -156,7 +163,7 @@
         reason = 'no agent owns the bucket of the key'
         abandoned: list[Relay] = []
         hint = ''
-        while time.monotonic() < deadline:
+        while monotonic() < deadline:
             owner = self._owner_of(req, hint)
             hint = ''
             if owner is None:
@@ -166,7 +173,7 @@
                 self._channels.get(owner.address),
                 placed,
                 owner=True,
-                timeout_s=max(deadline - time.monotonic(), ANSWER_MARGIN_S),
+                timeout_s=max(deadline - monotonic(), ANSWER_MARGIN_S),
             )
             closing = await self._follow(stream, relay, owner, deadline)
             if isinstance(closing, AnswerPart):
@@ -197,7 +204,7 @@
                 part = await relay.next_part(OWNER_CHECK_S)
                 if part is None:
                     moved = self._owner_of(req, '') != owner
-                    if moved or time.monotonic() >= deadline:
+                    if moved or monotonic() >= deadline:
                         return None
                 elif isinstance(part, Silence) or part.HasField('closing'):
                     return part
--- a/packages/balancer/src/trefoilhaven/commands/explanations.py
+++ b/packages/balancer/src/trefoilhaven/commands/explanations.py
@@ -13,12 +13,12 @@
     read_address,
     read_flow,
 )
-from trefoilhaven.commands.printing import print_json
+from trefoilhaven.commands.printing import fail, print_json
 from trefoilhaven.commands.surveys import ask, ask_balancer
+from trefoilhaven_core.flows.resolvers import HOP_LIMIT
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.routing.routes import flow_item
 from trefoilhaven_core.routing.tables import bucket_of, hash_item
-from trefoilhaven_core.settings import defaults
 from trefoilhaven_core.telemetry.messages import (
     ExplainReply,
     ExplainRequest,
@@ -87,8 +87,11 @@
     question: ExplainRequest,
     subject: str,
 ) -> Explanation:
-    first = await ask_balancer(balancer, question, ExplainReply)
     status = await ask_balancer(balancer, StatusRequest(), StatusReply)
+    if question.service not in status.versions:
+        message = f'{status.process} has no configuration of'
+        fail(ExitCode.refused, f'{message} {question.service}')
+    first = await ask_balancer(balancer, question, ExplainReply)
     steps = [
         f'{subject} of {question.service} is in bucket {question.bucket}',
         f'{first.process}: the table names {first.first or "no target"} '
@@ -96,7 +99,7 @@
     ]
     owner, holder, complete = '', '', True
     target, asked = first.first, set[str]()
-    while target and target not in asked and len(asked) < defaults.HOP_LIMIT:
+    while target and target not in asked and len(asked) < HOP_LIMIT:
         asked.add(target)
         reply = await _ask_agent(status, question, target)
         if isinstance(reply, str):
--- a/packages/core/src/trefoilhaven_core/membership/dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -85,6 +85,8 @@
         self._comparison = Comparison(own.name, store)
         self._digest_due = _NEVER
         self._seeds = seeds
+        self._peers: list[str] = []
+        self._peers_revision = -1
         self._lost_contact_due = _NEVER
         self._reports: dict[tuple[str, int, int], None] = {}
         self._pulled_at: dict[PullState, float] = {}
@@ -95,11 +97,16 @@
     @property
     def peers(self) -> list[str]:
         """Names of the other balancers that are not dead or left."""
-        return [
-            record.name
-            for record in self._store.balancers
-            if record.state < MemberState.dead and record.name != self.own.name
-        ]
+        revision = self._store.balancers_revision
+        if revision != self._peers_revision:
+            self._peers_revision = revision
+            self._peers = [
+                record.name
+                for record in self._store.balancers
+                if record.state < MemberState.dead
+                and record.name != self.own.name
+            ]
+        return self._peers
 
     def announce(self, now: float, state: MemberState) -> list[Effect]:
         """Change the own state and spread it."""
@@ -113,8 +120,8 @@
         merged = self._store.merge(changes.members, changes.balancers)
         items: list[Item] = [*merged.members, *merged.balancers]
         for report in changes.silent_domains:
-            if self._note_report(report):
-                self._store.suspect_domain(report)
+            is_new = self._note_report(report)
+            if is_new and self._store.suspect_domain(report):
                 items.append(report)
         return self._spread(now, items)
 
@@ -147,9 +154,9 @@
                 items.append(self._comparison.notice_of_configuration(name))
         changed = self._store.merge(state.members, state.balancers)
         items.extend(changed.members + changed.balancers)
-        return self._spread(
-            now, items if len(items) <= MAX_RELAYED_PULLS else []
-        )
+        if len(items) > MAX_RELAYED_PULLS:
+            items = []
+        return self._spread(now, items)
 
     def tick(self, now: float) -> list[Effect]:
         """Return what is due: relays, and a digest to a random peer.
@@ -220,18 +227,22 @@
         return effects
 
     def _spread(self, now: float, items: list[Item]) -> list[Effect]:
+        is_refuted = self._refute()
+        if not items and not is_refuted:
+            return []
         peers = self.peers
-        self._rumours.add(items, len(peers))
-        self._refute()
+        own = [self.own] if is_refuted else []
+        self._rumours.add([*items, *own], len(peers))
         return list(self._rumours.send_fresh(now, peers))
 
-    def _refute(self) -> None:
+    def _refute(self) -> bool:
         known = self._store.balancer(self.own.name)
         raised = known and refute_balancer(self.own, known)
-        if raised:
-            self.own = raised
-            self._store.merge(balancers=[raised])
-            self._rumours.add([raised], len(self.peers))
+        if not raised:
+            return False
+        self.own = raised
+        self._store.merge(balancers=[raised])
+        return True
 
     def _note_report(self, report: SilentDomain) -> bool:
         key = (report.reporter, report.incarnation, report.number)
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_detectors.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_detectors.py
@@ -103,6 +103,15 @@
         watch.run(UNHEARD_DEAD_AFTER_S - 0.5, UNHEARD_DEAD_AFTER_S)
         assert (_FAR.target, MemberState.dead) in watch.reports
 
+    def test_released_service(self) -> None:
+        """Guards against deaths by a balancer that is no witness now."""
+        watch = _Watch(*_DESKS)
+        watch.run(0, 5, *_DESKS)
+        watch.detector.release([_FAR.service])
+        watch.run(5, 12)
+        assert not watch.reports
+        assert not watch.domains
+
     def test_own_pause(self) -> None:
         """Guards against a paused balancer that declares all dead."""
         watch = _Watch(*_DESKS, _FAR)
@@ -123,6 +132,14 @@
         assert watch.store.merge([raised])
         assert watch.detector.on_heartbeat(2, raised) is None
 
+    def test_replaced_process_is_no_life_sign(self) -> None:
+        """Guards against an old process that hides its successor's death."""
+        newer = _FAR._replace(incarnation=2)
+        watch = _Watch(newer)
+        watch.run(0, 2, newer)
+        watch.run(2, 6, _FAR)
+        assert ('desk-9', MemberState.dead) in watch.reports
+
     def test_no_refutation_of_other_incarnation(self) -> None:
         """Guards against a replaced process that revives its record."""
         newer = _FAR._replace(incarnation=2, state=MemberState.dead)
--- a/packages/core/src/trefoilhaven_core/membership/views.py
+++ b/packages/core/src/trefoilhaven_core/membership/views.py
@@ -41,7 +41,11 @@
     """Merges records and answers what is known now."""
 
     def __init__(self) -> None:
-        """Start without any record."""
+        """Start without any record.
+
+        ``balancers_revision`` rises with each change of a balancer.
+        """
+        self.balancers_revision = 0
         self._services: dict[str, ServiceRecords] = {}
         self._balancers: dict[str, BalancerRecord] = {}
         self._groups = [0] * GROUP_COUNT
@@ -190,12 +194,16 @@
         return hash_record(self._groups)
 
     def state(self, sender: str, services: Iterable[str] = ()) -> State:
-        """Return all records of some services, or of everything."""
-        names = tuple(services) or self.services
+        """Return all records of some services, or of everything.
+
+        Balancers are included with everything only.
+        """
+        wanted = tuple(services)
+        names = wanted or self.services
         return State(
             sender,
             tuple(member for name in names for member in self.members(name)),
-            self.balancers,
+            () if wanted else self.balancers,
             tuple(self.registry(name) for name in names),
             tuple(self.configuration(name) for name in names),
         )
@@ -215,7 +223,8 @@
     def forget(self, now: float) -> None:
         """Drop records that departed ``RETENTION_S`` ago.
 
-        Members stay as long as they are registered.
+        Members stay as long as they are registered. Call it about every
+        10 s; it goes through all records.
         """
         departed = dict.fromkeys(self._departed_keys(), now)
         for key in departed:
@@ -229,6 +238,7 @@
                 self._services[service].members.pop(name)
             else:
                 self._balancers.pop(name)
+                self.balancers_revision += 1
         self._departed = departed
 
     def _departed_keys(self) -> Iterable[tuple[str, str]]:
@@ -268,6 +278,7 @@
         if old is not None and not supersedes(record, old):
             return False
         self._balancers[record.name] = record
+        self.balancers_revision += 1
         gain = weigh_balancer(record) - weigh_balancer(old)
         self._shift(group_of(record.name), gain)
         return True
--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -10,10 +10,10 @@
 """
 
 from collections.abc import Collection, Iterator
-from typing import Final
 
 from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
 from trefoilhaven_core.requests.decisions import (
+    CLOCK_ERROR_S,
     Conclude,
     Decision,
     Follow,
@@ -34,9 +34,6 @@
     StoreLimits,
 )
 
-# Largest difference between the wall clocks of callers and agents.
-CLOCK_ERROR_S: Final = 0.25
-
 
 class RequestTable:
     """Decides about each request of one service at one agent.
@@ -74,8 +71,9 @@
         ``now`` is the monotonic and ``wall`` the Unix time in seconds.
         """
         self._store.advance(wall)
-        if request.service != self._agent.service:
-            return no_verdict(Reason.wrong_service)
+        rejected = self._reject(request)
+        if rejected is not None:
+            return rejected
         item = self._store.item_of(request.key)
         known = self._decide_known(item, request, standing)
         if known is not None:
@@ -85,11 +83,9 @@
         if not standing.may_decide:
             return no_verdict(Reason.not_owner)
         listed = self._decide_listed(item, request, standing)
-        if listed is not None:
-            return listed
-        if request.issued_at > wall + CLOCK_ERROR_S:
+        if listed is None and request.issued_at > wall + CLOCK_ERROR_S:
             return unknown(Reason.future)
-        return self._decide_new(item, request, standing.horizon)
+        return listed or self._decide_new(item, request, standing.horizon)
 
     def on_run(
         self,
@@ -106,8 +102,9 @@
         the owner that it may place the attempt on another agent.
         """
         self._store.advance(wall)
-        if request.service != self._agent.service:
-            return no_verdict(Reason.wrong_service)
+        rejected = self._reject(request)
+        if rejected is not None:
+            return rejected
         if holder_incarnation not in {0, self._agent.incarnation}:
             return no_verdict(Reason.wrong_incarnation)
         item = self._store.item_of(request.key)
@@ -123,15 +120,18 @@
         return self._store.admit(item, request, placed=True)
 
     def on_started(self, key: str, lease_valid: bool) -> bool:
-        """Return whether the target may be given the request now.
+        """Return whether the target is to be given the request now.
 
-        Without a valid lease only placed requests start, because their
+        True at most once for a request. Without a valid lease only placed requests start, because their
         owner has checked its own. The others are to be refused.
         """
         record = self._store.find(self._store.item_of(key))
         if record is None or record.state != RecordState.running:
             return False
-        return lease_valid or record.placed
+        if not lease_valid and not record.placed:
+            return False
+        record.state = RecordState.started
+        return True
 
     def on_finished(self, key: str, answer: bytes) -> Settled:
         """Note the whole answer of a request that ran here or was relayed."""
@@ -149,10 +149,9 @@
         All attempts up to the highest seen one are refused. A refusal that
         can't be remembered is reported as unknown.
         """
+        answer = not_run(reason, retry_after_s)
         return self._store.refuse_open(
-            self._store.item_of(key),
-            attempt,
-            not_run(reason, retry_after_s),
+            self._store.item_of(key), attempt, answer
         )
 
     def on_lost(self, key: str) -> Settled:
@@ -174,9 +173,9 @@
         never to the same one again.
         """
         record = self._store.find(self._store.item_of(key))
-        if record is None or not record.is_open or record.placed:
+        if record is None or record.placed or not record.is_open:
             return False
-        if not standing.may_decide:
+        if record.state == RecordState.started or not standing.may_decide:
             return False
         if holder == self._agent.target:
             record.state = RecordState.running
@@ -209,6 +208,11 @@
         self._store.advance(wall)
         self._store.drop_expired()
 
+    def _reject(self, request: Request) -> Conclude | None:
+        if request.service != self._agent.service:
+            return no_verdict(Reason.wrong_service)
+        return None if request.is_valid else unknown(Reason.malformed)
+
     def _decide_known(
         self,
         item: int,
@@ -229,8 +233,8 @@
         elif request.attempt > record.attempt or not record.is_open:
             return no_verdict(Reason.not_owner)
         if record.is_open:
-            return Follow(record.note(request))
-        record.note(request)
+            return Follow(self._store.note(record, request))
+        self._store.note(record, request)
         return record.relay_to(record.holder, record.holder_incarnation)
 
     def _decide_listed(
@@ -254,6 +258,9 @@
         if entry.holder == self._agent.target:
             # The record was dropped, or was one of an older incarnation.
             return unknown(Reason.lost)
+        if request.attempt > entry.attempt and self._store.is_expired(request):
+            # A record of the higher attempt may have been dropped.
+            return unknown(Reason.past_retention)
         return self._store.relay(item, request, entry)
 
     def _decide_new(
@@ -284,8 +291,8 @@
             settled = self._store.answer_settled(item, record, request)
             if settled is not None:
                 return settled
-            if record.state == RecordState.running:
-                return Follow(record.note(request))
+            if record.is_here:
+                return Follow(self._store.note(record, request))
             # Following a relay could close a circle of relays.
             return no_verdict(Reason.no_record)
         if follow_only and refused:
--- a/packages/core/src/trefoilhaven_core/requests/stores.py
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -25,6 +25,7 @@
     Record,
     RecordState,
     digest_key,
+    first_seen,
 )
 from trefoilhaven_core.requests.kept import KeptAnswers
 from trefoilhaven_core.requests.refusals import MAX_REFUSALS, RefusalTable
@@ -34,6 +35,10 @@
 
 RETENTION_S: Final = 600.0
 
+# Share of the retention between two searches for expired records. A search
+# of full tables takes about 17 ms, too much for every tick.
+_SEARCH_SHARE: Final = 1 / 60
+
 # A hint for callers that were refused because a table is full.
 FULL_RETRY_AFTER_S: Final = 1.0
 
@@ -69,6 +74,7 @@
         self._wall = 0.0
         # Nothing issued before this Unix time is remembered any more.
         self._dropped_before = 0.0
+        self._next_search = 0.0
         self.refusals = RefusalTable(limits.refusals)
 
     def __len__(self) -> int:
@@ -87,6 +93,14 @@
         """Return the record of a key hash, or None."""
         return self._records.get(item)
 
+    def is_expired(self, request: Request) -> bool:
+        """Return whether what was known of a request may be dropped."""
+        return request.issued_at < max(self._oldest(), self._dropped_before)
+
+    def note(self, record: Record, request: Request) -> int:
+        """Make the asker the newest one and return the one before it."""
+        return record.note(request, self._wall)
+
     def admit(
         self,
         item: int,
@@ -94,11 +108,11 @@
         placed: bool,
     ) -> RunHere | Conclude:
         """Write the record of new work, or tell why there is none."""
-        if request.issued_at < max(self._oldest(), self._dropped_before):
+        if self.is_expired(request):
             return unknown(Reason.past_retention)
         if self._is_full():
             return self.refuse(item, request, Reason.table_full, placed)
-        self._records[item] = Record(request, placed)
+        self._records[item] = Record(request, placed, self._wall)
         return RunHere(recorded=True)
 
     def relay(
@@ -110,7 +124,7 @@
         """Write the record of a request that another agent holds."""
         if self._is_full():
             return no_verdict(Reason.table_full)
-        record = Record(request, placed=False)
+        record = Record(request, placed=False, wall=self._wall)
         record.raise_attempt(entry.attempt, entry.issued_at)
         self._records[item] = record
         return record.relay_to(entry.holder, entry.holder_incarnation)
@@ -123,8 +137,8 @@
         placed: bool,
     ) -> Conclude:
         """Refuse a request without a record."""
-        attempt, issued_at = request.attempt, request.issued_at
-        if self.refusals.remember(item, attempt, issued_at, placed):
+        keep_from = first_seen(request, self._wall)
+        if self.refusals.remember(item, request.attempt, keep_from, placed):
             return not_run(reason, FULL_RETRY_AFTER_S)
         return no_verdict(Reason.refusals_full)
 
@@ -168,7 +182,7 @@
         if not self.refusals.remember(
             item,
             max(attempt, record.attempt),
-            record.issued_at,
+            record.keep_from,
             record.placed,
         ):
             record.settle(RecordState.unknown, self._wall)
@@ -199,7 +213,7 @@
                     agent.target,
                     agent.incarnation,
                     refusal.final,
-                    refusal.issued_at,
+                    refusal.keep_from,
                 )
 
     def set_retention(self, retention_s: float) -> None:
@@ -210,7 +224,14 @@
         self._limits = self._limits._replace(retention_s=retention_s)
 
     def drop_expired(self) -> None:
-        """Drop what is past the retention; nothing is dropped earlier."""
+        """Drop what is past the retention; nothing is dropped earlier.
+
+        Calls that follow soon after another do nothing.
+        """
+        if self._wall < self._next_search:
+            return
+        retention_s = self._limits.retention_s
+        self._next_search = self._wall + retention_s * _SEARCH_SHARE
         oldest = self._oldest()
         self._dropped_before = max(self._dropped_before, oldest)
         expired = [
@@ -240,5 +261,5 @@
             holder,
             incarnation,
             record.attempt,
-            record.issued_at,
+            record.keep_from,
         )
