Report one holder for each item of a granted bucket

Change: what an agent holds itself replaces its directory's entries in a reply. What the owner noted and the holder reported is kept apart from what earlier owners noted, and loses that standing when a claim starts anew.

--- a/packages/core/src/trefoilhaven_core/ownership/claimants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claimants.py
@@ -26,6 +26,8 @@
 # seconds: the lease time plus the margin for clock rates.
 _FENCE_S: Final = 2.5
 
+_NEVER: Final = float('-inf')
+
 # Claim ids start at the incarnation in milliseconds times this number, so
 # that they rise over restarts.
 _IDS_PER_MILLISECOND: Final = 1024
@@ -79,6 +81,7 @@
         self._last_claim_id += 1
         for bucket in new:
             self._states[bucket].begin(now, self._last_claim_id)
+        self._directory.distrust(new)
         self.pending.update(new)
         self._asked_at.clear()
 
@@ -122,10 +125,11 @@
         meant.
         """
         self._last_claim_id += 1
-        for state in self._states:
+        for bucket, state in enumerate(self._states):
             is_old = now - state.round_started >= older_than
             if state.owned or not is_old or lacking in state.grants:
                 continue
+            self._directory.distrust((bucket,))
             state.restart(now, self._last_claim_id if state.claiming else 0)
         self._asked_at.clear()
 
@@ -187,8 +191,7 @@
         """
         effects: list[SendClaim] = []
         for sibling in self._siblings.names:
-            asked_at = self._asked_at.get(sibling)
-            if asked_at is not None and now - asked_at < RETRY_S:
+            if now - self._asked_at.get(sibling, _NEVER) < RETRY_S:
                 continue
             due = self._claims_to(sibling)
             if due:
@@ -200,8 +203,7 @@
         """Return the fence requests that are due."""
         effects = []
         for sibling in self._siblings.names:
-            asked_at = self._fenced_at.get(sibling)
-            is_due = asked_at is None or now - asked_at >= RETRY_S
+            is_due = now - self._fenced_at.get(sibling, _NEVER) >= RETRY_S
             if is_due and self._needs_fence(now, sibling):
                 self._fenced_at[sibling] = now
                 request = self._fences.request(now, sibling, self._target)
@@ -267,6 +269,7 @@
             # The former owner has ceded the bucket to another sibling, which
             # may hold the directory and must be asked again.
             self._last_claim_id += 1
+            self._directory.distrust((bucket,))
             state.restart(now, self._last_claim_id)
             self._asked_at.clear()
             return
--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -121,6 +121,7 @@
         )
         for state in self._states:
             state.release()
+        self.directory.distrust(range(len(self._states)))
         self._claimant.refresh()
         return [Lost(lost, None)] if lost else []
 
--- a/packages/core/src/trefoilhaven_core/ownership/directories.py
+++ b/packages/core/src/trefoilhaven_core/ownership/directories.py
@@ -16,7 +16,7 @@
     def __init__(self) -> None:
         """Start without entries."""
         self._buckets: dict[int, dict[int, DirectoryEntry]] = {}
-        # Items whose entry was reported by the holder itself.
+        # Items whose entry the owner noted or the holder itself reported.
         self._confirmed: dict[int, set[int]] = {}
 
     def __len__(self) -> int:
@@ -30,7 +30,7 @@
     def note(self, entry: DirectoryEntry) -> None:
         """Add an entry or replace the earlier one of the same item."""
         self._buckets.setdefault(entry.bucket, {})[entry.item] = entry
-        self._confirmed.get(entry.bucket, set()).discard(entry.item)
+        self._confirmed.setdefault(entry.bucket, set()).add(entry.item)
 
     def forget(self, bucket: int, item: int) -> None:
         """Remove the entry of an item if there is one."""
@@ -46,10 +46,10 @@
     ) -> None:
         """Add an entry that an agent reported.
 
-        The higher attempt wins. At equal attempts the report of the holder
-        itself wins over what an earlier owner noted about it, and a newer
-        incarnation of a holder over an older one. With ``keep_known``
-        nothing is replaced at equal attempts.
+        The higher attempt wins, and a newer incarnation of a holder over an
+        older one. Otherwise what the owner noted or the holder reported
+        itself wins over what an earlier owner noted. With ``keep_known``
+        reports of others than the holder replace nothing.
         """
         known = self.find(entry.bucket, entry.item)
         if known is not None and not self._supersedes(
@@ -57,9 +57,16 @@
         ):
             return
         self.note(entry)
-        if entry.holder == source:
-            confirmed = self._confirmed.setdefault(entry.bucket, set())
-            confirmed.add(entry.item)
+        if entry.holder != source:
+            self._confirmed[entry.bucket].discard(entry.item)
+
+    def distrust(self, buckets: Iterable[int]) -> None:
+        """Let any report replace the entries of some buckets.
+
+        An owner in between may have changed what is known of them.
+        """
+        for bucket in buckets:
+            self._confirmed.pop(bucket, None)
 
     def entries(self, buckets: Iterable[int]) -> list[DirectoryEntry]:
         """Return all entries of some buckets."""
@@ -119,13 +126,15 @@
         source: str,
         keep_known: bool,
     ) -> bool:
-        if entry.attempt != known.attempt or keep_known:
+        if entry.attempt != known.attempt:
             return entry.attempt > known.attempt
-        older = known.holder_incarnation
-        if entry.holder == known.holder and entry.holder_incarnation != older:
-            return entry.holder_incarnation > older
-        confirmed = self._confirmed.get(entry.bucket, set())
-        return entry.holder == source or entry.item not in confirmed
+        is_own = entry.holder == source
+        is_confirmed = entry.item in self._confirmed.get(entry.bucket, set())
+        if entry.holder != known.holder:
+            return not is_confirmed and (is_own or not keep_known)
+        if entry.holder_incarnation != known.holder_incarnation:
+            return entry.holder_incarnation > known.holder_incarnation
+        return is_own or not is_confirmed
 
 
 def without_own(
--- a/packages/core/src/trefoilhaven_core/ownership/grants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/grants.py
@@ -92,10 +92,9 @@
         }
         for bucket in granted:
             self._states[bucket].note_owner(now, claim.claimant)
-        entries = [
+        noted = [
             entry for cession in cessions.values() for entry in cession.entries
         ]
-        entries.extend(items(granted))
         return head._replace(
             granted=tuple(granted),
             ceded=tuple(
@@ -105,7 +104,7 @@
             ),
             owned=tuple(verdicts.get(Verdict.owned, ())),
             contested=tuple(verdicts.get(Verdict.contested, ())),
-            entries=tuple(entries),
+            entries=_without_older(noted, tuple(items(granted))),
         )
 
     def grant(
@@ -136,6 +135,19 @@
         return _repeat(now, state.ceded, claim)
 
 
+def _without_older(
+    noted: Iterable[DirectoryEntry], held: tuple[DirectoryEntry, ...]
+) -> tuple[DirectoryEntry, ...]:
+    """Return all entries, those that the agent holds itself in place of
+    what its directory says of them.
+    """
+    attempts = {entry.item: entry.attempt for entry in held}
+    kept = [
+        entry for entry in noted if entry.attempt > attempts.get(entry.item, -1)
+    ]
+    return (*kept, *held)
+
+
 def empty_reply(
     claim: ClaimBuckets,
     sibling: str,
--- a/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_claims.py
@@ -359,6 +359,22 @@
         assert agent.horizon(0) == float('inf')
         assert Acquired(_ALL) in agent.tick(1, WALL)
 
+    def test_holder_with_old_entry(self) -> None:
+        """Guards against a reply that names two holders of one flow.
+
+        Seed 72 of the schedules was the first to show it.
+        """
+        agent = _sole_owner()
+        old = DirectoryEntry(0, 7, ItemKind.flow, 't3', 1, 0, 0)
+        agent.directory.note(old)
+        agent.on_term(2)
+        claim = claims_in(make_ownership('t2').on_view(1, _BOTH))[0].claim
+        agent.on_view(1, alive('t2'))
+        one = claim._replace(buckets=(0,))
+        own = old._replace(holder='t1')
+        reply = agent.on_claim(1, one, lambda _: [own])
+        assert reply.entries == (own,)
+
     def test_fenced_agent_keeps_entries(self) -> None:
         """Guards against flows whose first packet is still on its way.
 
--- a/packages/core/src/trefoilhaven_core/ownership/tests/test_directories.py
+++ b/packages/core/src/trefoilhaven_core/ownership/tests/test_directories.py
@@ -69,6 +69,19 @@
         directory.merge(_entry(ItemKind.flow, holder='t2'), 't2', True)
         assert directory.find(0, 1) == _entry(ItemKind.flow)
 
+    def test_holder_of_unconfirmed(self) -> None:
+        """Guards against an old entry that hides the holder's own report."""
+        directory = Directory()
+        directory.merge(_entry(ItemKind.flow), 't3')
+        own = _entry(ItemKind.flow, holder='t2')
+        directory.merge(own, 't2', keep_known=True)
+        assert directory.find(0, 1) == own
+        directory.merge(_entry(ItemKind.flow), 't1')
+        assert directory.find(0, 1) == own
+        directory.distrust((0,))
+        directory.merge(_entry(ItemKind.flow), 't1')
+        assert directory.find(0, 1) == _entry(ItemKind.flow)
+
     def test_expiry(self) -> None:
         """Guards against keys that are kept for ever, and lost flows."""
         directory = Directory()
