Drop first packets that waited for a lease of a lost bucket

Change: while an agent may not decide, it queues first packets of owned buckets only, and drops them when it loses the bucket. Callers send them again.

--- a/packages/core/src/trefoilhaven_core/flows/queues.py
+++ b/packages/core/src/trefoilhaven_core/flows/queues.py
@@ -17,6 +17,7 @@
 class _Waiting(NamedTuple):
     packet: FlowPacket
     deadline: float
+    needs_ownership: bool
 
 
 class HoldingQueues:
@@ -34,12 +35,22 @@
         """Return the buckets that packets wait for."""
         return tuple(self._queues)
 
-    def put(self, now: float, bucket: int, packet: FlowPacket) -> bool:
-        """Queue a packet; return False when the queue is full."""
+    def put(
+        self,
+        now: float,
+        bucket: int,
+        packet: FlowPacket,
+        needs_ownership: bool = False,
+    ) -> bool:
+        """Queue a packet; return False when the queue is full.
+
+        With ``needs_ownership`` the packet waits for the lease of an owned
+        bucket and must be dropped once the bucket is not owned any more.
+        """
         queue = self._queues.setdefault(bucket, deque())
         if len(queue) >= QUEUE_LIMIT:
             return False
-        queue.append(_Waiting(packet, now + QUEUE_TIMEOUT_S))
+        queue.append(_Waiting(packet, now + QUEUE_TIMEOUT_S, needs_ownership))
         return True
 
     def expire(self, now: float) -> int:
@@ -54,6 +65,18 @@
                 self._queues.pop(bucket)
         return expired
 
+    def drop_unowned(self, bucket: int) -> int:
+        """Drop what needs ownership; return the number of packets."""
+        queue = self._queues.get(bucket, deque())
+        kept = deque(
+            waiting for waiting in queue if not waiting.needs_ownership
+        )
+        if kept:
+            self._queues[bucket] = kept
+        else:
+            self._queues.pop(bucket, None)
+        return len(queue) - len(kept)
+
     def take(self, bucket: int) -> list[FlowPacket]:
         """Remove and return the packets of a bucket, oldest first."""
         queue = self._queues.pop(bucket, ())
--- a/packages/core/src/trefoilhaven_core/flows/resolvers.py
+++ b/packages/core/src/trefoilhaven_core/flows/resolvers.py
@@ -80,12 +80,13 @@
         item = item_of(self._service, packet.flow)
         bucket = bucket_of(item, self._buckets)
         standing = ownership.standing(bucket)
+        if standing is not Standing.owned and _is_stale(now, packet, ownership):
+            return Dropped(DropReason.stale)
         if standing is Standing.acquiring:
             return Hold(bucket)
-        may_decide = ownership.lease.may_decide(now)
         if standing is Standing.elsewhere:
-            return _forward_to_owner(packet, ownership, bucket, may_decide)
-        if not may_decide:
+            return _forward(ownership.owner_hint(bucket), packet)
+        if not ownership.lease.may_decide(now):
             return Hold(bucket)
         entry = _find(ownership, bucket, item)
         if entry is not None:
@@ -175,17 +176,15 @@
     return _forward(entry.holder, marked)
 
 
-def _forward_to_owner(
-    packet: FlowPacket,
-    ownership: BucketOwnership,
-    bucket: int,
-    may_decide: bool,
-) -> Forward | Dropped:
-    if packet.marks & FlowMark.first and not may_decide:
-        # The packet may have waited in the socket through a pause. Its
-        # caller has sent it again, and the flow may live elsewhere now.
-        return Dropped(DropReason.stale)
-    return _forward(ownership.owner_hint(bucket), packet)
+def _is_stale(
+    now: float, packet: FlowPacket, ownership: BucketOwnership
+) -> bool:
+    """Return whether a first packet may have waited through a pause.
+
+    Its caller has sent it again, and the flow may live elsewhere now.
+    """
+    is_first = bool(packet.marks & FlowMark.first)
+    return is_first and not ownership.lease.may_decide(now)
 
 
 def _forward(target: str | None, packet: FlowPacket) -> Forward | Dropped:
--- a/packages/core/src/trefoilhaven_core/flows/tables.py
+++ b/packages/core/src/trefoilhaven_core/flows/tables.py
@@ -167,6 +167,7 @@
         expired = self._queues.expire(now)
         self.counters.dropped += expired
         effects.extend([Dropped(DropReason.queue_timeout)] * expired)
+        effects.extend(self._drop_stale(ownership))
         ready = [
             bucket
             for bucket in self._queues.buckets()
@@ -199,7 +200,7 @@
         if isinstance(resolution, Admit):
             return self._admit(now, packet)
         if isinstance(resolution, Hold):
-            return self._hold(now, resolution, packet)
+            return self._hold(now, resolution, packet, ownership)
         return self._count(resolution)
 
     def _admit_placed(
@@ -236,12 +237,29 @@
         self._held.end(now, flow)
         self.counters.ended += 1
 
-    def _hold(self, now: float, hold: Hold, packet: FlowPacket) -> list[Effect]:
-        if not self._queues.put(now, hold.bucket, packet):
+    def _hold(
+        self,
+        now: float,
+        hold: Hold,
+        packet: FlowPacket,
+        ownership: BucketOwnership,
+    ) -> list[Effect]:
+        owned = ownership.standing(hold.bucket) is Standing.owned
+        is_first = bool(packet.marks & FlowMark.first)
+        if not self._queues.put(now, hold.bucket, packet, owned and is_first):
             return self._drop(DropReason.queue_full)
         self.counters.held += 1
         return [hold]
 
+    def _drop_stale(self, ownership: BucketOwnership) -> list[Effect]:
+        dropped = sum(
+            self._queues.drop_unowned(bucket)
+            for bucket in self._queues.buckets()
+            if ownership.standing(bucket) is not Standing.owned
+        )
+        self.counters.dropped += dropped
+        return [Dropped(DropReason.stale)] * dropped
+
     def _is_ready(
         self, now: float, bucket: int, ownership: BucketOwnership
     ) -> bool:
--- a/packages/core/src/trefoilhaven_core/flows/tests/test_tables.py
+++ b/packages/core/src/trefoilhaven_core/flows/tests/test_tables.py
@@ -247,6 +247,21 @@
         assert not table.tick(0.9, ownership, {})
         assert len(table.tick(1, ownership, {})) == 64
 
+    def test_waited_for_a_lost_bucket(self) -> None:
+        """Guards against old first packets that reach a new owner.
+
+        Seed 125 of the schedules was the first to show it.
+        """
+        table, owner = _table(), _owner()
+        owner.on_lease(2)
+        held = table.on_packet(5, _packet(_FIRST), owner, {})[0]
+        assert isinstance(held, Hold)
+        owner.on_term(2)
+        effects = table.tick(5, owner, {})
+        assert effects == [Dropped(DropReason.stale)]
+        effects = table.on_packet(5, _packet(_FIRST), owner, {})
+        assert effects == [Dropped(DropReason.stale)]
+
 
 class TestPlacement:
     """New flows that go to a sibling."""
--- a/packages/core/src/trefoilhaven_core/ownership/claimants.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claimants.py
@@ -175,10 +175,7 @@
         for bucket in acquired:
             state = self._states[bucket]
             missing = set(self._siblings.names).difference(state.grants)
-            inherited = state.inherited
-            state.acquire(
-                wall + CLOCK_ERROR_S if inherited is None else inherited
-            )
+            state.acquire(state.inherited or wall + CLOCK_ERROR_S)
             self._holders.note_missing(bucket, missing)
         self.pending.difference_update(acquired)
         return acquired
