Treat attempts above a listed one as unseen after a take-over

Cause: an entry may be older than what a lost owner did. A holder that had refused attempt 1 would refuse attempt 2 as well when it was relayed under such an entry, although the lost owner ran attempt 2. Found by reading; no schedule has met it. Change: an attempt above the listed one is unknown if its issued_at is before the horizon or past the retention, also when it would follow a relay.

--- a/packages/core/src/trefoilhaven_core/requests/decisions.py
+++ b/packages/core/src/trefoilhaven_core/requests/decisions.py
@@ -29,6 +29,7 @@
     future = 'issued_at is in the future'
     not_owner = 'this agent does not own the bucket under a valid lease'
     before_horizon = 'issued_at is before the horizon of the bucket'
+    unseen = 'an owner that is lost may have run the attempt'
     past_retention = 'issued_at is older than the retention'
     table_full = 'the record table is full'
     refusals_full = 'the refusal could not be remembered'
--- a/packages/core/src/trefoilhaven_core/requests/entries.py
+++ b/packages/core/src/trefoilhaven_core/requests/entries.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from trefoilhaven_core.ownership.messages import DirectoryEntry, ItemKind
+from trefoilhaven_core.ownership.messages import ItemKind
 from trefoilhaven_core.requests.decisions import (
     CLOCK_ERROR_S,
     RelayTo,
@@ -43,17 +43,6 @@
     RecordState.started: ItemKind.running,
 }
 
-# Of entries of one attempt the one that is closer to the outcome counts.
-# A final refusal excludes that the attempt ran anywhere, so a running entry
-# beside it is out of date.
-_KIND_RANKS: Final = {
-    ItemKind.flow: 0,
-    ItemKind.unknown: 1,
-    ItemKind.running: 2,
-    ItemKind.done: 3,
-    ItemKind.refused: 4,
-}
-
 
 def digest_key(key: str) -> bytes:
     """Return what tells apart two keys of an equal 64-bit hash.
@@ -63,22 +52,6 @@
     return xxhash.xxh3_128_digest(key.encode())
 
 
-def merge_entries(
-    first: DirectoryEntry,
-    second: DirectoryEntry,
-) -> DirectoryEntry:
-    """Return the one of two entries of an item that counts.
-
-    Every hand-over must merge the directory of the owner, the items of its
-    own table and those of the granting siblings in this way.
-    """
-
-    def rank(entry: DirectoryEntry) -> tuple[int, int]:
-        return (entry.attempt, _KIND_RANKS[entry.kind])
-
-    return second if rank(second) > rank(first) else first
-
-
 def first_seen(request: Request, wall: float) -> float:
     """Return a bound of all times that asks of the attempt may carry."""
     return max(request.issued_at, wall + CLOCK_ERROR_S)
--- a/packages/core/src/trefoilhaven_core/requests/records.py
+++ b/packages/core/src/trefoilhaven_core/requests/records.py
@@ -232,6 +232,9 @@
             record.placed = False
         elif request.attempt > record.attempt or not record.is_open:
             return no_verdict(Reason.not_owner)
+        unseen = self._store.is_unseen(request, record.attempt, standing)
+        if record.holder and unseen:
+            return unknown(Reason.unseen)
         if record.is_open:
             return Follow(self._store.note(record, request))
         self._store.note(record, request)
@@ -253,14 +256,11 @@
             if request.attempt <= entry.attempt:
                 return not_run(Reason.refused)
             return None
-        if entry.kind == ItemKind.unknown:
+        if entry.kind == ItemKind.unknown or entry.holder == self._agent.target:
+            # An own record was dropped, or was one of an older incarnation.
             return unknown(Reason.lost)
-        if entry.holder == self._agent.target:
-            # The record was dropped, or was one of an older incarnation.
-            return unknown(Reason.lost)
-        if request.attempt > entry.attempt and self._store.is_expired(request):
-            # A record of the higher attempt may have been dropped.
-            return unknown(Reason.past_retention)
+        if self._store.is_unseen(request, entry.attempt, standing):
+            return unknown(Reason.unseen)
         return self._store.relay(item, request, entry)
 
     def _decide_new(
--- a/packages/core/src/trefoilhaven_core/requests/stores.py
+++ b/packages/core/src/trefoilhaven_core/requests/stores.py
@@ -16,6 +16,7 @@
     Request,
     RunHere,
     Settled,
+    Standing,
     no_verdict,
     not_run,
     unknown,
@@ -97,6 +98,23 @@
         """Return whether what was known of a request may be dropped."""
         return request.issued_at < max(self._oldest(), self._dropped_before)
 
+    def is_unseen(
+        self,
+        request: Request,
+        known_attempt: int,
+        standing: Standing,
+    ) -> bool:
+        """Return whether another owner may know more of the attempt.
+
+        This holds for an attempt above the known one if its record may be
+        dropped, or if an owner that is lost may have seen it.
+        """
+        if request.attempt <= known_attempt:
+            return False
+        if request.issued_at < standing.horizon:
+            return True
+        return self.is_expired(request)
+
     def note(self, record: Record, request: Request) -> int:
         """Make the asker the newest one and return the one before it."""
         return record.note(request, self._wall)
