Bound the open requests of a target by its reports

Cause: a choice whose end is never noted, such as the loser of a hedge, counted as an open request for ever, so its target was avoided. Change: a report through a witness bounds the own open requests by the target's work and what was sent since the report before.

--- a/packages/core/src/trefoilhaven_core/routing/tests/test_choices.py
+++ b/packages/core/src/trefoilhaven_core/routing/tests/test_choices.py
@@ -94,6 +94,22 @@
         excluded = (_NAMES[0],)
         assert chooser.choose(0, random.Random(1), excluded, 1) is None
 
+    def test_unnoted_end(self) -> None:
+        """Guards against a target that is avoided for ever.
+
+        Callers that cancel a request, or use the answer of another copy,
+        may not tell the chooser about its end.
+        """
+        chooser = _chooser()
+        generator = random.Random(1)
+        for _ in range(100):
+            chooser.choose(0, generator, _NAMES[1:])
+        idle = Load(service_time_s=0.05)
+        for now in (1.0, 2.0):
+            for target in _NAMES:
+                chooser.on_report(now, target, idle, age_s=0)
+        assert _choose(chooser, 2, 100)['target-0']
+
     def test_stale_report(self) -> None:
         """Guards against a report through a witness that undoes an answer."""
         chooser = _chooser()
--- a/packages/core/src/trefoilhaven_core/routing/waits.py
+++ b/packages/core/src/trefoilhaven_core/routing/waits.py
@@ -43,6 +43,7 @@
         '_busy_slots',
         '_open',
         '_reported_at',
+        '_sent',
         '_service_time_s',
         '_slots',
         '_wait_s',
@@ -56,6 +57,7 @@
         self._reported_at = -math.inf
         self._answered = False
         self._open = 0
+        self._sent = 0
         self._service_time_s = UNKNOWN_SERVICE_S
 
     @property
@@ -71,13 +73,21 @@
     def on_sent(self) -> None:
         """Count a request that is open from now on."""
         self._open += 1
+        self._sent += 1
 
     def on_ended(self) -> None:
         """Count off a request that was answered, refused or lost."""
         self._open = max(0, self._open - 1)
 
     def on_report(self, reported_at: float, load: Load) -> None:
-        """Note a report that came through a witness."""
+        """Note a report that came through a witness.
+
+        It also bounds the own open requests, so that one whose end was
+        never noted does not count for ever.
+        """
+        present = load.busy_slots + load.queued
+        self._open = min(self._open, present + self._sent)
+        self._sent = 0
         lag_s = INDIRECT_LAG_S if self._answered else 0
         if reported_at > self._reported_at + lag_s:
             self._answered = False
