Name dead processes and refuse unknown names in commands

The help lines of `fetch` and `explain` were cut off in the list of commands.

Tables are sorted. An unknown service ends with code 1, a malformed flow with code 2, and `timeline` says on standard error that no events match.

Conclusion: a killed process shows up in the commands by its name.

--- a/packages/balancer/src/trefoilhaven/commands/explanations.py
+++ b/packages/balancer/src/trefoilhaven/commands/explanations.py
@@ -58,7 +58,9 @@
     key: Annotated[str, typer.Option(help='Key of a request.')] = '',
     output: Output = OutputFormat.text,
 ) -> None:
-    """Show the bucket, the table's choices and the owner, step by step.
+    """Show the owner of a flow or key, step by step.
+
+    The steps name the bucket and the table's choices.
 
     Example: trefoilhaven explain --balancer 127.0.1.1:9002
     --service certify --key receipt-17
--- a/packages/balancer/src/trefoilhaven/commands/fetches.py
+++ b/packages/balancer/src/trefoilhaven/commands/fetches.py
@@ -36,9 +36,9 @@
         typer.Option(metavar='URL', help='Base URL of the platform.'),
     ],
 ) -> None:
-    """Replace service files by the published versions and show changes.
+    """Replace service files by the published versions.
 
-    Use it after a conflict: fetch, edit the file again, publish.
+    The changes are shown. Use it after a conflict: fetch, edit the file again, publish.
     Example: trefoilhaven fetch services/ --platform http://127.0.0.1:8000
     """
     url = read_url(platform)
--- a/packages/balancer/src/trefoilhaven/commands/statuses.py
+++ b/packages/balancer/src/trefoilhaven/commands/statuses.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from trefoilhaven.commands.codes import ExitCode
 from trefoilhaven.commands.options import (
     Balancer,
     Output,
@@ -12,6 +13,7 @@
     read_address,
 )
 from trefoilhaven.commands.printing import (
+    fail,
     format_table,
     print_error,
     print_json,
@@ -78,7 +80,10 @@
         )
         return
     typer.echo(format_table([_PROCESS_COLUMNS, *map(_process_row, replies)]))
-    members = replies[0].members
+    members = sorted(
+        replies[0].members,
+        key=lambda each: (each.member.service, each.member.target),
+    )
     typer.echo(f'\nmembers as {replies[0].process} knows them:')
     typer.echo(format_table([_MEMBER_COLUMNS, *map(_member_row, members)]))
 
@@ -91,15 +96,22 @@
 ) -> _Statuses:
     question = StatusRequest(service)
     first = await ask_balancer(address, question, StatusReply)
+    if service and service not in first.versions and not first.members:
+        message = f'{first.process} has no configuration of {service}'
+        fail(ExitCode.refused, message)
     if not everywhere:
         return [first], []
     others = [
         process
-        for process in known_processes(first, address)
+        for process in known_processes(first, address, with_dead=True)
         if process.name != first.process
     ]
     answers = await ask_all(others, question, StatusReply)
-    return [first, *answers.replies], answers.unreachable
+    replies = sorted(
+        answers.replies,
+        key=lambda reply: (reply.role != first.role, reply.process),
+    )
+    return [first, *replies], answers.unreachable
 
 
 def _to_json(reply: StatusReply) -> dict[str, object]:
--- a/packages/balancer/src/trefoilhaven/commands/surveys.py
+++ b/packages/balancer/src/trefoilhaven/commands/surveys.py
@@ -107,21 +107,36 @@
     )
 
 
-async def find_processes(balancer: Address) -> list[Process]:
-    """Return all processes that a balancer knows and that are not gone."""
+async def find_processes(
+    balancer: Address,
+    *,
+    with_dead: bool = False,
+) -> list[Process]:
+    """Return all processes that a balancer knows and that did not leave."""
     status = await ask_balancer(balancer, StatusRequest(), StatusReply)
-    return known_processes(status, balancer)
+    return known_processes(status, balancer, with_dead=with_dead)
 
 
-def known_processes(status: StatusReply, balancer: Address) -> list[Process]:
-    """Return the processes in a balancer's status, itself included."""
+def known_processes(
+    status: StatusReply,
+    balancer: Address,
+    *,
+    with_dead: bool = False,
+) -> list[Process]:
+    """Return the processes in a balancer's status, itself included.
+
+    Dead ones are asked as well where an operator looks for a fault: they
+    may only be cut off from the balancer, and are named if they are not
+    reachable.
+    """
+    gone = {MemberState.left} if with_dead else _GONE
     known = {status.process: Process(status.process, balancer)}
     for record in status.balancers:
-        if record.state not in _GONE:
+        if record.state not in gone:
             known.setdefault(record.name, Process(record.name, record.rpc))
     for each in status.members:
         member = each.member
-        if member.state not in _GONE:
+        if member.state not in gone:
             name = f'{member.service}/{member.target}'
             known.setdefault(name, Process(name, member.rpc, member.service))
     return list(known.values())
--- a/packages/balancer/src/trefoilhaven/commands/tests/support.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/support.py
@@ -100,7 +100,7 @@
     def _answer(self, process: str, message: Any) -> Any:
         match message:
             case telemetry.StatusRequest():
-                return self.status(process)
+                return _only(self.status(process), message.service)
             case TimelineRequest():
                 return self._timeline(process, message)
             case telemetry.DrainRequest():
@@ -130,3 +130,13 @@
         ring.add(TimelineEvent(clock, process, 'claim', 'certify'))
         ring.add(TimelineEvent(clock + 5, process, 'claim', 'collect'))
         return ring.answer(request)
+
+
+def _only(
+    reply: telemetry.StatusReply,
+    service: str,
+) -> telemetry.StatusReply:
+    """Return what a process answers when asked about one service."""
+    if service in {'', 'certify'}:
+        return reply
+    return reply._replace(versions={}, registered={}, members=())
--- a/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
+++ b/packages/balancer/src/trefoilhaven/commands/tests/test_commands.py
@@ -218,6 +218,31 @@
         outcome = _run('status', *_BALANCER)
         assert 'certify  certify-2  draining  host-2' in outcome.stdout
 
+    def test_order(self, peers: Peers) -> None:
+        """Guards against tables in the order in which processes joined."""
+        peers.members.reverse()
+        outcome = _run('status', *_BALANCER, '--all')
+        rows = [line.split() for line in outcome.stdout.splitlines()]
+        names = [row[0] for row in rows[1:6]]
+        members = [row[1] for row in rows[-3:]]
+        agents = ['certify-1', 'certify-2', 'certify-3']
+        assert names == ['entry-1', 'entry-2', *agents]
+        assert members == agents
+
+    def test_dead_process(self, peers: Peers) -> None:
+        """Guards against a dead process that the command leaves out."""
+        peers.members[1] = make_member(2, MemberState.dead)
+        peers.silent.add(make_member(2).rpc)
+        outcome = _run('status', *_BALANCER, '--all')
+        assert 'certify/certify-2: 127.0.2.2:9002' in outcome.stderr
+        assert outcome.exit_code == 0
+
+    def test_unknown_service(self, peers: Peers) -> None:
+        """Guards against an empty table for a service typed wrongly."""
+        outcome = _run('status', *_BALANCER, '--service=certfy')
+        assert outcome.exit_code == 1
+        assert 'no configuration of certfy' in outcome.stderr
+
     def test_unreachable_balancer(self, peers: Peers) -> None:
         """Guards against an error that does not name the process."""
         outcome = _run('status', '--balancer', '127.0.9.9:1')
@@ -328,6 +353,27 @@
         assert 'entry-2' in outcome.stderr
         assert ElementTree.parse(picture).getroot().tag.endswith('svg')
 
+    def test_dead_process(self, peers: Peers) -> None:
+        """Guards against a dead process that nobody names."""
+        peers.members[1] = make_member(2, MemberState.dead)
+        peers.silent.add(make_member(2).rpc)
+        outcome = _run('timeline', *_BALANCER, '--output=json')
+        found = json.loads(outcome.stdout)
+        assert [each['process'] for each in found['unreachable']] == [
+            'certify/certify-2',
+        ]
+
+    def test_no_events(self, peers: Peers) -> None:
+        """Guards against an empty answer without a word."""
+        outcome = _run('timeline', *_BALANCER, '--host=absent')
+        assert outcome.exit_code == 0
+        assert 'no events match' in outcome.stderr
+
+    def test_malformed_flow(self, peers: Peers) -> None:
+        """Guards against no events for a flow that is typed wrongly."""
+        outcome = _run('timeline', *_BALANCER, '--flow=17,127.0.0.1:4000')
+        assert outcome.exit_code == 2
+
 
 class TestBalancer:
     """Settings of the process."""
--- a/packages/balancer/src/trefoilhaven/commands/timelines.py
+++ b/packages/balancer/src/trefoilhaven/commands/timelines.py
@@ -13,6 +13,7 @@
     Output,
     OutputFormat,
     read_address,
+    read_flow,
 )
 from trefoilhaven.commands.printing import fail, print_error, print_json
 from trefoilhaven.commands.surveys import (
@@ -60,6 +61,8 @@
     since = pack_stamp(time.time() - last) if last else 0
     request = TimelineRequest(service, flow, key, host, since)
     address = read_address(balancer)
+    if flow:
+        read_flow(flow)
     replies, unreachable = asyncio.run(_collect(address, request))
     events = merge_events(replies, request)
     for failure in unreachable:
@@ -77,12 +80,14 @@
             },
         )
         return
+    if not events:
+        typer.echo('no events match', err=True)
     for event in events:
         typer.echo(format_event(event))
 
 
 async def _collect(address: Address, request: TimelineRequest) -> _Timeline:
-    processes = await find_processes(address)
+    processes = await find_processes(address, with_dead=True)
     answers = await ask_all(processes, request, TimelineReply)
     return answers.replies, answers.unreachable
 
