Tell the take-over of a killed target in the timeline

Cause: the timeline showed the votes of the witnesses and the acquired buckets, but not when a sibling had a majority, when requests were decided again, or that a whole failure domain fell silent.

Change: agents publish `sibling fenced` once for each completed proof and `request decided` for the first request in buckets that they acquired; balancers publish `failure domain silent`. None of them comes with every packet or request. A scenario kills an agent under flows and requests and checks the causal order, the filters, the picture and the unreachable process.

--- /dev/null
+++ b/features/steps/timeline.py
@@ -0,0 +1,168 @@
+"""Steps that judge what the command ``timeline`` prints."""
+
+import time
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+from xml.etree import ElementTree
+
+from behave import then, when
+
+from trefoilhaven_core.timeline.clocks import pack_stamp
+from trefoilhaven_core.timeline.messages import TimelineEvent
+
+_SVG_TEXT = '{http://www.w3.org/2000/svg}text'
+_TAKE_OVER_TIMEOUT_S = 30
+_SERVICE = 'classroom-desk'
+
+
+class Story(NamedTuple):
+    """Events after the kill of a target's agent, in the printed order."""
+
+    victim: str
+    siblings: frozenset[str]
+    events: tuple[TimelineEvent, ...]
+    unreachable: frozenset[str]
+
+    def find(self, kind: str, **fields: str) -> list[int]:
+        """Return the places of the events with these fields."""
+        wanted = {'kind': kind, **fields}.items()
+        return [
+            place
+            for place, event in enumerate(self.events)
+            if wanted <= event._asdict().items()
+        ]
+
+
+@when('the agent of "{target}" is killed')
+def kill_agent(context: Any, target: str) -> None:
+    """Kill an agent and note when."""
+    stage = context.stage
+    stage.noted['victim'] = target
+    stage.noted['killed'] = pack_stamp(time.time())
+    context.loop.run(stage.deployment.kill(f'agent-{target}'))
+
+
+@when('the siblings of "{target}" have decided about requests')
+def await_decisions(context: Any, target: str) -> None:
+    """Wait until the timeline shows a decision of each sibling."""
+    stage = context.stage
+
+    async def decided() -> bool:
+        context.story = await _read_story(stage)
+        found = context.story.find('request decided')
+        deciders = {context.story.events[place].process for place in found}
+        return bool(deciders >= context.story.siblings)
+
+    context.loop.run(stage.until(decided, _TAKE_OVER_TIMEOUT_S))
+
+
+@then('the timeline shows these events of "{target}" in order')
+def check_order(context: Any, target: str) -> None:
+    """The first event of each kind comes after that of the kind before."""
+    kinds = [row['event'] for row in context.table]
+    firsts = []
+    for kind in kinds:
+        found = context.story.find(kind, host=target)
+        assert found, f'no event "{kind}": {_text(context.story.events)}'
+        firsts.append(found[0])
+    assert firsts == sorted(firsts), _text(context.story.events)
+
+
+@then('each sibling was granted the fence before it acquired buckets')
+def check_fences(context: Any) -> None:
+    """Two of three witnesses agree, then the sibling acquires."""
+    story = context.story
+    for sibling in story.siblings:
+        votes = {
+            story.events[place].process: place
+            for place in reversed(story.find('lease fenced', host=story.victim))
+            if story.events[place].detail.endswith(f'asked by {sibling}')
+        }
+        fenced = story.find('sibling fenced', process=sibling)[0]
+        earlier = [place for place in votes.values() if place < fenced]
+        assert len(earlier) >= 2, (sibling, _text(story.events))
+        acquired = story.find('buckets acquired', process=sibling)
+        assert fenced < acquired[0], (sibling, _text(story.events))
+
+
+@then('each sibling acquired buckets before it decided about a request')
+def check_decisions(context: Any) -> None:
+    """The decision after the take-over is told once, with its key."""
+    story = context.story
+    for sibling in story.siblings:
+        acquired = story.find('buckets acquired', process=sibling)
+        decided = story.find('request decided', process=sibling)
+        assert acquired[0] < decided[0], (sibling, _text(story.events))
+        assert story.events[decided[0]].request_key
+        # Each acquisition has one event at most, whatever the load.
+        assert len(decided) <= len(acquired), _text(story.events)
+
+
+@then('at least {count:d} processes tell the story')
+def check_processes(context: Any, count: int) -> None:
+    """The events come from several processes."""
+    processes = {event.process for event in context.story.events}
+    assert len(processes) >= count, processes
+
+
+@then('the process of "{target}" is named as unreachable')
+def check_unreachable(context: Any, target: str) -> None:
+    """Only the killed process has not answered."""
+    unreachable = context.story.unreachable
+    assert unreachable == {f'{_SERVICE}/{target}'}, unreachable
+
+
+@then('the filters by service and host leave out all other events')
+def check_filters(context: Any) -> None:
+    """A filter keeps all events that match and no other."""
+    commands = context.stage.commands
+    everything = _events(context.loop.run(commands.timeline()))
+    assert {_SERVICE, 'packet-press'} <= {each.service for each in everything}
+    for option, field, wanted in (
+        ('--service', 'service', 'packet-press'),
+        ('--service', 'service', _SERVICE),
+        ('--host', 'host', context.story.victim),
+    ):
+        found = _events(context.loop.run(commands.timeline(option, wanted)))
+        expected = {
+            event for event in everything if getattr(event, field) == wanted
+        }
+        assert expected, (option, wanted)
+        # Events may have come after the first answer.
+        assert expected <= set(found), (option, wanted)
+        assert {getattr(event, field) for event in found} == {wanted}
+
+
+@then('the picture has a lane for each process')
+def check_picture(context: Any) -> None:
+    """The picture is well-formed SVG and names all processes."""
+    stage = context.stage
+    path = stage.deployment.directory / 'timeline.svg'
+    content = context.loop.run(
+        stage.commands.timeline('--service', _SERVICE, '--picture', str(path)),
+    )
+    root = ElementTree.parse(path).getroot()
+    assert root.tag == '{http://www.w3.org/2000/svg}svg', root.tag
+    texts = {element.text for element in root.iter(_SVG_TEXT)}
+    assert {event.process for event in _events(content)} <= texts, texts
+
+
+async def _read_story(stage: Any) -> Story:
+    content = await stage.commands.timeline('--service', _SERVICE)
+    victim = stage.noted['victim']
+    events = tuple(
+        event
+        for event in _events(content)
+        if event.clock >= stage.noted['killed']
+    )
+    siblings = set(stage.deployment.targets(_SERVICE)) - {victim}
+    unreachable = frozenset(each['process'] for each in content['unreachable'])
+    return Story(victim, frozenset(siblings), events, unreachable)
+
+
+def _events(content: dict[str, Any]) -> tuple[TimelineEvent, ...]:
+    return tuple(TimelineEvent(**event) for event in content['events'])
+
+
+def _text(events: Iterable[TimelineEvent]) -> str:
+    return '\n'.join(map(str, events))
--- a/packages/agent/src/trefoilhaven_agent/ownership/tasks.py
+++ b/packages/agent/src/trefoilhaven_agent/ownership/tasks.py
@@ -101,8 +101,9 @@
             elif isinstance(effect, SendFence):
                 self._send_fence(effect.request)
             elif isinstance(effect, Acquired):
-                self._waiting.on_acquired(effect.buckets)
                 self._publish('buckets acquired', effect.buckets, '')
+                self._state.note_acquired(effect.buckets)
+                self._waiting.on_acquired(effect.buckets)
             elif isinstance(effect, Lost):
                 owner = effect.new_owner or 'nobody, the lease is over'
                 self._publish('buckets lost', effect.buckets, f' to {owner}')
@@ -173,9 +174,14 @@
             self._endpoint.send(req, witness.control)
 
     def _on_vote(self, vote: FenceVote, sender: Address) -> None:
-        effects = self._state.ownership.on_fence_vote(
-            monotonic(),
-            time.time(),
-            vote,
-        )
+        ownership = self._state.ownership
+        was_fenced = ownership.is_fenced(vote.target)
+        effects = ownership.on_fence_vote(monotonic(), time.time(), vote)
+        if ownership.is_fenced(vote.target) and not was_fenced:
+            self._state.runtime.publish(
+                'sibling fenced',
+                vote.service,
+                host=vote.target,
+                detail=f'term {vote.term}, by a majority of the witnesses',
+            )
         self.apply(effects)
--- a/packages/agent/src/trefoilhaven_agent/state.py
+++ b/packages/agent/src/trefoilhaven_agent/state.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from collections.abc import Iterable
 from typing import Final
 
 from trefoilhaven_core.admission.queues import AdmissionQueue, QueueLimits
@@ -49,6 +50,7 @@
         self.target_alive = False
         self.drain_requested = False
         self.stopping = False
+        self._undecided: frozenset[int] = frozenset()
         self.member = Member(
             cfg.service,
             cfg.name,
@@ -110,6 +112,29 @@
             ownership.directory.find(bucket, item),
         )
 
+    def note_acquired(self, buckets: Iterable[int]) -> None:
+        """Wait for the first request whose bucket was just acquired."""
+        self._undecided |= frozenset(buckets)
+
+    def note_decision(self, key: str) -> None:
+        """Publish the first decision after an acquisition of buckets.
+
+        Later decisions are not published: there may be thousands a second.
+        """
+        if not self._undecided:
+            return
+        bucket = bucket_of(hash_item(self.cfg.service, key.encode()))
+        if bucket not in self._undecided:
+            return
+        self.runtime.publish(
+            'request decided',
+            self.cfg.service,
+            request_key=key,
+            host=self.cfg.name,
+            detail='the first in an acquired bucket',
+        )
+        self._undecided = frozenset()
+
     def owner_hint(self, key: str) -> str:
         """Return the target that probably owns a key's bucket, or ''."""
         bucket = bucket_of(hash_item(self.cfg.service, key.encode()))
--- a/packages/balancer/src/trefoilhaven/balancer/control.py
+++ b/packages/balancer/src/trefoilhaven/balancer/control.py
@@ -10,7 +10,10 @@
 from typing import Final
 
 from trefoilhaven.balancer.state import BalancerState
-from trefoilhaven_core.membership.detectors import FailureDetector
+from trefoilhaven_core.membership.detectors import (
+    Detections,
+    FailureDetector,
+)
 from trefoilhaven_core.membership.dissemination import (
     Disseminator,
     Effect,
@@ -23,13 +26,11 @@
 )
 from trefoilhaven_core.membership.messages import (
     Address,
-    BalancerRecord,
     Changes,
     ConfigurationNotice,
     Digest,
     FenceRequest,
     Heartbeat,
-    Member,
     MemberState,
     RegistryNotice,
     State,
@@ -130,7 +131,7 @@
     def _tick(self, now: float) -> None:
         found = self._detector.tick(now)
         if found.members or found.balancers or found.silent_domains:
-            self._report(now, found.members, found.balancers)
+            self._report(found)
             changes = Changes(
                 self._cfg.name,
                 found.members,
@@ -162,20 +163,19 @@
             )
         self._witness.forget(now, in_views)
 
-    def _report(
-        self,
-        now: float,
-        members: Iterable[Member],
-        balancers: Iterable[BalancerRecord],
-    ) -> None:
+    def _report(self, found: Detections) -> None:
         publish = self._state.runtime.publish
-        for member in members:
+        for report in found.silent_domains:
+            for service in report.services:
+                name = report.failure_domain
+                publish('failure domain silent', service, detail=name)
+        for member in found.members:
             publish(
                 f'target {member.state.name}',
                 member.service,
                 host=member.target,
             )
-        for balancer in balancers:
+        for balancer in found.balancers:
             publish(f'balancer {balancer.state.name}', host=balancer.name)
 
     def _on_heartbeat(self, heartbeat: Heartbeat, sender: Address) -> None:
--- a/packages/bench/src/trefoilhaven_bench/deployments/commands.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/commands.py
@@ -173,10 +173,20 @@
             late = await self._late(service, version)
         return InForce(version, time.monotonic() - started_at)
 
+    async def timeline(self, *filters: str) -> dict[str, Any]:
+        """Return what ``timeline`` of a running balancer prints as JSON."""
+        balancer = next(iter(self._deployment.running_rpc().values()))
+        options = ('--balancer', balancer, '--output', 'json')
+        content: dict[str, Any] = json.loads(
+            await self.run('timeline', *options, *filters),
+        )
+        return content
+
     async def run(self, *arguments: str) -> str:
         """Run a command of the ``trefoilhaven`` binary; return its output.
 
-        Raises ``CommandError`` for an exit code other than 0.
+        Raises ``CommandError`` with all it printed for an exit code other
+        than 0.
         """
         process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -184,11 +194,12 @@
             'trefoilhaven.cli',
             *arguments,
             stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
+            stderr=asyncio.subprocess.PIPE,
         )
-        output, _ = await process.communicate()
+        output, errors = await process.communicate()
         if process.returncode:
-            raise CommandError(f'{arguments[0]} failed: {output.decode()}')
+            printed = (output + errors).decode()
+            raise CommandError(f'{arguments[0]} failed: {printed}')
         return output.decode()
 
     async def _try_publish(self, path: Path) -> str | CommandError:
--- a/packages/core/src/trefoilhaven_core/ownership/claims.py
+++ b/packages/core/src/trefoilhaven_core/ownership/claims.py
@@ -238,6 +238,10 @@
         state = self._states[bucket]
         return state.horizon if state.owned else float('inf')
 
+    def is_fenced(self, target: str) -> bool:
+        """Return whether a majority of the witnesses fenced a sibling."""
+        return self._fences.is_fenced(target)
+
     def is_complete(self, bucket: int) -> bool:
         """Return whether the directory names all flows of a bucket.
 
