--- a/packages/bench/src/trefoilhaven_bench/scenarios/stages.py
+++ b/packages/bench/src/trefoilhaven_bench/scenarios/stages.py
@@ -37,6 +37,7 @@
         self.requests: dict[str, RequestLoad] = {}
         self.noted: dict[str, Any] = {}
         self._running: dict[str, asyncio.Task[Any]] = {}
+        self._loads_started = 0
 
     async def start(self) -> None:
         """Start all processes with their services published."""
@@ -71,6 +72,29 @@
         self.flows[service] = load
         self._running[f'flows {service}'] = asyncio.create_task(load.run())
 
+    async def replace_flows(self, service: str, flows: int) -> None:
+        """End a service's flows and start opening others."""
+        self.flows.pop(service).stop()
+        await self._running.pop(f'flows {service}')
+        await self.start_flows(service, flows, open_per_s=100)
+
+    async def restart_product(self) -> None:
+        """Kill all balancers and agents and start them with their settings.
+
+        The hosts keep nothing, so that the processes start without state.
+        """
+        product = [
+            child
+            for child in self.deployment.children.values()
+            if child.plan.role in {'balancer', 'agent'}
+        ]
+        await asyncio.gather(*[child.kill() for child in product])
+        await asyncio.gather(*[child.start() for child in product])
+        session = self.deployment.session
+        await asyncio.gather(
+            *[child.until_ready(session) for child in product],
+        )
+
     async def start_requests(
         self,
         service: str,
@@ -124,5 +148,6 @@
                 await asyncio.sleep(POLL_S)
 
     def _next_seed(self) -> int:
-        seed = self.deployment.description.seed * 10
-        return seed + len(self.flows) + len(self.requests)
+        seed = self.deployment.description.seed * 10 + self._loads_started
+        self._loads_started += 1
+        return seed
