Relay a request under the highest known attempt

Cause: the agent relayed the asker's attempt to the holder of a record. A hand-off without a verdict was run here as if it were refused, and a sibling that could not be connected to counted as silent. Change: the relay carries the attempt that the record table decided; no verdict ends as unknown; a refused connection gives the request back. Each choice of a target is ended, also for hedges and hand-offs.

--- a/packages/agent/src/trefoilhaven_agent/requests/relays.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/relays.py
@@ -17,7 +17,11 @@
 from trefoilhaven_core.wire.channels import CALL_ERRORS, ChannelPool
 from trefoilhaven_core.wire.proto import calls_pb2 as pb
 from trefoilhaven_core.wire.proto.calls_grpc import PlacementStub
-from trefoilhaven_core.wire.proto.calls_pb2 import AnswerPart, PlacedRequest
+from trefoilhaven_core.wire.proto.calls_pb2 import (
+    AnswerPart,
+    CallerRequest,
+    PlacedRequest,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -67,8 +71,9 @@
             await self._runner.execute(run)
             return
         self._handed_off.add()
-        closing = await self._call_or_none(run, sibling)
-        if closing is not None:
+        closed = await self._call_or_none(run, sibling)
+        self._chooser.on_cancelled(sibling)
+        if closed is not None:
             return
         if self._note(run, self._state.cfg.name):
             await self._runner.execute(run)
@@ -85,11 +90,14 @@
             self._give_up(run)
             return
         try:
+            # The holder may know a higher attempt than the asker's; it must
+            # not refuse that one for a lower attempt.
             outcome = await self._call(
                 run,
                 member.rpc,
                 decision.incarnation,
-                decision.follow_only,
+                follow_only=decision.follow_only,
+                attempt=decision.attempt,
             )
         except _NeverDelivered:
             self._give_up(run)
@@ -113,6 +121,7 @@
                 member.rpc,
                 member.incarnation,
                 follow_only=False,
+                attempt=run.req.attempt,
             )
         except _NeverDelivered:
             return None
@@ -123,7 +132,7 @@
             )
             self._give_up(run)
             return True
-        if outcome in {pb.OUTCOME_NOT_RUN, pb.OUTCOME_NO_VERDICT}:
+        if outcome == pb.OUTCOME_NOT_RUN:
             return None
         if outcome != pb.OUTCOME_DONE:
             self._give_up(run)
@@ -134,10 +143,15 @@
         run: QueuedRun,
         address: Address,
         incarnation: int,
+        *,
         follow_only: bool,
+        attempt: int,
     ) -> pb.Outcome:
+        req = CallerRequest()
+        req.CopyFrom(run.req)
+        req.attempt = attempt
         placed = PlacedRequest(
-            request=run.req,
+            request=req,
             sender=self._state.cfg.name,
             clock=self._state.runtime.clock.stamp(),
             holder_incarnation=incarnation,
@@ -146,17 +160,18 @@
         timeout_s = max(run.deadline - monotonic(), MIN_TIMEOUT_S)
         stub = PlacementStub(self._channels.get(address))
         assembler = AnswerAssembler(run.req.service, run.req.key)
-        connected = False
+        sent = False
         try:
             async with stub.Run.open(timeout=timeout_s) as stream:
-                connected = True
+                # The connection is made when the message is sent.
                 await stream.send_message(placed, end=True)
+                sent = True
                 async for part in stream:
                     if part.HasField('closing'):
                         return self._close(run, assembler, part)
                     _pass_on(assembler, run.buffer, part)
         except ConnectionRefusedError as exc:
-            if connected:
+            if sent:
                 raise
             raise _NeverDelivered from exc
         return pb.OUTCOME_UNKNOWN
--- a/packages/balancer/src/trefoilhaven/balancer/spreading.py
+++ b/packages/balancer/src/trefoilhaven/balancer/spreading.py
@@ -150,6 +150,8 @@
         finally:
             for parts in running:
                 parts.copy.relay.cancel()
+                if not parts.ended:
+                    service.chooser.on_cancelled(parts.copy.choice.target)
 
     def _send(
         self,
--- a/packages/core/src/trefoilhaven_core/requests/tests/schedules.py
+++ b/packages/core/src/trefoilhaven_core/requests/tests/schedules.py
@@ -77,10 +77,9 @@
         entries = agent.directory.entries((self._bucket,))
         entries.extend(agent.table.items({self._bucket}))
         claimant = self._claimant
-        claimant.directory.merge(
-            without_own(entries, claimant.name, claimant.incarnation),
-            agent.name,
-        )
+        others = without_own(entries, claimant.name, claimant.incarnation)
+        for entry in others:
+            claimant.directory.merge(entry, agent.name)
         agent.directory.drop((self._bucket,))
 
     def _finish(self) -> None:
