--- a/packages/core/src/trefoilhaven_core/flows/effects.py
+++ b/packages/core/src/trefoilhaven_core/flows/effects.py
@@ -20,7 +20,7 @@
     """Why a packet is dropped."""
 
     wrong_service = 'packet of another service'
-    malformed = 'answer or reset on the way to a target'
+    malformed = 'answer on the way to a target'
     hop_limit = 'hop limit is reached'
     no_owner = 'no owner is known'
     queue_full = 'queue of the bucket is full'
