Report resumed requests only when one is served

Cause: after a take-over the first decision is often the answer *unknown* for a key from before the horizon, so that `request decided` told of service that had not begun.

Change: the event is `requests resumed` and comes with the first request in an acquired bucket that is run, replayed or followed.

Conclusion: the event stands for requests that are served again.

--- a/features/steps/timeline.py
+++ b/features/steps/timeline.py
@@ -42,18 +42,18 @@
     context.loop.run(stage.deployment.kill(f'agent-{target}'))
 
 
-@when('the siblings of "{target}" have decided about requests')
-def await_decisions(context: Any, target: str) -> None:
-    """Wait until the timeline shows a decision of each sibling."""
+@when('the siblings of "{target}" serve requests again')
+def await_requests(context: Any, target: str) -> None:
+    """Wait until the timeline shows that each sibling serves requests."""
     stage = context.stage
 
-    async def decided() -> bool:
+    async def resumed() -> bool:
         context.story = await _read_story(stage)
-        found = context.story.find('request decided')
-        deciders = {context.story.events[place].process for place in found}
-        return bool(deciders >= context.story.siblings)
+        found = context.story.find('requests resumed')
+        servers = {context.story.events[place].process for place in found}
+        return bool(servers >= context.story.siblings)
 
-    context.loop.run(stage.until(decided, _TAKE_OVER_TIMEOUT_S))
+    context.loop.run(stage.until(resumed, _TAKE_OVER_TIMEOUT_S))
 
 
 @then('the timeline shows these events of "{target}" in order')
@@ -85,17 +85,17 @@
         assert fenced < acquired[0], (sibling, _text(story.events))
 
 
-@then('each sibling acquired buckets before it decided about a request')
-def check_decisions(context: Any) -> None:
-    """The decision after the take-over is told once, with its key."""
+@then('each sibling acquired buckets before it served a request')
+def check_resumption(context: Any) -> None:
+    """The first request after the take-over is told, with its key."""
     story = context.story
     for sibling in story.siblings:
         acquired = story.find('buckets acquired', process=sibling)
-        decided = story.find('request decided', process=sibling)
-        assert acquired[0] < decided[0], (sibling, _text(story.events))
-        assert story.events[decided[0]].request_key
+        resumed = story.find('requests resumed', process=sibling)
+        assert acquired[0] < resumed[0], (sibling, _text(story.events))
+        assert story.events[resumed[0]].request_key
         # Each acquisition has one event at most, whatever the load.
-        assert len(decided) <= len(acquired), _text(story.events)
+        assert len(resumed) <= len(acquired), _text(story.events)
 
 
 @then('at least {count:d} processes tell the story')
--- a/features/timeline.feature
+++ b/features/timeline.feature
@@ -10,7 +10,7 @@
     Given 30 open flows to "classroom-desk"
     And 20 requests a second to "classroom-desk"
     When the agent of "classroom-desk-2" is killed
-    And the siblings of "classroom-desk-2" have decided about requests
+    And the siblings of "classroom-desk-2" serve requests again
     Then the timeline shows these events of "classroom-desk-2" in order
       | event          |
       | target suspect |
@@ -18,7 +18,7 @@
       | lease fenced   |
       | sibling fenced |
     And each sibling was granted the fence before it acquired buckets
-    And each sibling acquired buckets before it decided about a request
+    And each sibling acquired buckets before it served a request
     And at least 4 processes tell the story
     And the process of "classroom-desk-2" is named as unreachable
     And the filters by service and host leave out all other events
--- a/packages/agent/src/trefoilhaven_agent/requests/services.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/services.py
@@ -84,8 +84,8 @@
             _request(placed.request),
             self._state.standing(placed.request.key, now),
         )
-        if not _is_silent(decision):
-            self._state.note_decision(placed.request.key)
+        if not isinstance(decision, Conclude):
+            self._state.note_served(placed.request.key)
         await self._answer(stream, placed, decision, may_hand_off=True)
 
     async def Run(self, stream: PlacedStream) -> None:  # noqa: N802
@@ -208,11 +208,6 @@
         buffer.close(closing)
 
 
-def _is_silent(decision: Decision) -> bool:
-    no_verdict = Outcome.no_verdict
-    return isinstance(decision, Conclude) and decision.outcome == no_verdict
-
-
 def _is_recorded(decision: RunHere | RelayTo) -> bool:
     return isinstance(decision, RelayTo) or decision.recorded
 
--- a/packages/agent/src/trefoilhaven_agent/state.py
+++ b/packages/agent/src/trefoilhaven_agent/state.py
@@ -50,7 +50,7 @@
         self.target_alive = False
         self.drain_requested = False
         self.stopping = False
-        self._undecided: frozenset[int] = frozenset()
+        self._unserved: frozenset[int] = frozenset()
         self.member = Member(
             cfg.service,
             cfg.name,
@@ -113,27 +113,27 @@
         )
 
     def note_acquired(self, buckets: Iterable[int]) -> None:
-        """Wait for the first request whose bucket was just acquired."""
-        self._undecided |= frozenset(buckets)
+        """Wait for the first request that is served in these buckets."""
+        self._unserved |= frozenset(buckets)
 
-    def note_decision(self, key: str) -> None:
-        """Publish the first decision after an acquisition of buckets.
+    def note_served(self, key: str) -> None:
+        """Publish the first request served after acquisitions of buckets.
 
-        Later decisions are not published: there may be thousands a second.
+        Later ones are not published: there may be thousands a second.
         """
-        if not self._undecided:
+        if not self._unserved:
             return
         bucket = bucket_of(hash_item(self.cfg.service, key.encode()))
-        if bucket not in self._undecided:
+        if bucket not in self._unserved:
             return
         self.runtime.publish(
-            'request decided',
+            'requests resumed',
             self.cfg.service,
             request_key=key,
             host=self.cfg.name,
             detail='the first in an acquired bucket',
         )
-        self._undecided = frozenset()
+        self._unserved = frozenset()
 
     def owner_hint(self, key: str) -> str:
         """Return the target that probably owns a key's bucket, or ''."""
