Fence the term of the lease, not the one before it

Cause: the ownership of an agent began with term 0 and its lease with term 1. Claimants fenced term 0, and witnesses agreed to that at once, since no lease ever had it. A sibling that one witness reported dead, for example behind a partial cut, lost its buckets while its lease was valid, and both agents could start non-idempotent work. A claimant that restarted could likewise prove the end of a fenced term although the agent had gone on to the next one.

Change: claims carry the term of the lease from the start. A witness agrees at once only while the highest term that it knows is fenced; otherwise it names that term, as it did for terms that were not fenced.

Conclusion: a fence needs the silence of the lease that it ends.

--- a/packages/agent/src/trefoilhaven_agent/state.py
+++ b/packages/agent/src/trefoilhaven_agent/state.py
@@ -43,6 +43,9 @@
         self.configurations = ConfigurationStore()
         self.lease = LeaseHolder(*identity, names)
         self.ownership = BucketOwnership(*identity, witnesses=names)
+        # Claims and heartbeats must carry the same term: siblings fence the
+        # one that they saw in claims.
+        self.ownership.on_term(self.lease.term)
         self.flows = FlowTable(*identity)
         self.requests = RequestTable(*identity)
         self.queue = AdmissionQueue(QueueLimits(cfg.slots), monotonic())
--- a/packages/core/src/trefoilhaven_core/membership/grants.py
+++ b/packages/core/src/trefoilhaven_core/membership/grants.py
@@ -31,6 +31,11 @@
         self.older_acked_at = NEVER
         self.seen_at = NEVER
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the highest term that was seen is fenced."""
+        return self.term <= self.fenced_term
+
     def advance(self, incarnation: int, term: int) -> None:
         """Take over a newer incarnation, or a higher term of the same."""
         if incarnation > self.incarnation:
--- a/packages/core/src/trefoilhaven_core/membership/leases.py
+++ b/packages/core/src/trefoilhaven_core/membership/leases.py
@@ -222,7 +222,9 @@
         """Vote on ending a term and all terms below it for good.
 
         A vote against a request for a lower term carries the term that the
-        witness has seen, so that the claimant can ask for that one.
+        witness has seen, so that the claimant can ask for that one. Lower
+        terms are no exception when they are fenced: a claimant that has
+        restarted does not know to which term it granted buckets.
         """
         key = (request.service, request.target)
         pair = (request.incarnation, request.term)
@@ -233,7 +235,7 @@
             silent_s = now - grant.older_acked_at
             agreed = silent_s >= FENCE_AFTER_S
             return self._vote(request, pair, silent_s, agreed=agreed)
-        if pair <= (grant.incarnation, grant.fenced_term):
+        if grant.is_over and pair <= (grant.incarnation, grant.fenced_term):
             silent_s = now - grant.acked_at
             return self._vote(request, pair, silent_s, agreed=True)
         known = (grant.incarnation, grant.term)
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_leases.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_leases.py
@@ -164,6 +164,32 @@
         vote = witness.on_fence(_START + 9, _fence(term=3))
         assert (vote.agreed, vote.term) == (False, 4)
 
+    def test_fence_of_term_before_the_first(self) -> None:
+        """Guards against a proof about a term below the first one.
+
+        A claimant that only knows a sibling from its view asks for term 0.
+        Agreement at once would end a lease that is still in force.
+        """
+        witness = _witness()
+        witness.on_heartbeat(_START, _beat())
+        vote = witness.on_fence(_START + 0.1, _fence(term=0))
+        assert not vote.agreed
+        assert vote.term == 1
+        later = _START + FENCE_AFTER_S
+        assert not witness.on_fence(later, _fence(term=0)).agreed
+        assert witness.on_fence(later, _fence(term=1)).agreed
+
+    def test_fence_of_fenced_term_after_the_next(self) -> None:
+        """Guards against a proof about a term that the agent has left.
+
+        A claimant that restarted forgot the term that it granted to.
+        """
+        witness = _witness()
+        assert witness.on_fence(_START, _fence(term=1)).agreed
+        witness.on_heartbeat(_START, _beat(term=2))
+        vote = witness.on_fence(_START + 0.1, _fence(term=1))
+        assert (vote.agreed, vote.term) == (False, 2)
+
     def test_memory_is_bounded(self) -> None:
         """Guards against growth by departed targets, and lost fences."""
         witness = _witness()
