--- a/packages/balancer/src/trefoilhaven/balancer/control.py
+++ b/packages/balancer/src/trefoilhaven/balancer/control.py
@@ -9,11 +9,9 @@
 from collections.abc import Iterable
 from typing import Final
 
+from trefoilhaven.balancer.reports import publish_detections
 from trefoilhaven.balancer.state import BalancerState
-from trefoilhaven_core.membership.detectors import (
-    Detections,
-    FailureDetector,
-)
+from trefoilhaven_core.membership.detectors import FailureDetector
 from trefoilhaven_core.membership.dissemination import (
     Disseminator,
     Effect,
@@ -131,7 +129,7 @@
     def _tick(self, now: float) -> None:
         found = self._detector.tick(now)
         if found.members or found.balancers or found.silent_domains:
-            self._report(found)
+            publish_detections(self._state.runtime, found)
             changes = Changes(
                 self._cfg.name,
                 found.members,
@@ -163,21 +161,6 @@
             )
         self._witness.forget(now, in_views)
 
-    def _report(self, found: Detections) -> None:
-        publish = self._state.runtime.publish
-        for report in found.silent_domains:
-            for service in report.services:
-                name = report.failure_domain
-                publish('failure domain silent', service, detail=name)
-        for member in found.members:
-            publish(
-                f'target {member.state.name}',
-                member.service,
-                host=member.target,
-            )
-        for balancer in found.balancers:
-            publish(f'balancer {balancer.state.name}', host=balancer.name)
-
     def _on_heartbeat(self, heartbeat: Heartbeat, sender: Address) -> None:
         now = monotonic()
         member = heartbeat.member
