Lease a restarted agent whose former incarnation was fenced

Cause: the witness compared the first term of a new incarnation with the fenced term of the old one, and refused it for ever. Each fetch of a view opened a connection of its own. Change: the witness takes over the new incarnation before it compares terms; one search serves all connections that wait; agents keep the channels to their witnesses.

--- a/packages/agent/src/trefoilhaven_agent/membership/tasks.py
+++ b/packages/agent/src/trefoilhaven_agent/membership/tasks.py
@@ -21,7 +21,8 @@
 )
 from trefoilhaven_core.settings.types import Witness
 from trefoilhaven_core.timeline.monotonic import monotonic
-from trefoilhaven_core.wire.calls import call_peer
+from trefoilhaven_core.wire.calls import call_channel
+from trefoilhaven_core.wire.channels import ChannelPool
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
 
 logger = logging.getLogger(__name__)
@@ -44,12 +45,14 @@
         endpoint: DatagramEndpoint,
         ownership: OwnershipTask,
         target: TargetWork,
+        channels: ChannelPool,
     ) -> None:
         """Register the handlers of the control socket."""
         self._state = state
         self._endpoint = endpoint
         self._ownership = ownership
         self._target = target
+        self._channels = channels
         self._witnesses = {
             witness.name: witness for witness in state.cfg.witnesses
         }
@@ -164,7 +167,8 @@
     async def _fetch(self, witness: Witness) -> None:
         state = self._state
         req = StateRequest(state.cfg.name, (state.cfg.service,))
-        called = await call_peer(
+        called = await call_channel(
+            self._channels.get(witness.rpc),
             witness.rpc,
             req,
             clock=state.runtime.clock.stamp(),
--- a/packages/agent/src/trefoilhaven_agent/process.py
+++ b/packages/agent/src/trefoilhaven_agent/process.py
@@ -86,6 +86,7 @@
             control_socket,
             ownership,
             self._target,
+            self._channels,
         )
         peers = PeerService(codec, clock)
         AgentPeers(self._state, membership, ownership).register(peers)
--- a/packages/bench/src/trefoilhaven_bench/fault_proxy/links.py
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/links.py
@@ -1,13 +1,12 @@
 """Settings of links and the failure domains between them."""
 
 import random
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
+from trefoilhaven_bench.fault_proxy.domains import ANY_DOMAIN
+from trefoilhaven_bench.fault_proxy.senders import SenderIndex
 from trefoilhaven_bench.settings import CLIENT_DELAY_S
 
-# Stands for any failure domain, and for a sender that none lists.
-ANY_DOMAIN: Final = '*'
-
 
 class Link(NamedTuple):
     """One listening address and where its traffic goes.
@@ -55,6 +54,7 @@
         """Start with every pair connected."""
         self.links = {link.name: link for link in cfg.links}
         self.random = random.Random(cfg.seed)
+        self.senders = SenderIndex(cfg.domains)
         self.domains = cfg.domains
         self._cfg = cfg
         self._cuts: set[frozenset[str]] = set()
--- a/packages/bench/src/trefoilhaven_bench/fault_proxy/senders.py
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/senders.py
@@ -5,28 +5,58 @@
 socket that the connection belongs to.
 """
 
+import asyncio
 import os
 from typing import Any
 
 import psutil
 
-from trefoilhaven_bench.fault_proxy.links import ANY_DOMAIN
+from trefoilhaven_bench.fault_proxy.domains import ANY_DOMAIN
 
 
-def find_domain(peer: tuple[str, int], domains: dict[str, str]) -> str:
-    """Return the failure domain of a connection's sender.
+Peer = tuple[str, int]
 
-    It is that of the addresses on which the sending process listens, and
-    ``*`` for a process without one, such as a caller.
+
+class SenderIndex:
+    """Failure domains of the senders of connections.
+
+    One search finds all connections of the moment. It takes tens of
+    milliseconds, so that connections that come in meanwhile share the
+    next one.
     """
+
+    def __init__(self, domains: dict[str, str]) -> None:
+        """Start empty; ``domains`` maps IP addresses to domains."""
+        self._domains = domains
+        self._found: dict[Peer, str] = {}
+        self._searching = asyncio.Lock()
+
+    async def find(self, peer: Peer) -> str:
+        """Return the failure domain of a connection's sender.
+
+        It is that of the addresses on which the sending process listens,
+        and ``*`` for a process without one, such as a caller.
+        """
+        async with self._searching:
+            if peer not in self._found:
+                self._found = await asyncio.to_thread(
+                    _find_all,
+                    self._domains,
+                )
+        return self._found.get(peer, ANY_DOMAIN)
+
+
+def _find_all(domains: dict[str, str]) -> dict[Peer, str]:
+    found: dict[Peer, str] = {}
     for process in psutil.Process(os.getppid()).children():
         try:
             sockets = process.net_connections('tcp4')
         except psutil.Error:
             continue
-        if any(found.laddr == peer for found in sockets):
-            return _listening_domain(sockets, domains)
-    return ANY_DOMAIN
+        domain = _listening_domain(sockets, domains)
+        for known in sockets:
+            found[tuple(known.laddr)] = domain
+    return found
 
 
 def _listening_domain(sockets: list[Any], domains: dict[str, str]) -> str:
--- a/packages/bench/src/trefoilhaven_bench/fault_proxy/streams.py
+++ b/packages/bench/src/trefoilhaven_bench/fault_proxy/streams.py
@@ -4,12 +4,8 @@
 import contextlib
 from collections import Counter
 
-from trefoilhaven_bench.fault_proxy.links import (
-    ANY_DOMAIN,
-    Link,
-    Network,
-)
-from trefoilhaven_bench.fault_proxy.senders import find_domain
+from trefoilhaven_bench.fault_proxy.domains import ANY_DOMAIN
+from trefoilhaven_bench.fault_proxy.links import Link, Network
 from trefoilhaven_bench.processes import parse_address
 from trefoilhaven_bench.settings import POLL_S, TCP_RETRANSMIT_S
 
@@ -152,10 +148,6 @@
         if network.cuts() and not sender.searched:
             sender.searched = True
             if sender.domain == ANY_DOMAIN:
-                sender.domain = await asyncio.to_thread(
-                    find_domain,
-                    sender.peer,
-                    network.domains,
-                )
+                sender.domain = await network.senders.find(sender.peer)
         while network.is_cut(self.link, sender.domain):
             await asyncio.sleep(POLL_S)
--- a/packages/core/src/trefoilhaven_core/admission/tests/test_baselines.py
+++ b/packages/core/src/trefoilhaven_core/admission/tests/test_baselines.py
@@ -11,20 +11,24 @@
 
 _PRODUCT = Pairing(admission=True, load_aware=True)
 _BASELINE = Pairing(admission=False, load_aware=False)
+_SAME_CHOICE = Pairing(admission=False, load_aware=True)
+
+# Targets and slots of the four services of today.
+_SIZES = [(7, 2), (3, 2), (7, 3), (4, 3)]
 
 
 class TestFigures:
     """Figures of the product and of the baselines in the same run."""
 
-    @pytest.mark.parametrize(('targets', 'slots'), [(7, 2), (4, 3)])
+    @pytest.mark.parametrize(('targets', 'slots'), _SIZES)
     def test_crest(self, targets: int, slots: int) -> None:
         """Guards against lost capacity or late refusals at a crest."""
         row = measure(crest(1, targets, slots), _PRODUCT)
         assert row.goodput >= 0.95
         assert row.refused
-        assert row.refusal_p99_s <= 0.05
+        assert row.refusal_max_s <= 0.05
 
-    @pytest.mark.parametrize(('targets', 'slots'), [(7, 2), (4, 3)])
+    @pytest.mark.parametrize(('targets', 'slots'), _SIZES)
     def test_stragglers(self, targets: int, slots: int) -> None:
         """Guards against short work that waits behind long work."""
         scenario = stragglers(1, targets, slots, load=0.8)
@@ -33,3 +37,15 @@
         baseline = measure(scenario, _BASELINE)
         assert product.short_wait_p99_s <= baseline.short_wait_p99_s / 4
         assert product.refused <= product.offered / 100
+
+    @pytest.mark.parametrize(('targets', 'slots'), _SIZES)
+    def test_same_choice(self, targets: int, slots: int) -> None:
+        """Guards against a queue that helps only beside a random choice.
+
+        The stated figure is a quarter of first come, first served. Here
+        both queues are behind the same load-aware choice.
+        """
+        scenario = stragglers(1, targets, slots, load=0.7)
+        product = measure(scenario, _PRODUCT)
+        baseline = measure(scenario, _SAME_CHOICE)
+        assert product.short_wait_p99_s <= baseline.short_wait_p99_s / 4
--- a/packages/core/src/trefoilhaven_core/membership/leases.py
+++ b/packages/core/src/trefoilhaven_core/membership/leases.py
@@ -201,9 +201,9 @@
         grant = self._grant(now, key, member.incarnation, heartbeat.term)
         if member.incarnation < grant.incarnation:
             return self._refuse(key, grant.incarnation, grant.term)
+        grant.advance(member.incarnation, heartbeat.term)
         if heartbeat.term <= grant.fenced_term:
             return self._refuse(key, grant.incarnation, grant.fenced_term)
-        grant.advance(member.incarnation, heartbeat.term)
         if now < self._quiet_until or heartbeat.term < grant.term:
             return None
         grant.acked_at = now
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_leases.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_leases.py
@@ -227,3 +227,24 @@
         request = tally.requests(_START)
         assert request is not None
         assert request.term == 5
+
+
+class TestRestartAfterFence:
+    """A restarted agent whose former incarnation was fenced."""
+
+    def test_new_incarnation(self) -> None:
+        """Guards against a restarted agent that never gets a lease.
+
+        The witness compared the new incarnation's first term with the
+        fenced term of the old one and refused it for ever.
+        """
+        witness = LeaseWitness('balancer-1', -10)
+        old = make_member()
+        witness.on_heartbeat(0, Heartbeat(old, 1, NO_LOAD, 0, 0))
+        request = FenceRequest(
+            old.service, old.target, old.incarnation, 1, 'target-2', 3
+        )
+        assert witness.on_fence(3, request).agreed
+        new = old._replace(incarnation=old.incarnation + 1)
+        reply = witness.on_heartbeat(4, Heartbeat(new, 1, NO_LOAD, 4, 0))
+        assert isinstance(reply, HeartbeatAck)
