Move measurement models to the bench, share start and stop

Cause: the product package carried models that only measurements use; both processes repeated their start and stop; the operator codec was a second table of the same kind numbers. Change: the models live in trefoilhaven_bench.models with their tests and bounds unchanged; telemetry/lifecycles.py serves both processes; one codec.

--- a/packages/agent/src/trefoilhaven_agent/process.py
+++ b/packages/agent/src/trefoilhaven_agent/process.py
@@ -1,9 +1,7 @@
 """Start and stop of the agent process."""
 
 import asyncio
-import contextlib
 import logging
-import signal
 from typing import Final
 
 from grpclib.server import Server
@@ -23,6 +21,11 @@
 from trefoilhaven_core.membership.messages import MemberState
 from trefoilhaven_core.settings.types import AgentSettings
 from trefoilhaven_core.telemetry.endpoints import TelemetryEndpoint
+from trefoilhaven_core.telemetry.lifecycles import (
+    end_tasks,
+    run_until_signal,
+    wait_for_stop,
+)
 from trefoilhaven_core.telemetry.logs import configure_logging
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -110,9 +113,7 @@
         self._runtime.publish('agent started', cfg.service, host=cfg.name)
         logger.info('agent started')
         await self._serve(stop, membership, tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
         server.close()
         await server.wait_closed()
         await telemetry.stop()
@@ -147,15 +148,7 @@
         membership: MembershipTask,
         tasks: 'list[asyncio.Task[None]]',
     ) -> None:
-        stopping = asyncio.create_task(stop.wait())
-        await asyncio.wait(
-            [stopping, *tasks],
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for task in tasks:
-            if task.done():
-                # A task ends only by an error, which ends the process.
-                task.result()
+        await wait_for_stop(stop, tasks)
         logger.info('planned stop: waiting for flows and requests')
         self._state.stopping = True
         membership.announce()
@@ -175,16 +168,10 @@
         membership.send_farewell()
 
 
-async def _run(cfg: AgentSettings) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await AgentProcess(cfg, make_runtime(cfg.name)).run(stop)
-
-
 def run(cfg: AgentSettings) -> None:
     """Run an agent until SIGTERM or SIGINT."""
     configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_run(cfg))
+    # The channels need the running loop, so that the process is made in it.
+    run_until_signal(
+        lambda stop: AgentProcess(cfg, make_runtime(cfg.name)).run(stop),
+    )
--- a/packages/balancer/src/trefoilhaven/balancer/process.py
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -1,10 +1,8 @@
 """Start and stop of the balancer process."""
 
 import asyncio
-import contextlib
 import logging
 import random
-import signal
 from typing import Final
 
 from grpclib.server import Server
@@ -21,6 +19,11 @@
 from trefoilhaven_core.platform.http import HttpPlatformClient
 from trefoilhaven_core.settings.types import BalancerSettings
 from trefoilhaven_core.telemetry.endpoints import TelemetryEndpoint
+from trefoilhaven_core.telemetry.lifecycles import (
+    end_tasks,
+    run_until_signal,
+    wait_for_stop,
+)
 from trefoilhaven_core.telemetry.logs import configure_logging
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
 from trefoilhaven_core.wire.channels import ChannelPool
@@ -117,11 +120,9 @@
         ]
         self._runtime.publish('balancer started', host=cfg.name)
         logger.info('balancer started')
-        await _wait_for_stop(stop, tasks)
+        await wait_for_stop(stop, tasks)
         await self._stop(control)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
         server.close()
         await server.wait_closed()
         await telemetry.stop()
@@ -143,31 +144,10 @@
         self._runtime.publish('balancer stopped', host=self._cfg.name)
 
 
-async def _wait_for_stop(
-    stop: asyncio.Event,
-    tasks: list[asyncio.Task[None]],
-) -> None:
-    stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait(
-        [stopping, *tasks],
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    for task in tasks:
-        if task.done():
-            # A task ends only by an error, which ends the process.
-            task.result()
-
-
-async def _serve(cfg: BalancerSettings) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await BalancerProcess(cfg, make_runtime(cfg.name)).run(stop)
-
-
 def run(cfg: BalancerSettings) -> None:
     """Run a balancer until SIGTERM or SIGINT."""
     configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_serve(cfg))
+    # The channels need the running loop, so that the process is made in it.
+    run_until_signal(
+        lambda stop: BalancerProcess(cfg, make_runtime(cfg.name)).run(stop),
+    )
--- a/packages/balancer/src/trefoilhaven/commands/surveys.py
+++ b/packages/balancer/src/trefoilhaven/commands/surveys.py
@@ -13,13 +13,13 @@
 from trefoilhaven_core.wire.calls import (
     CallError,
     call_peer,
-    make_operator_codec,
 )
+from trefoilhaven_core.wire.codec import make_codec
 
 # Calls that are open at once, to stay below usual limits of open files.
 MAX_OPEN_CALLS = 64
 
-_CODEC = make_operator_codec()
+_CODEC = make_codec()
 _GONE = frozenset((MemberState.dead, MemberState.left))
 
 _Reply = TypeVar('_Reply', bound=tuple)
--- a/packages/bench/src/trefoilhaven_bench/deployments/commands.py
+++ b/packages/bench/src/trefoilhaven_bench/deployments/commands.py
@@ -18,7 +18,8 @@
     StatusReply,
     StatusRequest,
 )
-from trefoilhaven_core.wire.calls import call_peer, make_operator_codec
+from trefoilhaven_core.wire.calls import call_peer
+from trefoilhaven_core.wire.codec import make_codec
 
 
 class CommandError(Exception):
@@ -44,7 +45,7 @@
         self._deployment = deployment
         self._sources = sources
         self._files = deployment.directory / 'services'
-        self._codec = make_operator_codec()
+        self._codec = make_codec()
 
     async def publish_all(self) -> None:
         """Publish the files of all services of the deployment."""
--- a/packages/bench/src/trefoilhaven_bench/measurements/decisions.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/decisions.py
@@ -4,8 +4,8 @@
 from typing import Final, NamedTuple
 
 from trefoilhaven_bench.measurements.tables import Table, table_of
-from trefoilhaven_core.admission import baselines, scenarios
-from trefoilhaven_core.flows import comparisons
+from trefoilhaven_bench.models import queue_loads, queue_rows
+from trefoilhaven_bench.models import comparisons
 
 # Sizes of today: targets and slots of the four services.
 SERVICE_SIZES: Final = ((7, 2), (3, 2), (7, 3), (4, 3))
@@ -44,7 +44,7 @@
         'crest',
         'Crest of 3 times the capacity, reached in 1 s',
         [
-            (scenarios.crest(seed, targets, slots), targets, slots)
+            (queue_loads.crest(seed, targets, slots), targets, slots)
             for targets, slots in SERVICE_SIZES
         ],
     )
@@ -57,7 +57,7 @@
         f'5% of work 20 times as long, load {STRAGGLER_LOAD:g}',
         [
             (
-                scenarios.stragglers(seed, targets, slots, STRAGGLER_LOAD),
+                queue_loads.stragglers(seed, targets, slots, STRAGGLER_LOAD),
                 targets,
                 slots,
             )
@@ -69,7 +69,7 @@
 def _measure_load(
     name: str,
     title: str,
-    cases: Iterable[tuple[scenarios.Scenario, int, int]],
+    cases: Iterable[tuple[queue_loads.Scenario, int, int]],
 ) -> Table:
     rows = [
         LoadRow(
@@ -84,6 +84,6 @@
             row.long_wait_p99_s * 1000,
         )
         for scenario, targets, slots in cases
-        for row in baselines.compare(scenario)
+        for row in queue_rows.compare(scenario)
     ]
     return table_of(name, title, rows)
--- a/packages/bench/src/trefoilhaven_bench/measurements/slopes.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/slopes.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from trefoilhaven_bench.measurements.tables import Table, table_of
-from trefoilhaven_core.membership import slopes
+from trefoilhaven_bench.models import slopes
 
 
 def measure_slopes() -> list[Table]:
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/models/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded models that compare the decision code with its baselines."""
--- a/packages/core/src/trefoilhaven_core/flows/comparisons.py
+++ b/packages/bench/src/trefoilhaven_bench/models/comparisons.py
@@ -11,7 +11,7 @@
 from itertools import count
 from typing import Final, NamedTuple
 
-from trefoilhaven_core.flows.baselines import (
+from trefoilhaven_bench.models.routers import (
     Arrival,
     FlowRouter,
     ModuloRouter,
@@ -19,7 +19,7 @@
     TableRouter,
 )
 from trefoilhaven_core.flows.messages import FlowKey
-from trefoilhaven_core.flows.owned_routers import OwnedRouter
+from trefoilhaven_bench.models.owned_routers import OwnedRouter
 from trefoilhaven_core.membership.messages import MemberState
 
 # Flow keys of different seeds differ by this number.
--- a/packages/core/src/trefoilhaven_core/flows/owned_routers.py
+++ b/packages/bench/src/trefoilhaven_bench/models/owned_routers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from trefoilhaven_core.flows.baselines import Arrival, FlowRouter, States
+from trefoilhaven_bench.models.routers import Arrival, FlowRouter, States
 from trefoilhaven_core.flows.effects import (
     Deliver,
     Effect,
--- a/packages/core/src/trefoilhaven_core/admission/models.py
+++ b/packages/bench/src/trefoilhaven_bench/models/queue_models.py
@@ -20,7 +20,7 @@
     Started,
     Turn,
 )
-from trefoilhaven_core.admission.scenarios import Job, Pairing, Scenario
+from trefoilhaven_bench.models.queue_loads import Job, Pairing, Scenario
 from trefoilhaven_core.membership.messages import Load
 from trefoilhaven_core.requests.budgets import RetryBudget
 from trefoilhaven_core.routing.choices import (
--- a/packages/core/src/trefoilhaven_core/admission/baselines.py
+++ b/packages/bench/src/trefoilhaven_bench/models/queue_rows.py
@@ -8,8 +8,8 @@
 
 from typing import Final, NamedTuple
 
-from trefoilhaven_core.admission.models import Model
-from trefoilhaven_core.admission.scenarios import Job, Pairing, Scenario
+from trefoilhaven_bench.models.queue_models import Model
+from trefoilhaven_bench.models.queue_loads import Job, Pairing, Scenario
 
 _PERCENTILE: Final = 0.99
 
--- a/packages/core/src/trefoilhaven_core/membership/slopes.py
+++ b/packages/bench/src/trefoilhaven_bench/models/slopes.py
@@ -2,7 +2,7 @@
 
 For example, ``measure_times(Size(12_000, 1_050))`` returns the processor
 time of each operation at the size of a region. Run ``python -m
-trefoilhaven_core.membership.slopes`` to print all rows as JSON lines.
+trefoilhaven_bench.models.slopes`` to print all rows as JSON lines.
 """
 
 import gc
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/models/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the models and of the stated figures."""
--- a/packages/core/src/trefoilhaven_core/flows/tests/test_comparisons.py
+++ b/packages/bench/src/trefoilhaven_bench/models/tests/test_comparisons.py
@@ -1,6 +1,6 @@
 """Tests of the comparison with common ways to route flows."""
 
-from trefoilhaven_core.flows.comparisons import Scale, compare_routers
+from trefoilhaven_bench.models.comparisons import Scale, compare_routers
 
 _SMALL = Scale(targets=7, flows=700, packet_s=2, duration_s=60)
 
--- a/packages/core/src/trefoilhaven_core/admission/tests/test_baselines.py
+++ b/packages/bench/src/trefoilhaven_bench/models/tests/test_queue_rows.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from trefoilhaven_core.admission.baselines import measure
-from trefoilhaven_core.admission.scenarios import (
+from trefoilhaven_bench.models.queue_rows import measure
+from trefoilhaven_bench.models.queue_loads import (
     Pairing,
     crest,
     stragglers,
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_slopes.py
+++ b/packages/bench/src/trefoilhaven_bench/models/tests/test_slopes.py
@@ -1,7 +1,7 @@
 """Tests of the measurements."""
 
 from trefoilhaven_core.membership.leases import HEARTBEAT_INTERVAL_S
-from trefoilhaven_core.membership.slopes import (
+from trefoilhaven_bench.models.slopes import (
     MemoryRow,
     MessageRow,
     Size,
--- a/packages/core/src/trefoilhaven_core/telemetry/tests/test_calls.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/tests/test_calls.py
@@ -8,11 +8,12 @@
 
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.telemetry.messages import DrainReply, DrainRequest
-from trefoilhaven_core.wire.calls import call_peer, make_operator_codec
+from trefoilhaven_core.wire.calls import call_peer
+from trefoilhaven_core.wire.codec import make_codec
 from trefoilhaven_core.wire.proto.calls_grpc import PeersBase
 from trefoilhaven_core.wire.proto.calls_pb2 import Packed
 
-_CODEC = make_operator_codec()
+_CODEC = make_codec()
 _REQUEST = DrainRequest('certify', 'certify-1', drain=True)
 
 
--- a/packages/core/src/trefoilhaven_core/telemetry/tests/test_telemetry.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/tests/test_telemetry.py
@@ -27,7 +27,7 @@
 from trefoilhaven_core.timeline.clocks import HybridClock
 from trefoilhaven_core.timeline.messages import TimelineRequest
 from trefoilhaven_core.timeline.rings import EventRing
-from trefoilhaven_core.wire.calls import make_operator_codec
+from trefoilhaven_core.wire.codec import make_codec
 
 
 @pytest.fixture(name='lines')
@@ -211,5 +211,5 @@
             (),
             {'events': 1.0},
         )
-        codec = make_operator_codec()
+        codec = make_codec()
         assert codec.decode(codec.encode(reply)).ok.message == reply
--- a/packages/core/src/trefoilhaven_core/wire/calls.py
+++ b/packages/core/src/trefoilhaven_core/wire/calls.py
@@ -9,7 +9,6 @@
 
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.settings import defaults
-from trefoilhaven_core.telemetry.kinds import OPERATOR_KINDS
 from trefoilhaven_core.wire.codec import Codec, Decoded, make_codec
 from trefoilhaven_core.wire.proto.calls_grpc import PeersStub
 from trefoilhaven_core.wire.proto.calls_pb2 import Packed
@@ -32,11 +31,6 @@
         return f'{host}:{port} {self.reason}'
 
 
-def make_operator_codec() -> Codec:
-    """Return the codec of the messages that operator commands use."""
-    return Codec(OPERATOR_KINDS)
-
-
 async def call_peer(
     address: Address,
     message: NamedTuple,
