Plan registrations for changed services, measure a balancer's tables

Cause: each balancer planned for every service twice a second and walked over all members each second for the witness's memory, which grows with the region. Change: services without a change are planned for each 10 s, the witness's memory is pruned each 60 s; measurements costs covers a balancer's tables and configurations for 750 services.

--- a/packages/balancer/src/trefoilhaven/balancer/control.py
+++ b/packages/balancer/src/trefoilhaven/balancer/control.py
@@ -47,6 +47,7 @@
 TICK_S: Final = 0.25
 
 # Members that others told about are looked through this often.
+FORGET_INTERVAL_S: Final = 60.0
 WATCH_INTERVAL_S: Final = 1.0
 
 
@@ -72,6 +73,7 @@
             seed.name: seed for seed in cfg.seeds if seed.name != cfg.name
         }
         self._watch_due = now
+        self._forget_due = now
         # Peers that are not known yet are answered at their source address.
         self._heard: dict[str, Address] = {}
         self._pulls: set[asyncio.Task[None]] = set()
@@ -150,16 +152,24 @@
         store.forget(now)
         if self._cfg.name not in self._cfg.witnesses:
             return
-        in_views: set[TargetKey] = set()
         for service in store.services:
-            members = store.members(service)
-            self._detector.watch(now, members)
-            in_views.update((service, member.target) for member in members)
-            in_views.update(
+            self._detector.watch(now, store.members(service))
+        if now >= self._forget_due:
+            self._forget_due = now + FORGET_INTERVAL_S
+            self._witness.forget(now, self._known_targets())
+
+    def _known_targets(self) -> set[TargetKey]:
+        store = self._state.store
+        known: set[TargetKey] = set()
+        for service in store.services:
+            known.update(
+                (service, member.target) for member in store.members(service)
+            )
+            known.update(
                 (service, entry.target)
                 for entry in store.registry(service).registrations
             )
-        self._witness.forget(now, in_views)
+        return known
 
     def _on_heartbeat(self, heartbeat: Heartbeat, sender: Address) -> None:
         now = monotonic()
--- a/packages/balancer/src/trefoilhaven/balancer/platforms.py
+++ b/packages/balancer/src/trefoilhaven/balancer/platforms.py
@@ -37,6 +37,10 @@
 MEMBERS_PREFIX: Final = 'members/'
 
 REGISTER_INTERVAL_S: Final = 0.5
+
+# Services without a change are planned for this often only: a region of
+# the target size has 750.
+ROUND_INTERVAL_S: Final = 10.0
 RANK_CHECK_S: Final = 1.0
 
 
@@ -58,6 +62,8 @@
         self._client = client
         self._rng = rng
         self._planner = RegistrationPlanner(name, state.store)
+        self._settled: dict[str, int] = {}
+        self._round_due = 0.0
 
     async def run(self) -> None:
         """Watch and register until cancelled."""
@@ -102,11 +108,30 @@
     async def _register(self) -> None:
         while True:
             await asyncio.sleep(REGISTER_INTERVAL_S)
-            for service in self._state.store.services:
+            for service in self._due_services(monotonic()):
                 plan = self._planner.plan(monotonic(), service)
-                if plan is not None:
+                if plan is None:
+                    digest = self._state.store.digest(service)
+                    self._settled[service] = digest
+                else:
                     await self._write(plan)
 
+    def _due_services(self, now: float) -> list[str]:
+        """Return the services to plan for now.
+
+        Those without a change since they were settled only need the
+        rounds that time the absence of members.
+        """
+        store = self._state.store
+        if now >= self._round_due:
+            self._round_due = now + ROUND_INTERVAL_S
+            self._settled.clear()
+        return [
+            service
+            for service in store.services
+            if self._settled.get(service) != store.digest(service)
+        ]
+
     async def _write(self, plan: RegistrationPlan) -> None:
         content = json.loads(plan.content)
         path = f'{MEMBERS_PREFIX}{plan.service}'
--- a/packages/bench/src/trefoilhaven_bench/measurements/memory.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/memory.py
@@ -7,17 +7,24 @@
 
 from trefoilhaven_bench.measurements.costs import (
     SERVICE,
+    make_member,
     make_owner,
     make_packet,
 )
 from trefoilhaven_bench.measurements.tables import Table, table_of
+from trefoilhaven_core.configuration.versions import ConfigurationStore
 from trefoilhaven_core.flows.messages import FlowMark
 from trefoilhaven_core.flows.tables import FlowTable
 from trefoilhaven_core.requests.decisions import Request, Standing
 from trefoilhaven_core.requests.records import RequestTable
+from trefoilhaven_core.routing.routes import FlowRoutes
 
 FLOWS: Final = 2_000
 RECORDS: Final = 10_000
+
+# Services and targets of each in one of four regions at the target size.
+SERVICES: Final = 750
+TARGETS: Final = 16
 ANSWER_BYTES: Final = 512
 
 _NOW: Final = 1000.0
@@ -34,16 +41,17 @@
 
 
 def measure_memory() -> Table:
-    """Fill both tables of an agent and watch the resident memory.
+    """Fill the tables of an agent and a balancer, watch the memory.
 
     It runs in a process of its own, so that memory freed by earlier
     measurements does not hide what the tables take.
     """
     target = f'{SERVICE}-1'
+    start = _resident()
     ownership = make_owner(target, _NOW)
     flows = FlowTable(SERVICE, target, 1_790_000_000_000)
     requests = RequestTable(SERVICE, target, 1_790_000_000_000)
-    rows = []
+    rows = [_row('bucket ownership of an agent', 1, start)]
     before = _resident()
     for number in range(FLOWS):
         packet = make_packet(number, FlowMark.first)
@@ -59,9 +67,34 @@
         requests.on_finished(key, bytes(ANSWER_BYTES))
     title = f'request records with answers of {ANSWER_BYTES} bytes'
     rows.append(_row(title, RECORDS, before))
+    rows.extend(_measure_balancer())
     return table_of('memory', 'Memory of the tables of an agent', rows)
 
 
+def _measure_balancer() -> list[MemoryRow]:
+    """Fill tables and configurations for a region of the target size."""
+    before = _resident()
+    routes = FlowRoutes()
+    for number in range(SERVICES):
+        names = [f'service-{number}-{index}' for index in range(TARGETS)]
+        routes.set_members(
+            f'service-{number}',
+            [make_member(name, index) for index, name in enumerate(names)],
+        )
+    rows = [_row(f'bucket tables of {TARGETS} targets', SERVICES, before)]
+    before = _resident()
+    store = ConfigurationStore()
+    for number in range(SERVICES):
+        name = f'service-{number}'
+        address = f'127.{number // 250 + 10}.{number % 250}.1:7000'
+        file = {'service': name, 'address': address, 'operator': 'lin'}
+        content = {'address_since': number, 'file': file}
+        if not store.offer(name, 1, content):
+            raise ValueError(f'{name}: {store.findings}')
+    rows.append(_row('service configurations', SERVICES, before))
+    return rows
+
+
 def _resident() -> int:
     return int(psutil.Process().memory_info().rss)
 
