--- a/packages/agent/src/trefoilhaven_agent/process.py
+++ b/packages/agent/src/trefoilhaven_agent/process.py
@@ -4,8 +4,6 @@
 import logging
 from typing import Final
 
-from grpclib.server import Server
-
 from trefoilhaven_agent.flows.tasks import FlowTask
 from trefoilhaven_agent.membership.tasks import MembershipTask
 from trefoilhaven_agent.ownership.tasks import OwnershipTask
@@ -20,7 +18,6 @@
 from trefoilhaven_agent.state import AgentState
 from trefoilhaven_core.membership.messages import MemberState
 from trefoilhaven_core.settings.types import AgentSettings
-from trefoilhaven_core.telemetry.endpoints import TelemetryEndpoint
 from trefoilhaven_core.telemetry.lifecycles import (
     end_tasks,
     run_until_signal,
@@ -30,13 +27,8 @@
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.channels import ChannelPool
-from trefoilhaven_core.wire.codec import make_codec
-from trefoilhaven_core.wire.endpoints import (
-    DatagramEndpoint,
-    measure_endpoint,
-    open_endpoint,
-)
 from trefoilhaven_core.wire.peers import PeerService
+from trefoilhaven_core.wire.sockets import open_sockets
 
 logger = logging.getLogger(__name__)
 
@@ -73,64 +65,36 @@
         Raises ``OSError`` when an address of the settings is not free.
         """
         cfg = self._cfg
-        codec = make_codec()
-        clock = self._runtime.clock
-        flow_socket = await open_endpoint(cfg.flow, codec, clock)
-        control_socket = await open_endpoint(cfg.control, codec, clock)
-        flows = FlowTask(self._state, flow_socket)
+        sockets = await open_sockets(cfg, self._runtime)
+        flows = FlowTask(self._state, sockets.flow)
         ownership = OwnershipTask(
             self._state,
-            control_socket,
+            sockets.control,
             self._channels,
             flows,
         )
         membership = MembershipTask(
             self._state,
-            control_socket,
+            sockets.control,
             ownership,
             self._target,
             self._channels,
         )
-        peers = PeerService(codec, clock)
+        peers = PeerService(sockets.codec, self._runtime.clock)
         AgentPeers(self._state, membership, ownership).register(peers)
-        server = Server([self._placement, peers])
-        await server.start(cfg.rpc.host, cfg.rpc.port)
-        telemetry = TelemetryEndpoint(
-            self._runtime.metrics,
-            self._find_obstacle,
-        )
-        await telemetry.start(cfg.metrics)
-        self._measure(control_socket, flow_socket)
+        await sockets.serve([self._placement, peers], self._find_obstacle)
         tasks = [
-            asyncio.create_task(task)
-            for task in (
-                flows.run(),
-                ownership.run(),
-                membership.run(),
-                self._runner.run(),
-            )
+            asyncio.create_task(task.run())
+            for task in (flows, ownership, membership, self._runner)
         ]
         self._runtime.publish('agent started', cfg.service, host=cfg.name)
         logger.info('agent started')
         await self._serve(stop, membership, tasks)
         await end_tasks(tasks)
-        server.close()
-        await server.wait_closed()
-        await telemetry.stop()
+        await sockets.close()
         flows.close()
         self._target.close()
         self._channels.close()
-        flow_socket.close()
-        control_socket.close()
-
-    def _measure(
-        self,
-        control: DatagramEndpoint,
-        flows: DatagramEndpoint,
-    ) -> None:
-        metrics = self._runtime.metrics
-        measure_endpoint(metrics, 'control', control)
-        measure_endpoint(metrics, 'flow', flows)
 
     def _find_obstacle(self) -> str:
         state = self._state
--- a/packages/balancer/src/trefoilhaven/balancer/process.py
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -5,8 +5,6 @@
 import random
 from typing import Final
 
-from grpclib.server import Server
-
 from trefoilhaven.balancer.control import ControlTask
 from trefoilhaven.balancer.forwarding import ForwardingTask
 from trefoilhaven.balancer.peers import BalancerPeers
@@ -18,7 +16,6 @@
 from trefoilhaven_core.membership.messages import BalancerRecord, MemberState
 from trefoilhaven_core.platform.http import HttpPlatformClient
 from trefoilhaven_core.settings.types import BalancerSettings
-from trefoilhaven_core.telemetry.endpoints import TelemetryEndpoint
 from trefoilhaven_core.telemetry.lifecycles import (
     end_tasks,
     run_until_signal,
@@ -27,9 +24,8 @@
 from trefoilhaven_core.telemetry.logs import configure_logging
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
 from trefoilhaven_core.wire.channels import ChannelPool
-from trefoilhaven_core.wire.codec import make_codec
-from trefoilhaven_core.wire.endpoints import measure_endpoint, open_endpoint
 from trefoilhaven_core.wire.peers import PeerService
+from trefoilhaven_core.wire.sockets import open_sockets
 
 logger = logging.getLogger(__name__)
 
@@ -81,31 +77,17 @@
         Raises ``OSError`` when an address of the settings is not free.
         """
         cfg = self._cfg
-        codec = make_codec()
-        flows = await open_endpoint(cfg.flow, codec, self._runtime.clock)
-        control_socket = await open_endpoint(
-            cfg.control,
-            codec,
-            self._runtime.clock,
-        )
-        ForwardingTask(self._state, flows)
-        measure_endpoint(self._runtime.metrics, 'control', control_socket)
-        measure_endpoint(self._runtime.metrics, 'flow', flows)
+        sockets = await open_sockets(cfg, self._runtime)
+        ForwardingTask(self._state, sockets.flow)
         control = ControlTask(
             cfg,
             self._state,
             self._disseminator,
-            control_socket,
+            sockets.control,
         )
-        peers = PeerService(codec, self._runtime.clock)
+        peers = PeerService(sockets.codec, self._runtime.clock)
         BalancerPeers(cfg, self._state, control).register(peers)
-        server = Server([self._requests, peers])
-        await server.start(cfg.rpc.host, cfg.rpc.port)
-        telemetry = TelemetryEndpoint(
-            self._runtime.metrics,
-            self._find_obstacle,
-        )
-        await telemetry.start(cfg.metrics)
+        await sockets.serve([self._requests, peers], self._find_obstacle)
         await control.pull_from_seeds()
         platform = PlatformTask(
             cfg.name,
@@ -123,13 +105,9 @@
         await wait_for_stop(stop, tasks)
         await self._stop(control)
         await end_tasks(tasks)
-        server.close()
-        await server.wait_closed()
-        await telemetry.stop()
+        await sockets.close()
         await self._platform.close()
         self._channels.close()
-        flows.close()
-        control_socket.close()
 
     def _find_obstacle(self) -> str:
         if not self._state.services:
