--- a/packages/balancer/src/trefoilhaven/balancer/spreading.py
+++ b/packages/balancer/src/trefoilhaven/balancer/spreading.py
@@ -131,21 +131,10 @@
                 best = [parts for parts in ended if parts.is_done]
                 if best or len(ended) == len(running):
                     return (best or ended)[0]
-                if not hedged and service.hedging.should_hedge(
-                    monotonic(),
-                    copy.sent_at,
-                    idempotent=True,
-                    copies=1,
-                ):
-                    hedged = True
-                    second = self._send(
-                        service,
-                        placed,
-                        deadline,
-                        {copy.choice.target},
-                    )
-                    if second is not None:
-                        running.append(_Parts(second))
+                if not hedged:
+                    second = self._hedge(service, copy, placed, deadline)
+                    hedged = second is not None
+                    running.extend([second] if second else [])
             return running[0]
         finally:
             for parts in running:
@@ -153,6 +142,24 @@
                 if not parts.ended:
                     service.chooser.on_cancelled(parts.copy.choice.target)
 
+    def _hedge(
+        self,
+        service: _Service,
+        copy: _Copy,
+        placed: PlacedRequest,
+        deadline: float,
+    ) -> '_Parts | None':
+        """Send a second copy to another target when it is time."""
+        if not service.hedging.should_hedge(
+            monotonic(),
+            copy.sent_at,
+            idempotent=True,
+            copies=1,
+        ):
+            return None
+        second = self._send(service, placed, deadline, {copy.choice.target})
+        return _Parts(second) if second else None
+
     def _send(
         self,
         service: _Service,
--- a/packages/bench/src/trefoilhaven_bench/measurements/__main__.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/__main__.py
@@ -77,6 +77,16 @@
     _show(measure_slopes(), out)
 
 
+@app.command(name='all')
+def run_all(seed: SeedOption = 1, out: OutOption = _OUT) -> None:
+    """Run all measurements, one after the other, in about five minutes."""
+    costs(out)
+    slopes(out)
+    load(seed, out)
+    routing(seed, out)
+    processes(seed, out)
+
+
 def _show(tables: list[Table], out: Path) -> None:
     write_tables(tables, out)
     for table in tables:
--- a/packages/bench/src/trefoilhaven_bench/measurements/processes.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/processes.py
@@ -9,6 +9,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from trefoilhaven_bench.caller.flows import FlowLoad
+from trefoilhaven_bench.caller.reports import FlowReport
 from trefoilhaven_bench.deployments.commands import OperatorCommands
 from trefoilhaven_bench.deployments.descriptions import (
     DeploymentDescription,
@@ -57,55 +58,64 @@
     sources: Path,
 ) -> list[Table]:
     """Run Lin's larger service of today and watch its processes."""
-    description = DeploymentDescription(
-        'measured',
-        'lin',
-        'tw-south',
-        ('tainan-a', 'kaohsiung-b', 'pingtung-c'),
-        (ServiceDescription(SERVICE, '127.1.0.1:7000', TARGETS, 2),),
-        seed=seed,
-        log_level='warning',
-    )
-    async with Deployment(description, directory) as deployment:
+    async with Deployment(_describe(seed), directory) as deployment:
         commands = OperatorCommands(deployment, sources)
         await deployment.start_outside()
         await commands.publish_all()
         await deployment.start_product()
         rows = await _watch(deployment, 'no flows')
-        load = FlowLoad(
-            deployment.flow_plan(
-                SERVICE,
-                flows=FLOWS,
-                open_per_s=OPEN_PER_S,
-                packets_per_s=PACKETS_PER_S,
-                duration_s=FLOWS / OPEN_PER_S + 4 * WATCH_S,
-                seed=seed,
-            ),
-        )
+        load = _plan_load(deployment, seed)
         running = asyncio.create_task(load.run())
         await load.until_opened(FLOWS, 4 * WATCH_S)
         shares = load.targets()
         rows.extend(await _watch(deployment, f'{FLOWS:,} open flows'))
         load.stop()
         report = await running
-    spread = (
-        ('flows opened', report['opened']),
-        ('flows broken', report['broken']),
-        ('imbalance (largest over mean)', imbalance(shares, TARGETS)),
-        ('round trip p50 in ms', report['round_trip']['p50_s'] * 1000),
-        ('round trip p99 in ms', report['round_trip']['p99_s'] * 1000),
-    )
     return [
         table_of('processes', 'Processes of one service of today', rows),
-        Table(
-            'imbalance',
-            f'{FLOWS:,} flows on {TARGETS} targets, real processes',
-            ('figure', 'value'),
-            spread,
-        ),
+        _tabulate(report, imbalance(shares, TARGETS)),
     ]
 
 
+def _describe(seed: int) -> DeploymentDescription:
+    return DeploymentDescription(
+        'measured',
+        'lin',
+        'tw-south',
+        ('tainan-a', 'kaohsiung-b', 'pingtung-c'),
+        (ServiceDescription(SERVICE, '127.1.0.1:7000', TARGETS, 2),),
+        seed=seed,
+        log_level='warning',
+    )
+
+
+def _plan_load(deployment: Deployment, seed: int) -> FlowLoad:
+    plan = deployment.flow_plan(
+        SERVICE,
+        flows=FLOWS,
+        open_per_s=OPEN_PER_S,
+        packets_per_s=PACKETS_PER_S,
+        duration_s=FLOWS / OPEN_PER_S + 4 * WATCH_S,
+        seed=seed,
+    )
+    return FlowLoad(plan)
+
+
+def _tabulate(report: FlowReport, spread: float) -> Table:
+    return Table(
+        'imbalance',
+        f'{FLOWS:,} flows on {TARGETS} targets, real processes',
+        ('figure', 'value'),
+        (
+            ('flows opened', report['opened']),
+            ('flows broken', report['broken']),
+            ('imbalance (largest over mean)', spread),
+            ('round trip p50 in ms', report['round_trip']['p50_s'] * 1000),
+            ('round trip p99 in ms', report['round_trip']['p99_s'] * 1000),
+        ),
+    )
+
+
 async def _watch(deployment: Deployment, phase: str) -> list[ProcessRow]:
     before = await _sample_all(deployment)
     await asyncio.sleep(WATCH_S)
