Test limits and a retention that change

Cause: setters for limits of a new configuration had no test. Change: a longer retention must not revive dropped keys; a lower connection limit cuts no open flow.

--- a/packages/core/src/trefoilhaven_core/flows/tests/test_tables.py
+++ b/packages/core/src/trefoilhaven_core/flows/tests/test_tables.py
@@ -316,6 +316,23 @@
         assert len(table) == 100
 
 
+class TestLimits:
+    """Limits that a new configuration changes."""
+
+    def test_lower_limit(self) -> None:
+        """Guards against a lower limit that cuts open flows."""
+        table, owner = _table(), _owner()
+        for number in range(3):
+            table.on_packet(0, _packet(_FIRST, number), owner, {})
+        table.set_limits(2, 3600)
+        effects = table.on_packet(0, _packet(_FIRST, 9), owner, {})
+        assert effects == [SendReset(_flow(9), ResetReason.connection_limit)]
+        assert isinstance(
+            table.on_packet(0, _packet(_NONE, 0), owner, {})[0],
+            Deliver,
+        )
+
+
 class TestEndings:
     """Flows that end without a last packet."""
 
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/requests/tests/test_retention.py
@@ -0,0 +1,39 @@
+"""Tests of a retention that a new configuration changes."""
+
+from trefoilhaven_core.requests.decisions import (
+    Conclude,
+    Outcome,
+    Request,
+    RunHere,
+    Standing,
+)
+from trefoilhaven_core.requests.records import RequestTable
+
+_OWNER = Standing(is_owner=True, lease_valid=True, horizon=0)
+_DAY_S = 86_400.0
+
+
+class TestRetention:
+    """Request records when the retention changes."""
+
+    def test_longer_retention(self) -> None:
+        """Guards against a second run of a key whose record was dropped.
+
+        A longer retention must not accept keys that a shorter one has
+        forgotten already.
+        """
+        table = RequestTable('collect', 'collect-1', 1)
+        table.set_retention(60)
+        req = Request('collect', 'drop-off-17', 1, _DAY_S)
+        assert isinstance(
+            table.on_decide(0, _DAY_S, req, _OWNER),
+            RunHere,
+        )
+        table.on_started(req.key, lease_valid=True)
+        table.on_finished(req.key, b'credited')
+        table.tick(300, _DAY_S + 300)
+        assert not len(table)
+        table.set_retention(3600)
+        again = table.on_decide(300, _DAY_S + 300, req, _OWNER)
+        assert isinstance(again, Conclude)
+        assert again.outcome == Outcome.unknown
