Use the field's words in the timeline steps

Cause: the steps called the collected events a story, and the agent its departure a farewell. Change: names only.

--- a/features/steps/timeline.py
+++ b/features/steps/timeline.py
@@ -15,7 +15,7 @@
 _SERVICE = 'classroom-desk'
 
 
-class Story(NamedTuple):
+class CollectedEvents(NamedTuple):
     """Events after the kill of a target's agent, in the printed order."""
 
     victim: str
@@ -48,10 +48,10 @@
     stage = context.stage
 
     async def resumed() -> bool:
-        context.story = await _read_story(stage)
-        found = context.story.find('requests resumed')
-        servers = {context.story.events[place].process for place in found}
-        return bool(servers >= context.story.siblings)
+        context.collected = await _read_events(stage)
+        found = context.collected.find('requests resumed')
+        servers = {context.collected.events[place].process for place in found}
+        return bool(servers >= context.collected.siblings)
 
     context.loop.run(stage.until(resumed, _TAKE_OVER_TIMEOUT_S))
 
@@ -62,53 +62,55 @@
     kinds = [row['event'] for row in context.table]
     firsts = []
     for kind in kinds:
-        found = context.story.find(kind, host=target)
-        assert found, f'no event "{kind}": {_text(context.story.events)}'
+        found = context.collected.find(kind, host=target)
+        assert found, f'no event "{kind}": {_text(context.collected.events)}'
         firsts.append(found[0])
-    assert firsts == sorted(firsts), _text(context.story.events)
+    assert firsts == sorted(firsts), _text(context.collected.events)
 
 
 @then('each sibling was granted the fence before it acquired buckets')
 def check_fences(context: Any) -> None:
     """Two of three witnesses agree, then the sibling acquires."""
-    story = context.story
-    for sibling in story.siblings:
+    collected = context.collected
+    for sibling in collected.siblings:
         votes = {
-            story.events[place].process: place
-            for place in reversed(story.find('lease fenced', host=story.victim))
-            if story.events[place].detail.endswith(f'asked by {sibling}')
+            collected.events[place].process: place
+            for place in reversed(
+                collected.find('lease fenced', host=collected.victim)
+            )
+            if collected.events[place].detail.endswith(f'asked by {sibling}')
         }
-        fenced = story.find('sibling fenced', process=sibling)[0]
+        fenced = collected.find('sibling fenced', process=sibling)[0]
         earlier = [place for place in votes.values() if place < fenced]
-        assert len(earlier) >= 2, (sibling, _text(story.events))
-        acquired = story.find('buckets acquired', process=sibling)
-        assert fenced < acquired[0], (sibling, _text(story.events))
+        assert len(earlier) >= 2, (sibling, _text(collected.events))
+        acquired = collected.find('buckets acquired', process=sibling)
+        assert fenced < acquired[0], (sibling, _text(collected.events))
 
 
 @then('each sibling acquired buckets before it served a request')
 def check_resumption(context: Any) -> None:
     """The first request after the take-over is told, with its key."""
-    story = context.story
-    for sibling in story.siblings:
-        acquired = story.find('buckets acquired', process=sibling)
-        resumed = story.find('requests resumed', process=sibling)
-        assert acquired[0] < resumed[0], (sibling, _text(story.events))
-        assert story.events[resumed[0]].request_key
+    collected = context.collected
+    for sibling in collected.siblings:
+        acquired = collected.find('buckets acquired', process=sibling)
+        resumed = collected.find('requests resumed', process=sibling)
+        assert acquired[0] < resumed[0], (sibling, _text(collected.events))
+        assert collected.events[resumed[0]].request_key
         # Each acquisition has one event at most, whatever the load.
-        assert len(resumed) <= len(acquired), _text(story.events)
+        assert len(resumed) <= len(acquired), _text(collected.events)
 
 
-@then('at least {count:d} processes tell the story')
+@then('at least {count:d} processes report events')
 def check_processes(context: Any, count: int) -> None:
     """The events come from several processes."""
-    processes = {event.process for event in context.story.events}
+    processes = {event.process for event in context.collected.events}
     assert len(processes) >= count, processes
 
 
 @then('the process of "{target}" is named as unreachable')
 def check_unreachable(context: Any, target: str) -> None:
     """Only the killed process has not answered."""
-    unreachable = context.story.unreachable
+    unreachable = context.collected.unreachable
     assert unreachable == {f'{_SERVICE}/{target}'}, unreachable
 
 
@@ -121,7 +123,7 @@
     for option, field, wanted in (
         ('--service', 'service', 'packet-press'),
         ('--service', 'service', _SERVICE),
-        ('--host', 'host', context.story.victim),
+        ('--host', 'host', context.collected.victim),
     ):
         found = _events(context.loop.run(commands.timeline(option, wanted)))
         expected = {
@@ -147,7 +149,7 @@
     assert {event.process for event in _events(content)} <= texts, texts
 
 
-async def _read_story(stage: Any) -> Story:
+async def _read_events(stage: Any) -> CollectedEvents:
     content = await stage.commands.timeline('--service', _SERVICE)
     victim = stage.noted['victim']
     events = tuple(
@@ -157,7 +159,7 @@
     )
     siblings = set(stage.deployment.targets(_SERVICE)) - {victim}
     unreachable = frozenset(each['process'] for each in content['unreachable'])
-    return Story(victim, frozenset(siblings), events, unreachable)
+    return CollectedEvents(victim, frozenset(siblings), events, unreachable)
 
 
 def _events(content: dict[str, Any]) -> tuple[TimelineEvent, ...]:
--- a/features/timeline.feature
+++ b/features/timeline.feature
@@ -19,7 +19,7 @@
       | sibling fenced |
     And each sibling was granted the fence before it acquired buckets
     And each sibling acquired buckets before it served a request
-    And at least 4 processes tell the story
+    And at least 4 processes report events
     And the process of "classroom-desk-2" is named as unreachable
     And the filters by service and host leave out all other events
     And the picture has a lane for each process
--- a/packages/agent/src/trefoilhaven_agent/membership/tasks.py
+++ b/packages/agent/src/trefoilhaven_agent/membership/tasks.py
@@ -75,7 +75,7 @@
         self._tell_siblings()
         self._take_view()
 
-    def send_farewell(self) -> None:
+    def announce_departure(self) -> None:
         """Tell witnesses and siblings that this agent has left."""
         self._send_heartbeats()
         self._tell_siblings()
--- a/packages/agent/src/trefoilhaven_agent/process.py
+++ b/packages/agent/src/trefoilhaven_agent/process.py
@@ -129,7 +129,7 @@
                 sequence=member.sequence + 1,
             ),
         )
-        membership.send_farewell()
+        membership.announce_departure()
 
 
 def run(cfg: AgentSettings) -> None:
