Log the reason of an unknown outcome

Cause: the demo ended with one unknown request and no line that told why. Change: a rate-limited warning with service, key and reason.

--- a/packages/balancer/src/trefoilhaven/balancer/requests.py
+++ b/packages/balancer/src/trefoilhaven/balancer/requests.py
@@ -18,6 +18,7 @@
 from trefoilhaven.balancer.state import BalancerState
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.routing.tables import bucket_of, hash_item
+from trefoilhaven_core.telemetry.logs import RateLimitedLog
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.channels import ChannelPool
 from trefoilhaven_core.wire.proto.calls_grpc import RequestsBase
@@ -68,6 +69,7 @@
         self._state = state
         self._channels = channels
         self._spreader = spreader
+        self._log = RateLimitedLog(logger)
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -146,6 +148,14 @@
             monotonic() - started,
         )
         if closing.closing.outcome == pb.OUTCOME_UNKNOWN:
+            self._log.warn(
+                monotonic(),
+                closing.closing.reason,
+                'outcome unknown',
+                service=req.service,
+                request_key=req.key,
+                reason=closing.closing.reason,
+            )
             self._state.runtime.publish(
                 'outcome unknown',
                 req.service,
