Share call errors, deadlines and limited logs, drop dead state

Cause: a read of the whole change found the list of call errors and the reading of a call's deadline twice, a log limit of its own beside RateLimitedLog, a field that nobody read and a constant without use.

--- a/packages/agent/src/trefoilhaven_agent/requests/relays.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/relays.py
@@ -25,9 +25,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Round trip to another failure domain until it is measured.
-LINK_COST_S: Final = 0.008
-
 # Ends the call to a sibling a little before the asker gives up.
 MIN_TIMEOUT_S: Final = 0.01
 
--- a/packages/agent/src/trefoilhaven_agent/requests/services.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/services.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
@@ -26,6 +26,7 @@
     RunHere,
 )
 from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.channels import remaining_s
 from trefoilhaven_core.wire.proto import calls_pb2 as pb
 from trefoilhaven_core.wire.proto.calls_grpc import PlacementBase
 from trefoilhaven_core.wire.proto.calls_pb2 import (
@@ -36,8 +37,6 @@
 
 logger = logging.getLogger(__name__)
 
-DEFAULT_DEADLINE_S: Final = 30.0
-
 PlacedStream = Stream[PlacedRequest, AnswerPart]
 
 
@@ -110,7 +109,7 @@
     ) -> None:
         req = placed.request
         buffer = AnswerBuffer(req.service, req.key)
-        deadline = _deadline_of(stream)
+        deadline = monotonic() + remaining_s(stream)
         opened: _Open | None = None
         if isinstance(decision, Conclude):
             self._conclude(buffer, req, decision)
@@ -229,13 +228,6 @@
     return placed
 
 
-def _deadline_of(stream: PlacedStream) -> float:
-    remaining = DEFAULT_DEADLINE_S
-    if stream.deadline is not None:
-        remaining = stream.deadline.time_remaining()
-    return monotonic() + remaining
-
-
 def seeded_generator(state: AgentState) -> random.Random:
     """Return the generator of an agent's random choices."""
     return random.Random(f'{state.cfg.name}/{state.runtime.incarnation}')
--- a/packages/agent/src/trefoilhaven_agent/requests/works.py
+++ b/packages/agent/src/trefoilhaven_agent/requests/works.py
@@ -1,14 +1,13 @@
 """Calls from the agent to its target."""
 
-import asyncio
 import logging
 from collections.abc import AsyncIterator
 from typing import Final, NamedTuple
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.wire.channels import CALL_ERRORS
 from trefoilhaven_core.wire.proto.calls_grpc import WorkStub
 from trefoilhaven_core.wire.proto.calls_pb2 import (
     IncarnationToken,
@@ -21,14 +20,6 @@
 # The target is on the same host: a probe that takes longer has failed.
 PROBE_TIMEOUT_S: Final = 1.0
 
-CALL_ERRORS: Final = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    OSError,
-    asyncio.TimeoutError,
-)
-
 
 class TargetRefused(Exception):
     """The target refused a request before it started it."""
--- a/packages/balancer/src/trefoilhaven/balancer/relays.py
+++ b/packages/balancer/src/trefoilhaven/balancer/relays.py
@@ -17,13 +17,8 @@
 
 
 class Silence(NamedTuple):
-    """The call ended without a closing part.
+    """The call ended without a closing part."""
 
-    ``delivered`` is false when no connection could be made, which proves
-    that the agent never saw the request.
-    """
-
-    delivered: bool
     reason: str
 
 
@@ -63,22 +58,17 @@
         self._task.cancel()
 
     async def _read(self) -> None:
-        delivered = False
         try:
             async with self._method.open(timeout=self._timeout_s) as stream:
-                delivered = True
                 await stream.send_message(self._placed, end=True)
                 async for part in stream:
                     await self._parts.put(part)
                     if part.HasField('closing'):
                         return
-        except ConnectionRefusedError as exc:
-            await self._parts.put(Silence(delivered=False, reason=repr(exc)))
-            return
         except CALL_ERRORS as exc:
-            await self._parts.put(Silence(delivered, repr(exc)))
+            await self._parts.put(Silence(repr(exc)))
             return
-        await self._parts.put(Silence(delivered, 'the answer was cut off'))
+        await self._parts.put(Silence('the answer was cut off'))
 
 
 def close_answer(
--- a/packages/balancer/src/trefoilhaven/balancer/requests.py
+++ b/packages/balancer/src/trefoilhaven/balancer/requests.py
@@ -20,7 +20,7 @@
 from trefoilhaven_core.routing.tables import bucket_of, hash_item
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
 from trefoilhaven_core.timeline.monotonic import monotonic
-from trefoilhaven_core.wire.channels import ChannelPool
+from trefoilhaven_core.wire.channels import ChannelPool, remaining_s
 from trefoilhaven_core.wire.proto.calls_grpc import RequestsBase
 from trefoilhaven_core.wire.proto.calls_pb2 import (
     AnswerPart,
@@ -31,7 +31,6 @@
 
 logger = logging.getLogger(__name__)
 
-DEFAULT_DEADLINE_S: Final = 30.0
 MAX_BODY_BYTES: Final = 1_000_000
 MAX_KEY_BYTES: Final = 256
 
@@ -238,8 +237,6 @@
 
 def _deadline_of(stream: CallerStream, now: float) -> float:
     """Return the monotonic time at which the outcome must be sent."""
-    remaining = DEFAULT_DEADLINE_S
-    if stream.deadline is not None:
-        remaining = stream.deadline.time_remaining()
+    remaining = remaining_s(stream)
     margin = min(ANSWER_MARGIN_S, remaining / 10)
     return now + remaining - margin
--- a/packages/core/src/trefoilhaven_core/wire/channels.py
+++ b/packages/core/src/trefoilhaven_core/wire/channels.py
@@ -1,10 +1,11 @@
-"""Open gRPC channels of a process, one for each address."""
+"""Open gRPC channels of a process, and what all gRPC calls share."""
 
 import asyncio
-from typing import Final
+from typing import Any, Final
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Stream
 
 from trefoilhaven_core.membership.messages import Address
 
@@ -18,6 +19,17 @@
 )
 
 
+# Callers that set no deadline of their own wait this long.
+DEFAULT_DEADLINE_S: Final = 30.0
+
+
+def remaining_s(stream: Stream[Any, Any]) -> float:
+    """Return the seconds until the deadline of a call that is served."""
+    if stream.deadline is None:
+        return DEFAULT_DEADLINE_S
+    return float(stream.deadline.time_remaining())
+
+
 class ChannelPool:
     """Channels that stay open between calls.
 
--- a/packages/core/src/trefoilhaven_core/wire/endpoints.py
+++ b/packages/core/src/trefoilhaven_core/wire/endpoints.py
@@ -12,15 +12,13 @@
 from typing import Any, Final, NamedTuple, cast
 
 from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.telemetry.logs import RateLimitedLog
 from trefoilhaven_core.telemetry.metrics import Metrics
 from trefoilhaven_core.telemetry.runtimes import ProcessClock
 from trefoilhaven_core.wire.codec import Codec
 
 logger = logging.getLogger(__name__)
 
-# A log line about malformed datagrams is written at most this often.
-MALFORMED_LOG_INTERVAL_S: Final = 1.0
-
 # Receive buffer of a socket in bytes, enough for a burst of 4,000 packets.
 RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
 
@@ -50,7 +48,7 @@
         self._clock = clock
         self._handlers: dict[type[NamedTuple], Handler] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self._last_malformed_log = 0.0
+        self._log = RateLimitedLog(logger)
 
     def on(self, kind: type[NamedTuple], handler: Handler) -> None:
         """Register the handler of a message type."""
@@ -68,7 +66,14 @@
         decoded = self._codec.decode(data)
         if decoded.is_error():
             self.counters.malformed += 1
-            self._log_malformed(addr, decoded.error.reason)
+            self._log.warn(
+                asyncio.get_running_loop().time(),
+                'malformed',
+                'malformed datagram dropped',
+                sender=f'{addr[0]}:{addr[1]}',
+                reason=decoded.error.reason,
+                count=self.counters.malformed,
+            )
             return
         self._clock.observe(decoded.ok.clock)
         handler = self._handlers.get(type(decoded.ok.message))
@@ -95,20 +100,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _log_malformed(self, addr: tuple[str, int], reason: str) -> None:
-        now = asyncio.get_running_loop().time()
-        if now - self._last_malformed_log < MALFORMED_LOG_INTERVAL_S:
-            return
-        self._last_malformed_log = now
-        logger.warning(
-            'malformed datagram dropped',
-            extra={
-                'sender': f'{addr[0]}:{addr[1]}',
-                'reason': reason,
-                'count': self.counters.malformed,
-            },
-        )
-
 
 async def open_endpoint(
     address: Address,
