--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside a target that speaks in segments."""
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -0,0 +1,97 @@
+"""Start and stop of a sidecar."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from trefoilhaven_agent.sidecar.reporting import ReportingTask
+from trefoilhaven_agent.sidecar.segments import SegmentTask
+from trefoilhaven_agent.sidecar.targets import Place, TargetBelief
+from trefoilhaven_core.connections.holders import HeldConnections
+from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.settings.types import SidecarSettings
+from trefoilhaven_core.telemetry.lifecycles import (
+    end_tasks,
+    run_until_signal,
+    wait_for_stop,
+)
+from trefoilhaven_core.telemetry.logs import configure_logging
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
+from trefoilhaven_core.telemetry.scrapes import serve_metrics
+from trefoilhaven_core.wire.codec import make_codec
+from trefoilhaven_core.wire.endpoints import measure_endpoint, open_endpoint
+
+logger = logging.getLogger(__name__)
+
+# Connections without a segment for this time are forgotten, in seconds.
+CONNECTION_IDLE_S: Final = 60.0
+
+
+class SidecarProcess:
+    """All tasks of one sidecar."""
+
+    def __init__(
+        self,
+        cfg: SidecarSettings,
+        runtime: ProcessRuntime,
+        adapter: PlatformAdapter,
+    ) -> None:
+        """Prepare the process; ``run`` opens its sockets."""
+        self._cfg = cfg
+        self._runtime = runtime
+        self._adapter = adapter
+        self._connections = HeldConnections(cfg.service, CONNECTION_IDLE_S)
+        place = Place(cfg.host, cfg.failure_domain, cfg.control)
+        self._belief = TargetBelief(cfg.service, place, self._connections)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set.
+
+        Raises ``OSError`` when an address of the settings is not free.
+        """
+        cfg = self._cfg
+        codec = make_codec()
+        endpoint = await open_endpoint(cfg.control, codec, self._runtime.clock)
+        segments = SegmentTask(
+            cfg, self._runtime, self._connections, self._adapter, endpoint
+        )
+        reporting = ReportingTask(
+            cfg,
+            self._runtime,
+            self._connections,
+            self._belief,
+            segments,
+            self._adapter,
+            endpoint,
+        )
+        await segments.open()
+        measure_endpoint(self._runtime.metrics, 'control', endpoint)
+        await self._adapter.serve_announcements(reporting.on_announcement)
+        await self._adapter.serve_readiness(lambda: True)
+        await serve_metrics(cfg.metrics, self._runtime.metrics)
+        tasks = [
+            asyncio.create_task(segments.run()),
+            asyncio.create_task(reporting.run()),
+        ]
+        logger.info('sidecar started')
+        await wait_for_stop(stop, tasks)
+        logger.info('sidecar stops')
+        await reporting.stop()
+        await end_tasks(tasks)
+        segments.close()
+        endpoint.close()
+        self._adapter.close()
+        logger.info('sidecar stopped')
+
+
+def run(
+    cfg: SidecarSettings,
+    make_adapter: Callable[[SidecarSettings], PlatformAdapter],
+) -> None:
+    """Run a sidecar until SIGTERM or SIGINT."""
+    configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
+    runtime = make_runtime(cfg.name)
+    run_until_signal(
+        lambda stop: SidecarProcess(cfg, runtime, make_adapter(cfg)).run(stop),
+    )
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -0,0 +1,288 @@
+"""The target's heartbeats in, reports about it to the balancers out."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from trefoilhaven_agent.sidecar.segments import SegmentTask
+from trefoilhaven_agent.sidecar.targets import Noted, TargetBelief
+from trefoilhaven_core.connections.holders import HeldConnections
+from trefoilhaven_core.connections.messages import (
+    BalancerHello,
+    TargetReport,
+)
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Member,
+    MemberState,
+)
+from trefoilhaven_core.membership.objects import (
+    BALANCERS_PREFIX,
+    TARGETS_PREFIX,
+    member_content,
+    read_balancer,
+)
+from trefoilhaven_core.platform.adapters import (
+    PlatformAdapter,
+    TargetAnnouncement,
+    TargetDeparture,
+)
+from trefoilhaven_core.platform.backoffs import Backoff
+from trefoilhaven_core.platform.errors import describe_error
+from trefoilhaven_core.platform.registrar import Registrar
+from trefoilhaven_core.settings.types import SidecarSettings
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
+from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+
+logger = logging.getLogger(__name__)
+
+# Balancers of the own failure domain choose this target most.
+REPORT_S: Final = 0.25
+FAR_REPORT_S: Final = 0.5
+
+# A balancer that was not heard for this time is taken to have ended.
+BALANCER_SILENT_S: Final = 30.0
+
+# A target that misses two heartbeats is asked whether it lives.
+SILENT_TARGET_S: Final = 2.6
+CHECK_S: Final = 0.2
+CHECK_TIMEOUT_S: Final = 0.15
+SILENT_CHECK_S: Final = 1.0
+
+LIST_BACKOFF_LIMIT_S: Final = 1.0
+
+# The record of a target that left is reported so often, since datagrams
+# may be lost.
+LEFT_REPORTS: Final = 3
+
+
+class _Balancer(NamedTuple):
+    address: Address
+    is_near: bool
+    heard_at: float
+
+
+class ReportingTask:
+    """Takes heartbeats and keeps the balancers informed."""
+
+    def __init__(
+        self,
+        cfg: SidecarSettings,
+        runtime: ProcessRuntime,
+        connections: HeldConnections,
+        belief: TargetBelief,
+        segments: SegmentTask,
+        adapter: PlatformAdapter,
+        endpoint: DatagramEndpoint,
+    ) -> None:
+        """Register the handlers of the control socket."""
+        rng = random.Random(f'{cfg.name}/{runtime.incarnation}')
+        self._cfg = cfg
+        self._runtime = runtime
+        self._connections = connections
+        self._belief = belief
+        self._segments = segments
+        self._endpoint = endpoint
+        self._client = adapter.make_client()
+        self._backoff = Backoff(rng, limit_s=LIST_BACKOFF_LIMIT_S)
+        path = f'{TARGETS_PREFIX}{cfg.name}'
+        self._registrar = Registrar(self._client, path, rng)
+        self._balancers: dict[Address, _Balancer] = {}
+        self._departing = False
+        self._left: tuple[Member, ...] = ()
+        self._left_reports = 0
+        endpoint.on(BalancerHello, self._on_hello)
+        now = monotonic()
+        for seed in cfg.seeds:
+            address = Address(seed.host, cfg.control.port)
+            self._balancers[address] = _Balancer(address, True, now)
+
+    async def run(self) -> None:
+        """Report, register and watch the target until cancelled."""
+        await asyncio.gather(
+            self._report_regularly(),
+            self._list_balancers(),
+            self._registrar.run(),
+            self._check_target(),
+        )
+
+    async def on_announcement(
+        self, message: TargetAnnouncement | TargetDeparture
+    ) -> bool:
+        """Take a message of the target; return whether it is in force."""
+        now = monotonic()
+        if isinstance(message, TargetDeparture):
+            self._departing = self._belief.on_departure(message.target)
+            logger.info('target departs', extra={'target': message.target})
+            return True
+        noted = self._belief.on_announcement(now, message)
+        if not noted.is_current:
+            logger.info(
+                'heartbeat not taken',
+                extra={
+                    'target': message.target,
+                    'service': message.service,
+                    'sequence': message.sequence,
+                },
+            )
+            return message.service == self._cfg.service
+        self._segments.apply(noted.effects)
+        if noted.is_changed:
+            self._on_changed(noted, message)
+        return True
+
+    async def stop(self) -> None:
+        """Tell the balancers that the agent ends, and reset if it must.
+
+        When the target has ended, its connections are reset. When it
+        lives, they stay, and the agent that starts next finds them.
+        """
+        if await self._is_target_gone():
+            self._on_gone()
+            if not await self._registrar.write():
+                logger.info('object of the target stays until it is replaced')
+            return
+        member = self._belief.member
+        if member is not None:
+            self._send_all(member._replace(state=MemberState.suspect))
+
+    def _on_changed(self, noted: Noted, message: TargetAnnouncement) -> None:
+        member = self._belief.member
+        logger.info(
+            'target changed',
+            extra={
+                'target': message.target,
+                'incarnation': message.incarnation,
+                'sequence': message.sequence,
+                'state': message.state.name,
+                'resets': len(noted.effects),
+            },
+        )
+        if noted.departed is not None:
+            self._report_left(noted.departed)
+        if member is None:
+            return
+        if member.sequence == message.sequence and (
+            message.state is MemberState.alive
+        ):
+            self._departing = False
+            self._registrar.want(member_content(member))
+        self._send_all(member)
+
+    def _report_left(self, member: Member) -> None:
+        self._left = (*self._left, member)
+        self._left_reports = LEFT_REPORTS
+        self._send_all(member)
+
+    def _on_hello(self, hello: BalancerHello, sender: Address) -> None:
+        known = self._balancers.get(sender)
+        is_near = known.is_near if known else True
+        if known is None:
+            logger.info('balancer found', extra={'balancer': hello.name})
+        self._balancers[sender] = _Balancer(sender, is_near, monotonic())
+
+    async def _report_regularly(self) -> None:
+        turn = 0
+        while True:
+            await asyncio.sleep(REPORT_S)
+            turn += 1
+            self._forget_balancers()
+            member = self._belief.member
+            if member is not None:
+                is_far_due = turn % round(FAR_REPORT_S / REPORT_S) == 0
+                self._send(
+                    member,
+                    [
+                        balancer.address
+                        for balancer in self._balancers.values()
+                        if balancer.is_near or is_far_due
+                    ],
+                )
+            self._repeat_left()
+
+    def _repeat_left(self) -> None:
+        if self._left_reports:
+            self._left_reports -= 1
+            for member in self._left:
+                self._send_all(member)
+        else:
+            self._left = ()
+
+    def _forget_balancers(self) -> None:
+        oldest = monotonic() - BALANCER_SILENT_S
+        self._balancers = {
+            address: balancer
+            for address, balancer in self._balancers.items()
+            if balancer.heard_at >= oldest
+        }
+
+    def _send_all(self, member: Member) -> None:
+        self._send(member, list(self._balancers))
+
+    def _send(self, member: Member, addresses: Iterable[Address]) -> None:
+        now = monotonic()
+        report = TargetReport(
+            member, self._connections.load(), self._belief.is_cold(now)
+        )
+        for address in addresses:
+            self._endpoint.send(report, address)
+
+    async def _list_balancers(self) -> None:
+        while True:
+            listed = await self._client.list(BALANCERS_PREFIX)
+            if listed.is_ok():
+                break
+            logger.warning(
+                'balancers not read',
+                extra={'reason': describe_error(listed.error)},
+            )
+            await asyncio.sleep(self._backoff.next_s())
+        now = monotonic()
+        for each in listed.ok.objects:
+            read = read_balancer(each.content)
+            if read.is_error():
+                logger.warning('malformed object', extra={'reason': read.error})
+                continue
+            address = read.ok.control
+            is_near = read.ok.failure_domain == self._cfg.failure_domain
+            self._balancers[address] = _Balancer(address, is_near, now)
+        if self._belief.member is not None:
+            self._send_all(self._belief.member)
+
+    async def _check_target(self) -> None:
+        """Ask a target that departs or is silent whether it lives."""
+        while True:
+            silent_s = self._belief.silent_s(monotonic())
+            is_silent = silent_s > SILENT_TARGET_S
+            if self._departing or is_silent:
+                if await self._is_target_gone():
+                    self._on_gone()
+                    self._departing = False
+            await asyncio.sleep(SILENT_CHECK_S if is_silent else CHECK_S)
+
+    def _on_gone(self) -> None:
+        noted = self._belief.on_gone()
+        logger.info('target has ended', extra={'resets': len(noted.effects)})
+        self._segments.apply(noted.effects)
+        if noted.departed is not None:
+            self._report_left(noted.departed)
+        self._registrar.want(None)
+
+    async def _is_target_gone(self) -> bool:
+        """Tell whether nothing listens at the target's address.
+
+        A refused connection shows it. Silence does not: a busy target may
+        be slow to accept.
+        """
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(*self._cfg.target)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
@@ -0,0 +1,151 @@
+"""Segments between balancers, the target and clients."""
+
+import asyncio
+import logging
+from collections.abc import Iterable
+from typing import Final
+
+from trefoilhaven_core.connections.effects import (
+    DeliverToTarget,
+    DropSegment,
+    Effect,
+    ResetClient,
+    SendMessage,
+    SendToClient,
+)
+from trefoilhaven_core.connections.holders import HeldConnections
+from trefoilhaven_core.connections.messages import (
+    HolderQuery,
+    SegmentForward,
+    SegmentReturn,
+)
+from trefoilhaven_core.connections.texts import connection_text
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.settings.types import SidecarSettings
+from trefoilhaven_core.telemetry.logs import RateLimitedLog
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
+from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.raw import RawEndpoint, open_raw
+
+logger = logging.getLogger(__name__)
+
+TICK_S: Final = 0.05
+FORGET_S: Final = 1.0
+
+
+class SegmentTask:
+    """Feeds the table of connections and carries out its effects."""
+
+    def __init__(
+        self,
+        cfg: SidecarSettings,
+        runtime: ProcessRuntime,
+        connections: HeldConnections,
+        adapter: PlatformAdapter,
+        endpoint: DatagramEndpoint,
+    ) -> None:
+        """Register the handlers of the control socket."""
+        self._cfg = cfg
+        self._connections = connections
+        self._adapter = adapter
+        self._endpoint = endpoint
+        self._outbound: RawEndpoint | None = None
+        self._log = RateLimitedLog(logger)
+        metrics = runtime.metrics
+        self._delivered = metrics.counter('segments_delivered')
+        self._returned = metrics.counter('segments_returned')
+        self._dropped = metrics.counter('segments_dropped')
+        self._resets = metrics.counter('connections_reset')
+        metrics.gauge('connections', lambda: len(connections))
+        metrics.gauge('waiting_requests', lambda: connections.load().waiting)
+        endpoint.on(SegmentForward, self._on_forward)
+        endpoint.on(HolderQuery, self._on_query)
+
+    async def open(self) -> None:
+        """Open the socket of the target; raises ``OSError``."""
+        self._outbound = await open_raw(self._cfg.segments, self._on_raw)
+
+    async def run(self) -> None:
+        """Settle probes and forget old connections until cancelled."""
+        forget_due = monotonic()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = monotonic()
+            self.apply(self._connections.tick(now))
+            if now >= forget_due:
+                forget_due = now + FORGET_S
+                self._connections.forget(now)
+
+    def close(self) -> None:
+        """Close the socket of the target."""
+        if self._outbound is not None:
+            self._outbound.close()
+
+    def apply(self, effects: Iterable[Effect]) -> None:
+        """Carry out what was decided."""
+        for effect in effects:
+            if isinstance(effect, DeliverToTarget):
+                self._delivered.add()
+                self._send(effect.raw, self._cfg.target)
+            elif isinstance(effect, SendToClient):
+                address = self._adapter.client_address(effect.key)
+                self._send(effect.raw, address)
+            elif isinstance(effect, SendMessage):
+                if isinstance(effect.message, SegmentReturn):
+                    self._returned.add()
+                self._endpoint.send(effect.message, effect.address)
+            elif isinstance(effect, ResetClient):
+                self._reset(effect)
+            elif isinstance(effect, DropSegment):
+                self._drop(effect)
+
+    def _on_forward(self, forward: SegmentForward, sender: Address) -> None:
+        segment = self._adapter.codec.decode_from_client(forward.raw)
+        if segment is None:
+            self._dropped.add()
+            return
+        effects = self._connections.on_forward(
+            monotonic(), forward, segment, sender
+        )
+        self.apply(effects)
+
+    def _on_query(self, query: HolderQuery, sender: Address) -> None:
+        self.apply(self._connections.on_query(monotonic(), query, sender))
+
+    def _on_raw(self, raw: bytes) -> None:
+        segment = self._adapter.codec.decode_from_target(raw)
+        if segment is None:
+            self._dropped.add()
+            self._log.warn(
+                monotonic(), 'malformed', 'malformed segment', size=len(raw)
+            )
+            return
+        self.apply(self._connections.on_target_segment(monotonic(), segment))
+
+    def _send(self, raw: bytes, address: Address) -> None:
+        if self._outbound is not None:
+            self._outbound.send(raw, address)
+
+    def _reset(self, effect: ResetClient) -> None:
+        raw = self._adapter.codec.encode_reset(effect.key, effect.sequence)
+        self._send(raw, self._adapter.client_address(effect.key))
+        self._resets.add()
+        logger.info(
+            'connection reset',
+            extra={
+                'connection': connection_text(effect.key),
+                'reason': effect.cause.value,
+            },
+        )
+
+    def _drop(self, effect: DropSegment) -> None:
+        self._dropped.add()
+        self._log.warn(
+            monotonic(),
+            effect.cause.name,
+            'segment dropped',
+            connection=connection_text(effect.segment.key),
+            reason=effect.cause.value,
+        )
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -0,0 +1,166 @@
+"""What an agent believes about its target, from the target's heartbeats.
+
+Pure decision code: time is passed in, and the caller carries out what is
+returned.
+"""
+
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.connections.effects import Effect
+from trefoilhaven_core.connections.holders import HeldConnections, Identity
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Member,
+    MemberState,
+)
+from trefoilhaven_core.platform.adapters import TargetAnnouncement
+
+# A heartbeat of an earlier start is a late copy while the present target
+# was heard within this time, in seconds.
+LATE_COPY_S: Final = 3.0
+
+# The first heartbeat of a target that no agent has heard before.
+FIRST_SEQUENCE: Final = 1
+
+
+class Place(NamedTuple):
+    """Where the agent and its target are."""
+
+    host: str
+    failure_domain: str
+    control: Address
+
+
+class Noted(NamedTuple):
+    """What a heartbeat changed.
+
+    ``is_current`` is false for a late copy and for one of another service.
+    ``departed`` is the record of the target that was here before.
+    """
+
+    is_current: bool
+    is_changed: bool = False
+    departed: Member | None = None
+    effects: tuple[Effect, ...] = ()
+
+
+class TargetBelief:
+    """The member record of the target beside an agent."""
+
+    def __init__(
+        self, service: str, place: Place, connections: HeldConnections
+    ) -> None:
+        """Start without a target."""
+        self.member: Member | None = None
+        self._service = service
+        self._place = place
+        self._connections = connections
+        self._born = 0
+        self._cold_until = 0.0
+        self._heard_at = 0.0
+        self._sequence = 0
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target is still slow after its start."""
+        return now < self._cold_until
+
+    def silent_s(self, now: float) -> float:
+        """Return the time since the last heartbeat, 0 without a target."""
+        return now - self._heard_at if self.member else 0.0
+
+    def on_announcement(
+        self, now: float, announcement: TargetAnnouncement
+    ) -> Noted:
+        """Take a heartbeat. What it says is in force when this returns."""
+        if announcement.service != self._service:
+            return Noted(is_current=False)
+        member = self.member
+        if member is not None and self._is_late(now, member, announcement):
+            return Noted(is_current=False)
+        self._heard_at = now
+        self._sequence = announcement.sequence
+        self._cold_until = now + announcement.cold_s
+        if member is None or self._is_other(member, announcement):
+            return self._replace(member, announcement)
+        if member.state == announcement.state:
+            return Noted(is_current=True)
+        self.member = member._replace(
+            state=announcement.state,
+            sequence=announcement.sequence,
+            slots=announcement.slots,
+        )
+        self._connections.accepts = announcement.state is MemberState.alive
+        return Noted(is_current=True, is_changed=True)
+
+    def on_departure(self, target: str) -> bool:
+        """Stop new connections of a target that ends; tell if it is ours."""
+        member = self.member
+        if member is None or member.target != target:
+            return False
+        self._connections.accepts = False
+        return True
+
+    def on_gone(self) -> Noted:
+        """Forget a target that has ended; its connections are reset."""
+        effects = tuple(self._connections.on_target_gone())
+        departed = self.member and self.member._replace(
+            state=MemberState.left,
+            sequence=self.member.sequence + 1,
+        )
+        self.member = None
+        self._connections.identity = None
+        return Noted(
+            is_current=True,
+            is_changed=True,
+            departed=departed,
+            effects=effects,
+        )
+
+    def _replace(
+        self, member: Member | None, announcement: TargetAnnouncement
+    ) -> Noted:
+        noted = self.on_gone() if member is not None else Noted(True)
+        incarnation = announcement.incarnation
+        if member is not None and member.target == announcement.target:
+            # The clock of the host may have been set back between the two
+            # starts; records of one name must not go back.
+            incarnation = max(incarnation, member.incarnation + 1)
+            noted = noted._replace(departed=None)
+        place = self._place
+        self.member = Member(
+            self._service,
+            announcement.target,
+            place.host,
+            announcement.failure_domain or place.failure_domain,
+            incarnation,
+            announcement.sequence,
+            announcement.state,
+            place.control,
+            place.control,
+            place.control,
+            announcement.slots,
+        )
+        identity = Identity(self._service, announcement.target, incarnation)
+        saw_start = (
+            member is not None or announcement.sequence <= FIRST_SEQUENCE
+        )
+        self._connections.set_target(identity, saw_start)
+        self._connections.accepts = announcement.state is MemberState.alive
+        self._born = announcement.incarnation
+        return noted._replace(is_current=True, is_changed=True)
+
+    def _is_other(
+        self, member: Member, announcement: TargetAnnouncement
+    ) -> bool:
+        return (
+            announcement.target != member.target
+            or announcement.incarnation != self._born
+        )
+
+    def _is_late(
+        self, now: float, member: Member, announcement: TargetAnnouncement
+    ) -> bool:
+        if self._is_other(member, announcement):
+            is_earlier = announcement.incarnation < self._born
+            return is_earlier and now - self._heard_at < LATE_COPY_S
+        return announcement.sequence <= self._sequence
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/balancer/gossip.py
@@ -0,0 +1,195 @@
+"""Spread of members, balancers and configurations among balancers.
+
+The task owns the disseminator. It carries out its effects over the
+control socket and fetches larger states from peers.
+"""
+
+import asyncio
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.membership.detectors import FailureDetector
+from trefoilhaven_core.membership.dissemination import (
+    Disseminator,
+    Effect,
+    PullState,
+)
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Changes,
+    ConfigurationNotice,
+    Digest,
+    MemberState,
+    RegistryNotice,
+    State,
+    StateRequest,
+)
+from trefoilhaven_core.membership.views import ViewStore
+from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+
+logger = logging.getLogger(__name__)
+
+# Senders can name any peer, which must not fill the memory.
+MAX_HEARD: Final = 1024
+
+
+class PeerAddresses(NamedTuple):
+    """Where a balancer takes datagrams and state transfers."""
+
+    control: Address
+    rpc: Address
+
+
+class StateFetcher(ABC):
+    """Fetches the state of a peer over a stream."""
+
+    @abstractmethod
+    async def fetch(self, address: Address, req: StateRequest) -> State | None:
+        """Return the peer's state, None when it did not answer."""
+
+
+class GossipTask:
+    """Keeps a balancer in step with its peers."""
+
+    def __init__(
+        self,
+        store: ViewStore,
+        disseminator: Disseminator,
+        endpoint: DatagramEndpoint,
+        fetcher: StateFetcher,
+        on_change: Callable[[Iterable[str]], None],
+        seeds: Mapping[str, PeerAddresses],
+    ) -> None:
+        """Register the handlers of the control socket.
+
+        ``on_change`` is called with the services that a message touched.
+        """
+        name = disseminator.own.name
+        self.disseminator = disseminator
+        self.detector = FailureDetector(disseminator.own, store, monotonic())
+        self._name = name
+        self._store = store
+        self._endpoint = endpoint
+        self._fetcher = fetcher
+        self._on_change = on_change
+        self._seeds = {
+            seed: addresses for seed, addresses in seeds.items() if seed != name
+        }
+        # Peers that are not known yet are answered at their source address.
+        self._heard: dict[str, Address] = {}
+        self._pulls: set[asyncio.Task[bool]] = set()
+        endpoint.on(Changes, self._on_changes)
+        endpoint.on(Digest, self._on_digest)
+        endpoint.on(ConfigurationNotice, self._on_configuration)
+        endpoint.on(RegistryNotice, self._on_registry)
+
+    def apply(self, effects: Iterable[Effect]) -> None:
+        """Send messages and start transfers."""
+        for effect in effects:
+            if isinstance(effect, PullState):
+                self._start_pull(effect)
+                continue
+            address = self._control_of(effect.peer)
+            if address is None:
+                continue
+            if isinstance(effect.message, Digest):
+                now = monotonic()
+                if not effect.message.is_reply:
+                    self.detector.on_probe_sent(now, effect.peer)
+            self._endpoint.send(effect.message, address)
+
+    def announce(self, state: MemberState) -> None:
+        """Spread a new state of this balancer."""
+        self.apply(self.disseminator.announce(monotonic(), state))
+
+    def take_changes(self, changes: Changes) -> None:
+        """Take and spread records that this process found or heard."""
+        self.apply(self.disseminator.on_changes(monotonic(), changes))
+
+    def take_configuration(self, notice: ConfigurationNotice) -> None:
+        """Take a version that this process read from the platform."""
+        self.apply(
+            self.disseminator.on_configuration(monotonic(), notice),
+        )
+        self._on_change([notice.service])
+
+    def take_registry(self, notice: RegistryNotice) -> None:
+        """Take registrations that this process read or wrote."""
+        self.apply(self.disseminator.on_registry(monotonic(), notice))
+        self._on_change([notice.service])
+
+    async def pull_from_seeds(self) -> bool:
+        """Fetch everything from the first seed that answers."""
+        for seed in self._seeds.values():
+            if await self._pull(seed.rpc, ()):
+                return True
+        return False
+
+    def tick(self, now: float, probes: Iterable[str]) -> None:
+        """Relay, compare with a peer and probe the peers that are due."""
+        self.apply(self.disseminator.probe(peer) for peer in probes)
+        self.apply(self.disseminator.tick(now))
+
+    def _on_changes(self, changes: Changes, sender: Address) -> None:
+        now = monotonic()
+        self.detector.on_peer(now, changes.sender)
+        self.apply(self.disseminator.on_changes(now, changes))
+        services = {member.service for member in changes.members}
+        for report in changes.silent_domains:
+            services.update(report.services)
+        self._on_change(services)
+
+    def _on_digest(self, digest: Digest, sender: Address) -> None:
+        now = monotonic()
+        self.detector.on_peer(now, digest.sender)
+        self._note_source(digest.sender, sender)
+        self.apply(self.disseminator.on_digest(now, digest))
+
+    def _on_configuration(
+        self,
+        notice: ConfigurationNotice,
+        sender: Address,
+    ) -> None:
+        self.take_configuration(notice)
+
+    def _on_registry(self, notice: RegistryNotice, sender: Address) -> None:
+        self.take_registry(notice)
+
+    def _note_source(self, peer: str, address: Address) -> None:
+        if self._store.balancer(peer) is not None:
+            self._heard.pop(peer, None)
+        elif len(self._heard) < MAX_HEARD:
+            self._heard[peer] = address
+
+    def _control_of(self, peer: str) -> Address | None:
+        record = self._store.balancer(peer)
+        if record is not None:
+            return record.control
+        seed = self._seeds.get(peer)
+        return seed.control if seed else self._heard.get(peer)
+
+    def _start_pull(self, effect: PullState) -> None:
+        record = self._store.balancer(effect.peer)
+        source = record or self._seeds.get(effect.peer)
+        if source is None:
+            return
+        task = asyncio.create_task(self._pull(source.rpc, effect.services))
+        self._pulls.add(task)
+        task.add_done_callback(self._pulls.discard)
+
+    async def _pull(
+        self,
+        address: Address,
+        services: tuple[str, ...],
+    ) -> bool:
+        req = StateRequest(self._name, services)
+        state = await self._fetcher.fetch(address, req)
+        if state is None:
+            logger.info('state transfer failed', extra={'peer': str(address)})
+            return False
+        self.apply(self.disseminator.on_state(monotonic(), state))
+        self._on_change(self._store.services)
+        return True
--- a/packages/balancer/src/trefoilhaven/balancer/platforms.py
+++ b/packages/balancer/src/trefoilhaven/balancer/platforms.py
@@ -91,7 +91,7 @@
         encoded = json.dumps(content).encode()
         if f'{prefix}/' == SERVICES_PREFIX:
             notice = ConfigurationNotice(self._name, service, version, encoded)
-            self._control.take_configuration(notice)
+            self._control.gossip.take_configuration(notice)
             return
         self._take_registry(service, version, encoded)
 
@@ -101,7 +101,7 @@
         except msgspec.MsgspecError:
             logger.exception('malformed registry', extra={'service': service})
             return
-        self._control.take_registry(
+        self._control.gossip.take_registry(
             RegistryNotice(self._name, service, version, registrations),
         )
 
--- a/packages/balancer/src/trefoilhaven/balancer/process.py
+++ b/packages/balancer/src/trefoilhaven/balancer/process.py
@@ -88,7 +88,7 @@
         peers = PeerService(sockets.codec, self._runtime.clock)
         BalancerPeers(cfg, self._state, control).register(peers)
         await sockets.serve([self._requests, peers], self._find_obstacle)
-        await control.pull_from_seeds()
+        await control.gossip.pull_from_seeds()
         platform = PlatformTask(
             cfg.name,
             self._state,
@@ -116,7 +116,7 @@
 
     async def _stop(self, control: ControlTask) -> None:
         logger.info('planned stop: waiting for requests in progress')
-        control.announce(MemberState.left)
+        control.gossip.announce(MemberState.left)
         await self._requests.drain()
         await asyncio.sleep(STOP_DELAY_S)
         self._runtime.publish('balancer stopped', host=self._cfg.name)
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer of connections whose segments the fabric sprays."""
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -0,0 +1,275 @@
+"""How a gateway finds agents, other gateways and the configuration.
+
+The platform's store names the processes and holds the configuration. What
+one gateway learns it spreads to the others, so that a gateway which the
+store refuses learns from its peers. Agents report to every gateway that
+they know.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Iterable
+from typing import Final
+
+from trefoilhaven.balancer.gossip import (
+    GossipTask,
+    PeerAddresses,
+    StateFetcher,
+)
+from trefoilhaven.gateway.segments import SegmentTask
+from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven_core.connections.contents import ROUTES_NAME, encode_routes
+from trefoilhaven_core.connections.messages import (
+    BalancerHello,
+    TargetReport,
+)
+from trefoilhaven_core.membership.dissemination import Disseminator
+from trefoilhaven_core.membership.messages import (
+    Address,
+    BalancerRecord,
+    Changes,
+    ConfigurationNotice,
+    MemberState,
+    State,
+    StateRequest,
+)
+from trefoilhaven_core.membership.objects import (
+    BALANCERS_PREFIX,
+    TARGETS_PREFIX,
+    balancer_content,
+    read_balancer,
+    read_member,
+)
+from trefoilhaven_core.platform.adapters import (
+    ROUTES_PATH,
+    ROUTES_PREFIX,
+    PlatformAdapter,
+)
+from trefoilhaven_core.platform.backoffs import Backoff
+from trefoilhaven_core.platform.clients import ObjectChange, PlatformClient
+from trefoilhaven_core.platform.errors import describe_error
+from trefoilhaven_core.platform.registrar import Registrar
+from trefoilhaven_core.platform.watchers import Watcher
+from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.transfers import TransferEndpoint
+
+logger = logging.getLogger(__name__)
+
+TICK_S: Final = 0.25
+HELLO_S: Final = 1.0
+
+# A watch whose connection fell silent must end well before a configuration
+# has to be in force, which is 3 s after its confirmation.
+WATCH_S: Final = 1.5
+WATCH_BACKOFF_LIMIT_S: Final = 0.5
+
+LIST_BACKOFF_LIMIT_S: Final = 1.0
+
+
+class TransferStateFetcher(StateFetcher):
+    """Fetches states by plain TCP calls."""
+
+    def __init__(self, transfers: TransferEndpoint) -> None:
+        """Call through the endpoint of the process."""
+        self._transfers = transfers
+
+    async def fetch(self, address: Address, req: StateRequest) -> State | None:
+        """Return the peer's state, None when it did not answer."""
+        called = await self._transfers.call(address, req)
+        if called.is_error() or not isinstance(called.ok, State):
+            return None
+        return called.ok
+
+
+class DiscoveryTask:
+    """Finds members, balancers and routes, and announces this gateway."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        adapter: PlatformAdapter,
+        endpoint: DatagramEndpoint,
+        transfers: TransferEndpoint,
+        segments: SegmentTask,
+        rng: random.Random,
+    ) -> None:
+        """Register the handlers of the control socket."""
+        cfg = state.cfg
+        self._state = state
+        self._adapter = adapter
+        self._endpoint = endpoint
+        self._segments = segments
+        self._rng = rng
+        self._client = adapter.make_client()
+        own = BalancerRecord(
+            cfg.name,
+            cfg.failure_domain,
+            state.runtime.incarnation,
+            1,
+            MemberState.alive,
+            cfg.control,
+            cfg.control,
+        )
+        seeds = {
+            f'seed {address.host}': PeerAddresses(address, address)
+            for address in self._seed_addresses()
+        }
+        self.gossip = GossipTask(
+            state.store,
+            Disseminator(own, state.store, rng, tuple(seeds)),
+            endpoint,
+            TransferStateFetcher(transfers),
+            state.refresh,
+            seeds,
+        )
+        self._registrar = Registrar(
+            self._client, f'{BALANCERS_PREFIX}{cfg.name}', rng
+        )
+        self._registrar.want(balancer_content(own))
+        self._hello = BalancerHello(cfg.name, state.runtime.incarnation)
+        endpoint.on(TargetReport, self._on_report)
+        transfers.on(StateRequest, self._on_state)
+
+    @property
+    def client(self) -> PlatformClient:
+        """Client of the platform's store."""
+        return self._client
+
+    async def run(self) -> None:
+        """Discover and announce until cancelled."""
+        await asyncio.gather(
+            self._gossip(),
+            self._greet(),
+            self._list(),
+            self._pull(),
+            self._registrar.run(),
+            self._watch_routes(),
+        )
+
+    def _seed_addresses(self) -> Iterable[Address]:
+        """Return the control addresses of the seeds.
+
+        The control port is the same on all hosts of a deployment.
+        """
+        own = self._state.cfg.control
+        return [
+            Address(seed.host, own.port)
+            for seed in self._state.cfg.seeds
+            if seed.host != own.host
+        ]
+
+    async def _gossip(self) -> None:
+        while True:
+            now = monotonic()
+            found = self.gossip.detector.tick(now)
+            if found.balancers:
+                name = self._state.cfg.name
+                self.gossip.take_changes(Changes(name, (), found.balancers))
+            self.gossip.tick(now, found.probes)
+            self._state.store.forget(now)
+            await asyncio.sleep(TICK_S)
+
+    async def _greet(self) -> None:
+        """Tell all agents where this gateway is."""
+        while True:
+            for member in self._state.targets():
+                self._endpoint.send(self._hello, member.control)
+            await asyncio.sleep(HELLO_S)
+
+    async def _pull(self) -> None:
+        """Fetch everything from a seed, for a start without the store."""
+        backoff = Backoff(self._rng, limit_s=LIST_BACKOFF_LIMIT_S)
+        while not self._state.router.knows_all:
+            if await self.gossip.pull_from_seeds():
+                self._note_complete('a peer')
+                return
+            await asyncio.sleep(backoff.next_s())
+
+    async def _list(self) -> None:
+        """Read all members and balancers from the store once."""
+        backoff = Backoff(self._rng, limit_s=LIST_BACKOFF_LIMIT_S)
+        while True:
+            targets = await self._client.list(TARGETS_PREFIX)
+            balancers = await self._client.list(BALANCERS_PREFIX)
+            if targets.is_ok() and balancers.is_ok():
+                break
+            failed = targets if targets.is_error() else balancers
+            logger.warning(
+                'members not read',
+                extra={'reason': describe_error(failed.error)},
+            )
+            await asyncio.sleep(backoff.next_s())
+        members = [read_member(each.content) for each in targets.ok.objects]
+        records = [read_balancer(each.content) for each in balancers.ok.objects]
+        for read in (*members, *records):
+            if read.is_error():
+                logger.warning('malformed object', extra={'reason': read.error})
+        known = tuple(read.ok for read in members if read.is_ok())
+        self.gossip.take_changes(
+            Changes(
+                self._state.cfg.name,
+                known,
+                tuple(read.ok for read in records if read.is_ok()),
+            )
+        )
+        self._state.refresh({member.service for member in known})
+        self._note_complete('the store')
+
+    def _note_complete(self, source: str) -> None:
+        self._state.router.knows_all = True
+        logger.info(
+            'list of targets is known',
+            extra={'source': source, 'targets': len(self._state.targets())},
+        )
+
+    async def _watch_routes(self) -> None:
+        watcher = Watcher(
+            self._client,
+            ROUTES_PREFIX,
+            self._on_routes,
+            self._rng,
+            watch_timeout_s=WATCH_S,
+            backoff_limit_s=WATCH_BACKOFF_LIMIT_S,
+        )
+        await watcher.run()
+
+    def _on_routes(self, change: ObjectChange) -> None:
+        if change.deleted or change.path != ROUTES_PATH:
+            return
+        read = self._adapter.read_routes(change.content)
+        if read.is_error():
+            findings = [str(finding) for finding in read.error]
+            logger.error('routes not taken', extra={'findings': findings})
+            return
+        self.gossip.take_configuration(
+            ConfigurationNotice(
+                self._state.cfg.name,
+                ROUTES_NAME,
+                read.ok.version,
+                encode_routes(read.ok),
+            )
+        )
+
+    def _on_report(self, report: TargetReport, sender: Address) -> None:
+        member = report.member
+        known = self._state.store.member(member.service, member.target)
+        if known != member:
+            changes = Changes(self._state.cfg.name, (member,), ())
+            self.gossip.take_changes(changes)
+            self._state.refresh([member.service])
+            logger.info(
+                'target changed',
+                extra={
+                    'service': member.service,
+                    'target': member.target,
+                    'incarnation': member.incarnation,
+                    'sequence': member.sequence,
+                    'state': member.state.name,
+                },
+            )
+        self._segments.on_report(report)
+
+    def _on_state(self, req: StateRequest) -> State:
+        return self._state.store.state(self._state.cfg.name, req.services)
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/process.py
@@ -0,0 +1,96 @@
+"""Start and stop of a gateway."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Final
+
+from trefoilhaven.gateway.discovery import DiscoveryTask
+from trefoilhaven.gateway.segments import SegmentTask
+from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven_core.membership.messages import MemberState
+from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.settings.types import GatewaySettings
+from trefoilhaven_core.telemetry.lifecycles import (
+    end_tasks,
+    run_until_signal,
+    wait_for_stop,
+)
+from trefoilhaven_core.telemetry.logs import configure_logging
+from trefoilhaven_core.telemetry.scrapes import serve_metrics
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
+from trefoilhaven_core.wire.codec import make_codec
+from trefoilhaven_core.wire.endpoints import measure_endpoint, open_endpoint
+from trefoilhaven_core.wire.transfers import TransferEndpoint
+
+logger = logging.getLogger(__name__)
+
+# The fabric asks twice a second and stops after two misses; segments that
+# are on their way arrive a little later.
+STOP_FORWARDING_S: Final = 1.8
+
+
+class GatewayProcess:
+    """All tasks of one gateway."""
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        runtime: ProcessRuntime,
+        adapter: PlatformAdapter,
+    ) -> None:
+        """Prepare the process; ``run`` opens its sockets."""
+        self._cfg = cfg
+        self._runtime = runtime
+        self._adapter = adapter
+        self._rng = random.Random(f'{cfg.name}/{runtime.incarnation}')
+        self._state = GatewayState(cfg, runtime, self._rng)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set and the fabric has noticed it.
+
+        Raises ``OSError`` when an address of the settings is not free.
+        """
+        cfg = self._cfg
+        state = self._state
+        codec = make_codec()
+        endpoint = await open_endpoint(cfg.control, codec, self._runtime.clock)
+        transfers = TransferEndpoint(codec, self._runtime.clock)
+        segments = SegmentTask(state, self._adapter, endpoint)
+        discovery = DiscoveryTask(
+            state, self._adapter, endpoint, transfers, segments, self._rng
+        )
+        await segments.open()
+        await transfers.start(cfg.control)
+        measure_endpoint(self._runtime.metrics, 'control', endpoint)
+        await serve_metrics(cfg.metrics, self._runtime.metrics)
+        await self._adapter.serve_readiness(lambda: not state.obstacle)
+        tasks = [
+            asyncio.create_task(segments.run()),
+            asyncio.create_task(discovery.run()),
+        ]
+        logger.info('gateway started')
+        await wait_for_stop(stop, tasks)
+        logger.info('gateway stops')
+        state.is_stopping = True
+        discovery.gossip.announce(MemberState.left)
+        await asyncio.sleep(STOP_FORWARDING_S)
+        await end_tasks(tasks)
+        segments.close()
+        transfers.close()
+        endpoint.close()
+        self._adapter.close()
+        logger.info('gateway stopped')
+
+
+def run(
+    cfg: GatewaySettings,
+    make_adapter: Callable[[GatewaySettings], PlatformAdapter],
+) -> None:
+    """Run a gateway until SIGTERM or SIGINT."""
+    configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
+    runtime = make_runtime(cfg.name)
+    run_until_signal(
+        lambda stop: GatewayProcess(cfg, runtime, make_adapter(cfg)).run(stop),
+    )
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -0,0 +1,157 @@
+"""Segments between the fabric, this gateway and the agents."""
+
+import asyncio
+import logging
+from collections.abc import Iterable
+from typing import Final
+
+from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven_core.connections.effects import (
+    DropCause,
+    DropSegment,
+    Effect,
+    ResetClient,
+    SendMessage,
+)
+from trefoilhaven_core.connections.messages import (
+    ConnectionAccepted,
+    HolderReply,
+    SegmentForward,
+    SegmentReturn,
+    TargetReport,
+)
+from trefoilhaven_core.connections.texts import connection_text
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.telemetry.logs import RateLimitedLog
+from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.raw import RawEndpoint, open_raw
+
+logger = logging.getLogger(__name__)
+
+# Searches go on in these steps; the answers themselves are taken at once.
+TICK_S: Final = 0.02
+IDLE_TICK_S: Final = 0.1
+
+
+class SegmentTask:
+    """Feeds the router and carries out its effects."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        adapter: PlatformAdapter,
+        endpoint: DatagramEndpoint,
+    ) -> None:
+        """Register the handlers of the control socket."""
+        self._state = state
+        self._adapter = adapter
+        self._endpoint = endpoint
+        self._fabric: RawEndpoint | None = None
+        self._log = RateLimitedLog(logger)
+        metrics = state.runtime.metrics
+        self._drops = {
+            cause: metrics.counter('segments_dropped', reason=cause.name)
+            for cause in DropCause
+        }
+        self._resets = metrics.counter('connections_reset')
+        self._forwards = metrics.counter('segments_forwarded')
+        metrics.gauge('cached_connections', lambda: len(state.router))
+        metrics.gauge('searches', lambda: state.router.searches)
+        endpoint.on(SegmentReturn, self._on_return)
+        endpoint.on(HolderReply, self._on_reply)
+        endpoint.on(ConnectionAccepted, self._on_accepted)
+
+    async def open(self) -> None:
+        """Open the socket of the fabric; raises ``OSError``."""
+        self._fabric = await open_raw(self._state.cfg.segments, self._on_raw)
+
+    async def run(self) -> None:
+        """Go on with searches until cancelled."""
+        router = self._state.router
+        while True:
+            await asyncio.sleep(TICK_S if router.searches else IDLE_TICK_S)
+            self._apply(router.tick(monotonic()))
+
+    def close(self) -> None:
+        """Close the socket of the fabric."""
+        if self._fabric is not None:
+            self._fabric.close()
+
+    def on_report(self, report: TargetReport) -> None:
+        """Hand an agent's report to the router."""
+        self._state.router.on_report(monotonic(), report)
+
+    def _on_raw(self, raw: bytes) -> None:
+        segment = self._adapter.codec.decode_from_client(raw)
+        if segment is None:
+            self._drops[DropCause.malformed].add()
+            self._log.warn(
+                monotonic(), 'malformed', 'malformed segment', size=len(raw)
+            )
+            return
+        self._apply(self._state.router.on_segment(monotonic(), segment))
+
+    def _on_return(self, returned: SegmentReturn, sender: Address) -> None:
+        segment = self._adapter.codec.decode_from_client(returned.raw)
+        if segment is None:
+            self._drops[DropCause.malformed].add()
+            return
+        logger.info(
+            'segment returned',
+            extra={
+                'connection': connection_text(segment.key),
+                'target': returned.target,
+                'reason': returned.reason.name,
+            },
+        )
+        self._apply(
+            self._state.router.on_return(monotonic(), returned, segment)
+        )
+
+    def _on_reply(self, reply: HolderReply, sender: Address) -> None:
+        self._apply(self._state.router.on_reply(monotonic(), reply))
+
+    def _on_accepted(
+        self, accepted: ConnectionAccepted, sender: Address
+    ) -> None:
+        self._state.router.on_accepted(monotonic(), accepted)
+
+    def _apply(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendMessage):
+                self._endpoint.send(effect.message, effect.address)
+                if isinstance(effect.message, SegmentForward):
+                    self._forwards.add()
+            elif isinstance(effect, ResetClient):
+                self._reset(effect)
+            elif isinstance(effect, DropSegment):
+                self._drop(effect)
+
+    def _drop(self, effect: DropSegment) -> None:
+        self._drops[effect.cause].add()
+        self._log.warn(
+            monotonic(),
+            effect.cause.name,
+            'segment dropped',
+            connection=connection_text(effect.segment.key),
+            reason=effect.cause.value,
+            version=self._state.routes.version,
+        )
+
+    def _reset(self, effect: ResetClient) -> None:
+        if self._fabric is None:
+            return
+        raw = self._adapter.codec.encode_reset(effect.key, effect.sequence)
+        self._fabric.send(raw, self._adapter.client_address(effect.key))
+        self._resets.add()
+        logger.info(
+            'connection reset',
+            extra={
+                'connection': connection_text(effect.key),
+                'reason': effect.cause.value,
+                'detail': effect.detail,
+                'version': self._state.routes.version,
+            },
+        )
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -0,0 +1,94 @@
+"""What a gateway knows, shared by its tasks."""
+
+import logging
+import random
+from collections.abc import Iterable
+
+import msgspec
+
+from trefoilhaven_core.connections.contents import (
+    ROUTES_NAME,
+    decode_routes,
+)
+from trefoilhaven_core.connections.routers import ConnectionRouter
+from trefoilhaven_core.connections.routes import AddressRoutes
+from trefoilhaven_core.connections.spreads import TargetSpread
+from trefoilhaven_core.membership.messages import Member
+from trefoilhaven_core.membership.views import ViewStore
+from trefoilhaven_core.settings.types import GatewaySettings
+from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
+
+logger = logging.getLogger(__name__)
+
+
+class GatewayState:
+    """Records, routes and connections of one gateway.
+
+    The tasks change ``store`` and then call ``refresh`` with the services
+    they touched, which brings routes and targets in step.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        runtime: ProcessRuntime,
+        rng: random.Random,
+    ) -> None:
+        """Start without routes and targets."""
+        self.cfg = cfg
+        self.runtime = runtime
+        self.store = ViewStore()
+        self.routes = AddressRoutes()
+        self.spread = TargetSpread(cfg.failure_domain)
+        self.router = ConnectionRouter(self.routes, self.spread, rng)
+        self.is_stopping = False
+
+    @property
+    def obstacle(self) -> str:
+        """Why this process must get no traffic, '' when it may."""
+        if self.is_stopping:
+            return 'the process is stopping'
+        if not self.routes.version:
+            return 'no configuration is known'
+        if not self.router.knows_all:
+            return 'the list of targets is not known'
+        return ''
+
+    def targets(self) -> list[Member]:
+        """Return the members of all services that may be reached."""
+        return [
+            member
+            for service in self.store.services
+            for member in self.spread.members(service)
+        ]
+
+    def refresh(self, services: Iterable[str]) -> None:
+        """Bring routes and targets in step with the store."""
+        for service in services:
+            if service == ROUTES_NAME:
+                self._take_routes()
+            else:
+                members = self.store.members(service)
+                self.spread.set_members(service, members)
+
+    def _take_routes(self) -> None:
+        held = self.store.configuration(ROUTES_NAME)
+        if held.version <= self.routes.version:
+            return
+        try:
+            configuration = decode_routes(held.content)
+        except msgspec.MsgspecError as exc:
+            logger.exception(
+                'routes not taken',
+                extra={'version': held.version, 'reason': str(exc)},
+            )
+            return
+        if self.routes.offer(configuration):
+            self.runtime.publish(
+                'configuration in force',
+                detail=f'version {held.version}',
+            )
+            logger.info(
+                'configuration in force',
+                extra={'version': held.version, 'routes': len(self.routes)},
+            )
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Connections whose segments the fabric may hand to any balancer."""
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -0,0 +1,72 @@
+"""Effects that the decision code of connections returns."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from trefoilhaven_core.connections.messages import ConnectionKey, Segment
+from trefoilhaven_core.membership.messages import Address
+
+
+class ResetCause(Enum):
+    """Why the system ends a connection."""
+
+    no_route = 'no route for the address'
+    no_target = 'no target takes new connections'
+    not_held = 'no target holds the connection'
+    target_gone = 'the target has ended'
+
+
+class DropCause(Enum):
+    """Why a segment is dropped."""
+
+    no_route = 'no route for the address'
+    no_target = 'no target takes new connections'
+    not_found = 'the holder was not found in time'
+    queue_full = 'too many segments wait for the holder'
+    other_service = 'segment of another service'
+    unknown_target = 'the target has not announced itself yet'
+    malformed = 'malformed segment'
+
+
+class SendMessage(NamedTuple):
+    """Send a message to another process."""
+
+    address: Address
+    message: NamedTuple
+
+
+class DeliverToTarget(NamedTuple):
+    """Hand a client's segment to the target beside the agent."""
+
+    raw: bytes
+
+
+class SendToClient(NamedTuple):
+    """Send a target's segment to its client."""
+
+    key: ConnectionKey
+    raw: bytes
+
+
+class ResetClient(NamedTuple):
+    """Reset a connection at its client.
+
+    ``sequence`` is the last number that the client acknowledged.
+    """
+
+    key: ConnectionKey
+    sequence: int
+    cause: ResetCause
+    detail: str = ''
+
+
+class DropSegment(NamedTuple):
+    """A segment was dropped."""
+
+    segment: Segment
+    cause: DropCause
+
+
+Effect = (
+    SendMessage | DeliverToTarget | SendToClient | ResetClient | DropSegment
+)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/lookups.py
@@ -0,0 +1,166 @@
+"""Search for the target that holds a connection.
+
+A balancer that does not know a connection asks the agents of all targets
+that may hold it. Agents that started after their targets are unsure; the
+first waiting segment is offered to their targets, one at a time, and a
+target that does not hold the connection refuses it.
+"""
+
+from collections import deque
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.connections.effects import (
+    DropCause,
+    DropSegment,
+    Effect,
+    ResetCause,
+    ResetClient,
+    SendMessage,
+)
+from trefoilhaven_core.connections.messages import (
+    ConnectionKey,
+    HolderQuery,
+    Segment,
+    SegmentForward,
+    Verdict,
+)
+from trefoilhaven_core.membership.messages import Member
+
+# Agents that have not answered are asked again after this time, in seconds.
+# The way to another failure domain and back takes 8 ms.
+ASK_INTERVAL_S: Final = 0.05
+
+# A target that refuses an offered segment does so within this time.
+OFFER_S: Final = 0.12
+
+# A search ends after this time, in seconds; the client's next segment
+# starts another one. Clients repeat after 200 ms at the earliest.
+SEARCH_S: Final = 0.8
+
+# Segments that wait for one search: a client has 16 in flight.
+WAITING_SEGMENTS: Final = 16
+
+TargetKey = tuple[str, str]
+
+
+class Found(NamedTuple):
+    """The holder of a connection with the segments that wait for it."""
+
+    member: Member
+    segments: tuple[Segment, ...]
+
+
+class Search:
+    """The search for the holder of one connection."""
+
+    def __init__(
+        self, now: float, segment: Segment, members: list[Member]
+    ) -> None:
+        """Start with the first segment and all members that may hold it."""
+        self.key: ConnectionKey = segment.key
+        self.started_at = now
+        self._members = {
+            (member.service, member.target): member for member in members
+        }
+        self._segments: deque[Segment] = deque(
+            [segment], maxlen=WAITING_SEGMENTS
+        )
+        self._verdicts: dict[TargetKey, Verdict] = {}
+        self._asked_at = now
+        self._offered: dict[TargetKey, float] = {}
+
+    @property
+    def segments(self) -> tuple[Segment, ...]:
+        """Segments that wait for the holder."""
+        return tuple(self._segments)
+
+    def add(self, segment: Segment) -> list[Effect]:
+        """Queue another segment of the connection."""
+        if len(self._segments) == WAITING_SEGMENTS:
+            return [DropSegment(segment, DropCause.queue_full)]
+        self._segments.append(segment)
+        return []
+
+    def ask(self) -> list[Effect]:
+        """Return queries to the members that have not answered."""
+        acknowledged = self._segments[0].acknowledged
+        return [
+            SendMessage(
+                member.control,
+                HolderQuery(
+                    member.service, member.target, self.key, acknowledged
+                ),
+            )
+            for key, member in self._members.items()
+            if key not in self._verdicts
+        ]
+
+    def on_verdict(
+        self, now: float, service: str, target: str, verdict: Verdict
+    ) -> Member | None:
+        """Note an answer; return the holder when it is known now."""
+        key = (service, target)
+        member = self._members.get(key)
+        if member is None:
+            return None
+        self._verdicts[key] = verdict
+        return member if verdict is Verdict.held else None
+
+    def tick(self, now: float) -> list[Effect]:
+        """Repeat questions and offer a segment to an unsure target."""
+        effects: list[Effect] = []
+        if now - self._asked_at >= ASK_INTERVAL_S:
+            self._asked_at = now
+            effects.extend(self.ask())
+        effects.extend(self._offer(now))
+        return effects
+
+    def is_absent(self) -> bool:
+        """Tell whether every member said that it is not the holder."""
+        return bool(self._members) and all(
+            self._verdicts.get(key) is Verdict.absent for key in self._members
+        )
+
+    def unanswered(self) -> list[Member]:
+        """Return the members without a definite answer."""
+        return [
+            member
+            for key, member in self._members.items()
+            if self._verdicts.get(key) is not Verdict.absent
+        ]
+
+    def reset(self) -> ResetClient:
+        """Return the reset of a connection that no target holds."""
+        latest = self._segments[-1]
+        detail = f'{len(self._members)} targets asked'
+        return ResetClient(
+            self.key, latest.acknowledged, ResetCause.not_held, detail
+        )
+
+    def _offer(self, now: float) -> list[Effect]:
+        unsure = [
+            key
+            for key, verdict in self._verdicts.items()
+            if verdict is Verdict.unsure
+        ]
+        is_pending = any(
+            now - self._offered.get(key, -OFFER_S) < OFFER_S for key in unsure
+        )
+        fresh = [key for key in unsure if key not in self._offered]
+        if is_pending or not fresh or not self._is_rest_known():
+            return []
+        member = self._members[fresh[0]]
+        self._offered[fresh[0]] = now
+        forward = SegmentForward(
+            member.service,
+            member.target,
+            member.incarnation,
+            is_probe=True,
+            raw=self._segments[0].raw,
+        )
+        return [SendMessage(member.control, forward)]
+
+    def _is_rest_known(self) -> bool:
+        """Tell whether all members answered or were asked twice."""
+        waited = self._asked_at > self.started_at
+        return waited or len(self._verdicts) == len(self._members)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -0,0 +1,189 @@
+"""Segments of connections and the messages of processes about them."""
+
+from abc import ABC, abstractmethod
+from enum import IntEnum, IntFlag
+from typing import NamedTuple
+
+from trefoilhaven_core.membership.messages import Member
+
+# Sequence numbers have 32 bits.
+SEQUENCE_SPACE = 1 << 32
+
+
+class SegmentFlag(IntFlag):
+    """Flags of a segment; ``bounced`` is set by a target that refuses it."""
+
+    none = 0
+    opening = 1
+    acknowledges = 2
+    last = 4
+    reset = 8
+    bounced = 16
+
+
+class ConnectionKey(NamedTuple):
+    """Both ends of a connection; hosts are IPv4 addresses as numbers."""
+
+    client_host: int
+    client_port: int
+    service_host: int
+    service_port: int
+
+
+class Segment(NamedTuple):
+    """One datagram of a connection, decoded once.
+
+    ``key`` names the ends whatever the direction. ``copy`` counts the
+    repetitions of an opening segment, and ``length`` the bytes of data.
+    ``raw`` is the datagram, which no process may change but for the marks
+    that the codec clears.
+    """
+
+    key: ConnectionKey
+    flags: SegmentFlag
+    sequence: int
+    acknowledged: int
+    length: int
+    raw: bytes
+
+    @property
+    def is_opening(self) -> bool:
+        """Whether a client opens a connection with this segment."""
+        return self.flags & _HANDSHAKE == SegmentFlag.opening
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether a target accepts a connection with this segment."""
+        return self.flags & _HANDSHAKE == _HANDSHAKE
+
+
+_HANDSHAKE = SegmentFlag.opening | SegmentFlag.acknowledges
+
+
+class SegmentCodec(ABC):
+    """Encoding of segments on the operator's network."""
+
+    @abstractmethod
+    def decode_from_client(self, raw: bytes) -> Segment | None:
+        """Return a client's segment, None when it is malformed."""
+
+    @abstractmethod
+    def decode_from_target(self, raw: bytes) -> Segment | None:
+        """Return a target's segment, or a client's that it refused."""
+
+    @abstractmethod
+    def encode_reset(self, key: ConnectionKey, sequence: int) -> bytes:
+        """Return a reset of the system for the client of a connection."""
+
+
+class Verdict(IntEnum):
+    """Answer of an agent about a connection."""
+
+    held = 1
+    absent = 2
+    # The agent started after its target and can't know without asking it.
+    unsure = 3
+
+
+class ReturnReason(IntEnum):
+    """Why an agent hands a segment back to a balancer."""
+
+    # The target takes no new connections, or refused this one.
+    not_accepted = 1
+    # The target does not hold the connection of the segment.
+    not_held = 2
+    # The segment is for another target or an earlier incarnation of it.
+    other_target = 3
+
+
+class ConnectionLoad(NamedTuple):
+    """Load of a target as its agent counts it from passing segments.
+
+    ``waiting`` counts the connections with a request that has no answer
+    yet; ``service_time_s`` is the mean time until the answer begins.
+    """
+
+    connections: int = 0
+    waiting: int = 0
+    service_time_s: float = 0
+
+
+class SegmentForward(NamedTuple):
+    """A client's segment on its way from a balancer to an agent.
+
+    ``target`` and ``incarnation`` name the target that it is meant for.
+    With ``is_probe`` the agent asks its target when it does not know the
+    connection.
+    """
+
+    service: str
+    target: str
+    incarnation: int
+    is_probe: bool
+    raw: bytes
+
+
+class SegmentReturn(NamedTuple):
+    """A segment that an agent could not deliver."""
+
+    service: str
+    target: str
+    incarnation: int
+    reason: ReturnReason
+    raw: bytes
+
+
+class HolderQuery(NamedTuple):
+    """Asks an agent whether its target holds a connection.
+
+    ``acknowledged`` is that of the client's latest segment and tells which
+    of several targets that accepted the connection the client chose.
+    """
+
+    service: str
+    target: str
+    key: ConnectionKey
+    acknowledged: int
+
+
+class HolderReply(NamedTuple):
+    """An agent's answer to a query or a probe."""
+
+    service: str
+    target: str
+    incarnation: int
+    key: ConnectionKey
+    verdict: Verdict
+
+
+class ConnectionAccepted(NamedTuple):
+    """Tells the balancer that a target accepted a connection."""
+
+    service: str
+    target: str
+    incarnation: int
+    key: ConnectionKey
+    load: ConnectionLoad
+
+
+class TargetReport(NamedTuple):
+    """An agent's regular report about its target to a balancer.
+
+    ``is_cold`` tells that the target has started lately and is slow.
+    """
+
+    member: Member
+    load: ConnectionLoad
+    is_cold: bool
+
+
+class BalancerHello(NamedTuple):
+    """A balancer's regular sign of life to an agent."""
+
+    name: str
+    incarnation: int
+
+
+def follows(number: int, start: int, span: int) -> bool:
+    """Return whether a sequence number lies within a span after a start."""
+    return (number - start) % SEQUENCE_SPACE <= span
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -0,0 +1,262 @@
+"""Decisions of a balancer about clients' segments.
+
+A balancer keeps the connections whose segments passed it lately. The
+table is a cache: any balancer may get any segment, and one that does not
+know the connection asks the agents.
+"""
+
+import random
+from collections import OrderedDict
+from typing import Final
+
+from trefoilhaven_core.connections.effects import (
+    DropCause,
+    DropSegment,
+    Effect,
+    ResetCause,
+    ResetClient,
+    SendMessage,
+)
+from trefoilhaven_core.connections.lookups import SEARCH_S, Search
+from trefoilhaven_core.connections.messages import (
+    ConnectionAccepted,
+    ConnectionKey,
+    HolderReply,
+    ReturnReason,
+    Segment,
+    SegmentForward,
+    SegmentReturn,
+    TargetReport,
+    Verdict,
+)
+from trefoilhaven_core.connections.routes import AddressRoutes
+from trefoilhaven_core.connections.spreads import TargetSpread
+from trefoilhaven_core.membership.messages import Member, MemberState
+
+# Connections in the cache; an entry takes about 400 bytes.
+CACHED_CONNECTIONS: Final = 50_000
+
+# Targets that an opening segment is tried at, before it is dropped.
+OPENING_TRIES: Final = 4
+
+
+class _Route:
+    """Where the segments of one connection go."""
+
+    __slots__ = ('incarnation', 'is_accepted', 'service', 'target', 'tried')
+
+    def __init__(self, member: Member) -> None:
+        self.incarnation = member.incarnation
+        self.is_accepted = False
+        self.service = member.service
+        self.target = member.target
+        self.tried: tuple[str, ...] = ()
+
+
+class ConnectionRouter:
+    """Routes the segments that reach one balancer.
+
+    ``knows_all`` tells that the list of targets is complete, so that a
+    connection which none of them holds may be reset.
+    """
+
+    def __init__(
+        self,
+        routes: AddressRoutes,
+        spread: TargetSpread,
+        rng: random.Random,
+    ) -> None:
+        """Start with an empty cache."""
+        self.knows_all = False
+        self._routes = routes
+        self._spread = spread
+        self._rng = rng
+        self._cache: OrderedDict[ConnectionKey, _Route] = OrderedDict()
+        self._searches: dict[ConnectionKey, Search] = {}
+
+    def __len__(self) -> int:
+        """Return the number of cached connections."""
+        return len(self._cache)
+
+    @property
+    def searches(self) -> int:
+        """Number of searches in progress."""
+        return len(self._searches)
+
+    def on_segment(self, now: float, segment: Segment) -> list[Effect]:
+        """Route a client's segment."""
+        address = segment.key[2:]
+        known = self._cache.get(segment.key)
+        if not self._routes.holders(address):
+            return self._on_no_route(segment)
+        if known is not None and not self._is_current(known):
+            del self._cache[segment.key]
+            known = None
+        if segment.is_opening:
+            return self._on_opening(now, segment, known)
+        if known is not None:
+            self._cache.move_to_end(segment.key)
+            return [self._forward(known, segment)]
+        search = self._searches.get(segment.key)
+        if search is not None:
+            return search.add(segment)
+        return self._search(now, segment)
+
+    def on_return(
+        self, now: float, returned: SegmentReturn, segment: Segment
+    ) -> list[Effect]:
+        """Find another target for a segment that came back."""
+        key = segment.key
+        search = self._searches.get(key)
+        if search is not None:
+            search.on_verdict(
+                now, returned.service, returned.target, Verdict.absent
+            )
+            return self._conclude(now, search)
+        known = self._cache.get(key)
+        is_from_known = known is not None and (
+            known.target == returned.target or not returned.target
+        )
+        if segment.is_opening:
+            if known is None or known.is_accepted or not is_from_known:
+                return []
+            return self._place(now, segment, (*known.tried, known.target))
+        if returned.reason is ReturnReason.not_held and is_from_known:
+            self._cache.pop(key, None)
+        elif known is not None:
+            return [self._forward(known, segment)]
+        return self._search(now, segment)
+
+    def on_reply(self, now: float, reply: HolderReply) -> list[Effect]:
+        """Note an agent's answer about a connection."""
+        search = self._searches.get(reply.key)
+        if search is None:
+            return []
+        holder = search.on_verdict(
+            now, reply.service, reply.target, reply.verdict
+        )
+        if holder is None:
+            return [*search.tick(now), *self._conclude(now, search)]
+        del self._searches[reply.key]
+        route = self._remember(reply.key, holder)
+        route.is_accepted = True
+        return [self._forward(route, segment) for segment in search.segments]
+
+    def on_accepted(self, now: float, accepted: ConnectionAccepted) -> None:
+        """Note that a target accepted a connection."""
+        self._spread.on_accepted(
+            now, accepted.service, accepted.target, accepted.load
+        )
+        route = self._cache.get(accepted.key)
+        if route is not None and route.target == accepted.target:
+            route.is_accepted = True
+
+    def on_report(self, now: float, report: TargetReport) -> None:
+        """Note an agent's regular report."""
+        self._spread.on_report(now, report)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Go on with all searches; call it about every 20 ms."""
+        effects: list[Effect] = []
+        for search in tuple(self._searches.values()):
+            effects.extend(search.tick(now))
+            effects.extend(self._conclude(now, search))
+        return effects
+
+    def _on_no_route(self, segment: Segment) -> list[Effect]:
+        if segment.is_opening and self._routes.version:
+            cause = ResetCause.no_route
+            return [ResetClient(segment.key, segment.acknowledged, cause)]
+        # The connection may be of a configuration that this balancer has
+        # not got yet, so that it must not be reset.
+        return [DropSegment(segment, DropCause.no_route)]
+
+    def _on_opening(
+        self, now: float, segment: Segment, known: _Route | None
+    ) -> list[Effect]:
+        if known is None:
+            return self._place(now, segment, ())
+        is_copy = segment.acknowledged > len(known.tried)
+        if is_copy and not known.is_accepted:
+            tried = (*known.tried, known.target)
+            return self._place(now, segment, tried) or [
+                self._forward(known, segment)
+            ]
+        return [self._forward(known, segment)]
+
+    def _place(
+        self, now: float, segment: Segment, tried: tuple[str, ...]
+    ) -> list[Effect]:
+        """Choose a target for a new connection."""
+        if len(tried) >= OPENING_TRIES:
+            return [DropSegment(segment, DropCause.no_target)]
+        address = segment.key[2:]
+        service = self._routes.choose(address, self._rng)
+        if service is None:
+            return self._on_no_route(segment)
+        member = self._spread.choose(now, self._rng, service, tried)
+        if member is None:
+            for other in self._routes.alternatives(address, service):
+                member = self._spread.choose(now, self._rng, other, tried)
+                if member is not None:
+                    break
+        if member is None:
+            return [DropSegment(segment, DropCause.no_target)]
+        route = self._remember(segment.key, member)
+        route.tried = tried
+        return [self._forward(route, segment)]
+
+    def _search(self, now: float, segment: Segment) -> list[Effect]:
+        members = [
+            member
+            for service in sorted(self._routes.holders(segment.key[2:]))
+            for member in self._spread.members(service)
+        ]
+        if not members:
+            return [DropSegment(segment, DropCause.no_target)]
+        search = Search(now, segment, members)
+        self._searches[segment.key] = search
+        return search.ask()
+
+    def _conclude(self, now: float, search: Search) -> list[Effect]:
+        if search.is_absent():
+            del self._searches[search.key]
+            if self.knows_all:
+                return [search.reset()]
+        elif now - search.started_at >= SEARCH_S:
+            del self._searches[search.key]
+        else:
+            return []
+        return [
+            DropSegment(segment, DropCause.not_found)
+            for segment in search.segments
+        ]
+
+    def _remember(self, key: ConnectionKey, member: Member) -> _Route:
+        route = _Route(member)
+        self._cache[key] = route
+        self._cache.move_to_end(key)
+        if len(self._cache) > CACHED_CONNECTIONS:
+            self._cache.popitem(last=False)
+        return route
+
+    def _is_current(self, route: _Route) -> bool:
+        member = self._spread.member(route.service, route.target)
+        return (
+            member is not None
+            and member.incarnation == route.incarnation
+            and member.state < MemberState.left
+        )
+
+    def _forward(self, route: _Route, segment: Segment) -> SendMessage:
+        member = self._spread.member(route.service, route.target)
+        forward = SegmentForward(
+            route.service,
+            route.target,
+            route.incarnation,
+            is_probe=False,
+            raw=segment.raw,
+        )
+        if member is None:
+            raise LookupError(f'{route.target} is not a member')
+        return SendMessage(member.control, forward)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -0,0 +1,147 @@
+"""Choice of the target of a new connection, from reports of the agents."""
+
+import math
+import random
+from collections.abc import Collection, Iterable
+from typing import Final, NamedTuple
+
+from trefoilhaven_core.connections.messages import (
+    ConnectionLoad,
+    TargetReport,
+)
+from trefoilhaven_core.membership.messages import Member, MemberState
+
+# An agent that was not heard for this time, in seconds, gets no new
+# connections while another one is there: three reports are missing.
+SILENT_S: Final = 0.8
+
+# A target in another failure domain is taken when its slots are less busy
+# by this share: the way there costs bytes and a round trip of 7 ms.
+DOMAIN_SHARE: Final = 0.6
+
+# Share of the slots by which a target that has just started counts as busy.
+COLD_SHARE: Final = 0.5
+
+# An open connection without a request counts as this part of a busy one.
+IDLE_WEIGHT: Final = 0.05
+
+
+class _Target:
+    """What a balancer knows about one target."""
+
+    __slots__ = ('is_cold', 'load', 'member', 'placed', 'seen_at')
+
+    def __init__(self, member: Member) -> None:
+        self.is_cold = False
+        self.load = ConnectionLoad()
+        self.member = member
+        self.placed = 0
+        self.seen_at = -math.inf
+
+    def busy_share(self) -> float:
+        """Return the busy share of the slots, also above 1."""
+        idle = self.load.connections - self.load.waiting
+        busy = self.load.waiting + self.placed + IDLE_WEIGHT * max(0, idle)
+        share = busy / max(1, self.member.slots)
+        return share + COLD_SHARE if self.is_cold else share
+
+
+class Choice(NamedTuple):
+    """The target chosen for a connection."""
+
+    member: Member
+
+
+class TargetSpread:
+    """Targets of all services as one balancer sees them."""
+
+    def __init__(self, failure_domain: str) -> None:
+        """Start without targets, at a balancer of a failure domain."""
+        self._domain = failure_domain
+        self._targets: dict[str, dict[str, _Target]] = {}
+
+    def set_members(self, service: str, members: Iterable[Member]) -> None:
+        """Replace the members of a service; loads of known ones stay."""
+        known = self._targets.get(service, {})
+        targets = {}
+        for member in members:
+            target = known.get(member.target)
+            if target is None or (
+                target.member.incarnation != member.incarnation
+            ):
+                target = _Target(member)
+            target.member = member
+            targets[member.target] = target
+        self._targets[service] = targets
+
+    def on_report(self, now: float, report: TargetReport) -> None:
+        """Note an agent's report."""
+        member = report.member
+        target = self._targets.get(member.service, {}).get(member.target)
+        if target is None or target.member.incarnation != member.incarnation:
+            return
+        target.is_cold = report.is_cold
+        target.seen_at = now
+        target.load = report.load
+        target.placed = 0
+
+    def on_accepted(
+        self, now: float, service: str, name: str, load: ConnectionLoad
+    ) -> None:
+        """Note the load that came with an accepted connection."""
+        target = self._targets.get(service, {}).get(name)
+        if target is not None:
+            target.seen_at = now
+            target.load = load
+            target.placed = max(0, target.placed - 1)
+
+    def members(self, service: str) -> list[Member]:
+        """Return all members of a service that may hold connections."""
+        return [
+            target.member
+            for target in self._targets.get(service, {}).values()
+            if target.member.state < MemberState.left
+        ]
+
+    def member(self, service: str, name: str) -> Member | None:
+        """Return a member of a service."""
+        target = self._targets.get(service, {}).get(name)
+        return target.member if target else None
+
+    def silent_s(self, now: float, service: str, name: str) -> float:
+        """Return for how long an agent was not heard, in seconds."""
+        target = self._targets.get(service, {}).get(name)
+        return now - target.seen_at if target else math.inf
+
+    def choose(
+        self,
+        now: float,
+        rng: random.Random,
+        service: str,
+        excluded: Collection[str] = (),
+    ) -> Member | None:
+        """Return the target of a new connection and count it there.
+
+        Silent targets are taken when there are no others.
+        """
+        usable = [
+            target
+            for target in self._targets.get(service, {}).values()
+            if target.member.state is MemberState.alive
+            and target.member.target not in excluded
+        ]
+        heard = [target for target in usable if now - target.seen_at < SILENT_S]
+        ranked = [
+            (self._cost(target), rng.random(), target)
+            for target in heard or usable
+        ]
+        if not ranked:
+            return None
+        chosen = min(ranked)[-1]
+        chosen.placed += 1
+        return chosen.member
+
+    def _cost(self, target: _Target) -> float:
+        share = target.busy_share()
+        is_near = target.member.failure_domain == self._domain
+        return share if is_near else share + DOMAIN_SHARE
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/platform/registrar.py
@@ -0,0 +1,92 @@
+"""Keeps one object of this process at the platform."""
+
+import asyncio
+import logging
+from random import Random
+from typing import Any, Final
+
+from trefoilhaven_core.platform.backoffs import Backoff
+from trefoilhaven_core.platform.clients import PlatformClient
+from trefoilhaven_core.platform.errors import (
+    Conflict,
+    NotFound,
+    describe_error,
+)
+
+logger = logging.getLogger(__name__)
+
+BACKOFF_LIMIT_S: Final = 2.0
+
+
+class Registrar:
+    """Writes the latest wanted content of an object until it is there.
+
+    Writes carry the version that they replace, so that one which is
+    carried out late can't undo a later one.
+    """
+
+    def __init__(self, client: PlatformClient, path: str, rng: Random) -> None:
+        """Prepare; nothing is written before ``want``."""
+        self._client = client
+        self._path = path
+        self._backoff = Backoff(rng, limit_s=BACKOFF_LIMIT_S)
+        self._version = 0
+        self._wanted: Any = None
+        self._is_wanted = False
+        self._changed = asyncio.Event()
+
+    def want(self, content: Any) -> None:
+        """Set the content to write, None to delete the object."""
+        self._wanted = content
+        self._is_wanted = True
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Write what is wanted until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            while self._is_wanted and not await self.write():
+                await asyncio.sleep(self._backoff.next_s())
+
+    async def write(self) -> bool:
+        """Make one try; return whether the object is as wanted."""
+        content = self._wanted
+        if content is None:
+            done = await self._delete()
+        else:
+            done = await self._put(content)
+        if done and content is self._wanted:
+            self._is_wanted = False
+        if done:
+            self._backoff.reset()
+            logger.info('object written', extra={'path': self._path})
+        return done and not self._is_wanted
+
+    async def _put(self, content: Any) -> bool:
+        written = await self._client.put(self._path, content, self._version)
+        if written.is_ok():
+            self._version = written.ok
+            return True
+        self._note(written.error)
+        return False
+
+    async def _delete(self) -> bool:
+        if not self._version:
+            return True
+        deleted = await self._client.delete(self._path, self._version)
+        if deleted.is_ok():
+            self._version = 0
+            return True
+        self._note(deleted.error)
+        return isinstance(deleted.error, NotFound)
+
+    def _note(self, error: Any) -> None:
+        if isinstance(error, Conflict):
+            self._version = error.version
+        elif isinstance(error, NotFound):
+            self._version = 0
+        logger.info(
+            'object not written',
+            extra={'path': self._path, 'reason': describe_error(error)},
+        )
--- a/packages/core/src/trefoilhaven_core/platform/watchers.py
+++ b/packages/core/src/trefoilhaven_core/platform/watchers.py
@@ -35,13 +35,16 @@
         deliver: Deliver,
         generator: Random,
         sleep: Callable[[float], Awaitable[Any]] = asyncio.sleep,
+        watch_timeout_s: float = defaults.PLATFORM_WATCH_TIMEOUT_S,
+        backoff_limit_s: float = defaults.PLATFORM_BACKOFF_LIMIT_S,
     ) -> None:
         """Prepare a watcher; ``run`` starts it."""
         self.failures = 0
+        self._watch_timeout_s = watch_timeout_s
         self._client = client
         self._prefix = prefix
         self._deliver = deliver
-        self._backoff = Backoff(generator)
+        self._backoff = Backoff(generator, limit_s=backoff_limit_s)
         self._sleep = sleep
         self._revision: int | None = None
 
@@ -68,7 +71,7 @@
             changes = await self._client.watch(
                 self._prefix,
                 self._revision,
-                defaults.PLATFORM_WATCH_TIMEOUT_S,
+                self._watch_timeout_s,
             )
             if changes.is_error():
                 return changes.error
--- a/packages/core/src/trefoilhaven_core/settings/loader.py
+++ b/packages/core/src/trefoilhaven_core/settings/loader.py
@@ -15,15 +15,19 @@
 from trefoilhaven_core.settings.tables import (
     AGENT_FIELDS,
     BALANCER_FIELDS,
+    GATEWAY_FIELDS,
     SERVICE_FIELDS,
+    SIDECAR_FIELDS,
 )
 from trefoilhaven_core.settings.types import (
     AgentSettings,
     BalancerSettings,
     FlowLimits,
+    GatewaySettings,
     RequestLimits,
     Seed,
     ServiceConfiguration,
+    SidecarSettings,
     TargetAddresses,
     Witness,
 )
@@ -63,6 +67,24 @@
     )
 
 
+def load_gateway_settings(path: Path) -> Result[GatewaySettings, Findings]:
+    """Read and check the settings file of a balancer for segments."""
+    return read_document(path).bind(
+        lambda document: read_fields(document, GATEWAY_FIELDS).map(
+            lambda read: GatewaySettings(**_with_seed_addresses(read)),
+        ),
+    )
+
+
+def load_sidecar_settings(path: Path) -> Result[SidecarSettings, Findings]:
+    """Read and check the settings file of an agent for segments."""
+    return read_document(path).bind(
+        lambda document: read_fields(document, SIDECAR_FIELDS).map(
+            lambda read: SidecarSettings(**_with_seed_addresses(read)),
+        ),
+    )
+
+
 def read_service(document: Document) -> Result[ServiceConfiguration, Findings]:
     """Check the content of a service file."""
     return read_fields(document, SERVICE_FIELDS).map(_build_service)
@@ -100,6 +122,10 @@
     }
 
 
+def _with_seed_addresses(read: _Values) -> _Values:
+    return read | {'seeds': tuple(seed['address'] for seed in read['seeds'])}
+
+
 def _build_balancer(read: _Values) -> BalancerSettings:
     seeds = tuple(Seed(**seed) for seed in read['seeds'])
     return BalancerSettings(**(read | _advertised(read) | {'seeds': seeds}))
--- a/packages/core/src/trefoilhaven_core/settings/schemas.py
+++ b/packages/core/src/trefoilhaven_core/settings/schemas.py
@@ -13,14 +13,18 @@
 from trefoilhaven_core.settings.tables import (
     AGENT_FIELDS,
     BALANCER_FIELDS,
+    GATEWAY_FIELDS,
     SERVICE_FIELDS,
+    SIDECAR_FIELDS,
 )
 
 SCHEMAS_DIRECTORY: Final = Path(__file__).parent / 'schemas'
 SCHEMA_TABLES: Final[dict[str, FieldTable]] = {
     'agent': AGENT_FIELDS,
     'balancer': BALANCER_FIELDS,
+    'gateway': GATEWAY_FIELDS,
     'service': SERVICE_FIELDS,
+    'sidecar': SIDECAR_FIELDS,
 }
 
 _DIALECT: Final = 'https://json-schema.org/draft/2020-12/schema'
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -200,3 +200,38 @@
         defaults.EJECT_SHARE,
     ),
 )
+
+_HOST_FIELDS: Final[FieldTable] = (
+    _name('name', 'Name of the process, unique in the system.'),
+    _name('host', 'Name of the host.'),
+    _name('failure_domain', 'Failure domain of the host.'),
+    _address('readiness', 'TCP address that the fabric asks for readiness.'),
+    _address('control', 'UDP and TCP address for other processes.'),
+    _address('metrics', 'TCP address of the metrics endpoint.'),
+    _address('platform', "TCP address of the platform's store."),
+    Field(
+        'seeds',
+        FieldKind.sections,
+        'Balancers that are asked first, by an address of theirs.',
+        default=(),
+        maximum=64,
+        fields=(_address('address', 'Any address of the balancer.'),),
+    ),
+    _LOG_LEVEL,
+)
+
+GATEWAY_FIELDS: Final[FieldTable] = (
+    *_HOST_FIELDS,
+    _address('segments', "UDP address that takes clients' segments."),
+)
+
+SIDECAR_FIELDS: Final[FieldTable] = (
+    *_HOST_FIELDS,
+    _name('service', 'Service of the target.'),
+    _address('segments', "UDP address that takes the target's segments."),
+    _address(
+        'announcements', "TCP address that takes the target's heartbeats."
+    ),
+    _address('target', 'UDP and TCP address of the target.'),
+    _address('fabric', 'Address whose port all clients take segments at.'),
+)
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -101,3 +101,44 @@
     requests: RequestLimits
     warm_up_s: float
     eject_share: float
+
+
+class GatewaySettings(NamedTuple):
+    """Settings of a balancer that routes segments of connections.
+
+    ``seeds`` holds addresses of other balancers. ``control`` is a UDP and
+    a TCP address.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    readiness: Address
+    control: Address
+    metrics: Address
+    platform: Address
+    seeds: tuple[Address, ...]
+    log_level: str
+    segments: Address
+
+
+class SidecarSettings(NamedTuple):
+    """Settings of an agent beside a target that speaks in segments.
+
+    All clients take segments at the port of ``fabric``.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    readiness: Address
+    control: Address
+    metrics: Address
+    platform: Address
+    seeds: tuple[Address, ...]
+    log_level: str
+    service: str
+    segments: Address
+    announcements: Address
+    target: Address
+    fabric: Address
--- a/packages/core/src/trefoilhaven_core/telemetry/metrics.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/metrics.py
@@ -4,29 +4,20 @@
 never from flows or request keys.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Final
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    Metric,
-    SummaryMetricFamily,
-)
-from prometheus_client.registry import Collector
 
 from trefoilhaven_core.settings import defaults
 
 QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
 
-_PREFIX: Final = 'trefoilhaven_'
 _US_PER_S: Final = 1_000_000
 _PERCENT: Final = 100
 
-_Labels = tuple[tuple[str, str], ...]
-_Series = tuple[str, _Labels]
+Labels = tuple[tuple[str, str], ...]
+Series = tuple[str, Labels]
 
 
 class Counter:
@@ -88,7 +79,7 @@
         }
 
 
-class Metrics(Collector):
+class Metrics:
     """All metrics of one process.
 
     Keep the returned counter or histogram where it is used often:
@@ -99,12 +90,10 @@
 
     def __init__(self) -> None:
         """Start without metrics."""
-        self._counters: dict[_Series, Counter] = {}
-        self._totals: dict[_Series, Callable[[], float]] = {}
-        self._gauges: dict[_Series, Callable[[], float]] = {}
-        self._histograms: dict[_Series, Histogram] = {}
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
+        self._counters: dict[Series, Counter] = {}
+        self._totals: dict[Series, Callable[[], float]] = {}
+        self._gauges: dict[Series, Callable[[], float]] = {}
+        self._histograms: dict[Series, Histogram] = {}
 
     def counter(self, name: str, **labels: str) -> Counter:
         """Return the counter of a name and labels."""
@@ -139,35 +128,21 @@
         """Return all counters as text, for status replies."""
         return {
             _format_series(series): count
-            for series, count in sorted(self._read_counters().items())
+            for series, count in sorted(self.read_counters().items())
         }
 
     def export(self) -> bytes:
         """Return all metrics in Prometheus text format."""
-        return generate_latest(self._registry)
-
-    def collect(self) -> Iterator[Metric]:
-        """Return the metric families; called by the export."""
-        counters: dict[str, Metric] = {}
-        for (name, labels), count in self._read_counters().items():
-            family = counters.setdefault(
-                name,
-                CounterMetricFamily(f'{_PREFIX}{name}', _describe(name)),
-            )
-            full_name = f'{_PREFIX}{name}_total'
-            family.add_sample(full_name, dict(labels), count)
-        gauges: dict[str, Metric] = {}
-        for (name, labels), read in self._gauges.items():
-            family = gauges.setdefault(
-                name,
-                GaugeMetricFamily(f'{_PREFIX}{name}', _describe(name)),
-            )
-            family.add_sample(f'{_PREFIX}{name}', dict(labels), read())
-        yield from counters.values()
-        yield from gauges.values()
-        yield from self._collect_histograms()
-
-    def _read_counters(self) -> dict[_Series, float]:
+        # The library takes 70 ms to import, which the start of a process
+        # on a small host can't afford.
+        from trefoilhaven_core.telemetry.exports import (  # noqa: PLC0415
+            export_metrics,
+        )
+
+        return export_metrics(self)
+
+    def read_counters(self) -> dict[Series, float]:
+        """Return all counts by series."""
         counts = {
             series: counter.count for series, counter in self._counters.items()
         }
@@ -175,35 +150,20 @@
             series: read() for series, read in self._totals.items()
         }
 
-    def _collect_histograms(self) -> Iterator[Metric]:
-        families: dict[str, Metric] = {}
-        for (name, labels), histogram in self._histograms.items():
-            full_name = f'{_PREFIX}{name}_seconds'
-            family = families.setdefault(
-                name,
-                SummaryMetricFamily(full_name, _describe(name)),
-            )
-            fixed = dict(labels)
-            for quantile, time_s in histogram.quantiles_s().items():
-                family.add_sample(
-                    full_name,
-                    fixed | {'quantile': str(quantile)},
-                    time_s,
-                )
-            family.add_sample(f'{full_name}_count', fixed, histogram.count)
-            family.add_sample(f'{full_name}_sum', fixed, histogram.sum_s)
-        yield from families.values()
-
-
-def _series(name: str, labels: dict[str, str]) -> _Series:
-    return name, tuple(sorted(labels.items()))
+    def read_gauges(self) -> dict[Series, float]:
+        """Return the present values of all gauges by series."""
+        return {series: read() for series, read in self._gauges.items()}
+
+    def histograms(self) -> dict[Series, Histogram]:
+        """Return all histograms by series."""
+        return dict(self._histograms)
 
 
-def _describe(name: str) -> str:
-    return name.replace('_', ' ').capitalize()
+def _series(name: str, labels: dict[str, str]) -> Series:
+    return name, tuple(sorted(labels.items()))
 
 
-def _format_series(series: _Series) -> str:
+def _format_series(series: Series) -> str:
     name, labels = series
     listing = ','.join(f'{key}={text}' for key, text in labels)
     return f'{name}{{{listing}}}' if listing else name
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/wire/http.py
@@ -0,0 +1,236 @@
+"""Small HTTP/1.1 server and client on asyncio streams and ``h11``.
+
+aiohttp takes 0.4 s of processor time to import, which delays the return
+of a killed process on a small host by more than a second. These two parts
+serve processes that must start quickly.
+"""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+import h11
+
+from trefoilhaven_core.membership.messages import Address
+
+logger = logging.getLogger(__name__)
+
+# A request or an idle connection that takes longer is closed, in seconds.
+SERVER_TIMEOUT_S: Final = 30.0
+
+# Largest accepted body of a request, in bytes.
+MAX_REQUEST_BYTES: Final = 65_536
+
+_READ_BYTES: Final = 65_536
+
+
+class HttpRequest(NamedTuple):
+    """A request to this process."""
+
+    method: str
+    target: str
+    body: bytes
+
+
+class HttpResponse(NamedTuple):
+    """A response with its status code."""
+
+    status: int
+    body: bytes = b''
+    content_type: str = 'application/json'
+
+
+HttpHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+async def serve_http(address: Address, handler: HttpHandler) -> asyncio.Server:
+    """Answer requests at an address; raises ``OSError`` when it is taken."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, TimeoutError):
+            await _serve_connection(reader, writer, handler)
+        writer.close()
+
+    return await asyncio.start_server(serve, address.host, address.port)
+
+
+async def _serve_connection(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    handler: HttpHandler,
+) -> None:
+    conn = h11.Connection(h11.SERVER)
+    while True:
+        try:
+            request = await _read_request(conn, reader)
+        except h11.RemoteProtocolError as exc:
+            logger.info('malformed HTTP request', extra={'reason': str(exc)})
+            return
+        if request is None:
+            return
+        response = await handler(request)
+        writer.write(_encode_response(conn, response))
+        await writer.drain()
+        if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            return
+        conn.start_next_cycle()
+
+
+async def _read_request(
+    conn: h11.Connection, reader: asyncio.StreamReader
+) -> HttpRequest | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            chunk = await asyncio.wait_for(
+                reader.read(_READ_BYTES), SERVER_TIMEOUT_S
+            )
+            conn.receive_data(chunk)
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body.extend(event.data)
+            if len(body) > MAX_REQUEST_BYTES:
+                return None
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            method = head.method.decode('ascii', 'replace')
+            target = head.target.decode('ascii', 'replace')
+            return HttpRequest(method, target, bytes(body))
+        else:
+            return None
+
+
+def _encode_response(conn: h11.Connection, response: HttpResponse) -> bytes:
+    headers = [
+        ('Content-Type', response.content_type),
+        ('Content-Length', str(len(response.body))),
+    ]
+    head = h11.Response(status_code=response.status, headers=headers)
+    return b''.join(
+        (
+            conn.send(head) or b'',
+            conn.send(h11.Data(data=response.body)) or b'',
+            conn.send(h11.EndOfMessage()) or b'',
+        )
+    )
+
+
+class HttpAnswer(NamedTuple):
+    """Status, Retry-After header and body of an answer."""
+
+    status: int
+    retry_after: str
+    body: bytes
+
+
+class NotSentError(OSError):
+    """No connection could be made, so that the server has not seen a call."""
+
+
+class _ClientConnection(NamedTuple):
+    conn: h11.Connection
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class HttpCaller:
+    """Calls one HTTP server and keeps idle connections for later calls."""
+
+    def __init__(self, address: Address) -> None:
+        """Prepare a caller; connects on first use."""
+        self._address = address
+        self._idle: list[_ClientConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> HttpAnswer:
+        """Make one call and return its answer.
+
+        Raises ``NotSentError`` when the server has certainly not seen the
+        call, and ``OSError`` or ``TimeoutError`` when it may have.
+        """
+        async with asyncio.timeout(timeout_s):
+            connection = await self._connect(timeout_s)
+            try:
+                answer = await self._exchange(connection, method, target, body)
+            except (h11.ProtocolError, EOFError) as exc:
+                connection.writer.close()
+                raise ConnectionError(f'broken answer: {exc}') from exc
+            except BaseException:
+                # A later answer must not be taken for that of another call.
+                connection.writer.close()
+                raise
+        if connection.conn.their_state is h11.DONE:
+            connection.conn.start_next_cycle()
+            self._idle.append(connection)
+        else:
+            connection.writer.close()
+        return answer
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().writer.close()
+
+    async def _connect(self, timeout_s: float) -> _ClientConnection:
+        while self._idle:
+            idle = self._idle.pop()
+            if not idle.reader.at_eof() and not idle.writer.is_closing():
+                return idle
+            idle.writer.close()
+        try:
+            reader, writer = await asyncio.open_connection(*self._address)
+        except OSError as exc:
+            raise NotSentError(f'not reachable: {exc}') from exc
+        return _ClientConnection(h11.Connection(h11.CLIENT), reader, writer)
+
+    async def _exchange(
+        self,
+        connection: _ClientConnection,
+        method: str,
+        target: str,
+        body: bytes,
+    ) -> HttpAnswer:
+        conn = connection.conn
+        headers = [
+            ('Host', f'{self._address.host}:{self._address.port}'),
+            ('Content-Length', str(len(body))),
+        ]
+        if body:
+            headers.append(('Content-Type', 'application/json'))
+        head = h11.Request(method=method, target=target, headers=headers)
+        parts = [conn.send(head), conn.send(h11.Data(data=body))]
+        parts.append(conn.send(h11.EndOfMessage()))
+        connection.writer.write(b''.join(part or b'' for part in parts))
+        await connection.writer.drain()
+        return await self._read_answer(connection)
+
+    async def _read_answer(self, connection: _ClientConnection) -> HttpAnswer:
+        conn = connection.conn
+        status = 0
+        retry_after = ''
+        body = bytearray()
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await connection.reader.read(_READ_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                found = dict(event.headers).get(b'retry-after', b'')
+                retry_after = found.decode('ascii', 'replace')
+            elif isinstance(event, h11.Data):
+                body.extend(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpAnswer(status, retry_after, bytes(body))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError('the connection was closed')
--- a/packages/core/src/trefoilhaven_core/wire/kinds.py
+++ b/packages/core/src/trefoilhaven_core/wire/kinds.py
@@ -5,6 +5,7 @@
 
 from typing import Final, NamedTuple
 
+from trefoilhaven_core.connections import messages as connections
 from trefoilhaven_core.flows import messages as flows
 from trefoilhaven_core.membership import messages as membership
 from trefoilhaven_core.ownership import messages as ownership
@@ -37,4 +38,11 @@
     25: telemetry.DrainReply,
     26: telemetry.ExplainRequest,
     27: telemetry.ExplainReply,
+    30: connections.SegmentForward,
+    31: connections.SegmentReturn,
+    32: connections.HolderQuery,
+    33: connections.HolderReply,
+    34: connections.ConnectionAccepted,
+    35: connections.TargetReport,
+    36: connections.BalancerHello,
 }
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/wire/transfers.py
@@ -0,0 +1,112 @@
+"""Calls between processes over TCP, one message each way.
+
+A message that exceeds a datagram travels as four bytes of length and the
+datagram codec's encoding. gRPC takes 0.3 s of processor time to import,
+which processes that must start quickly can't afford.
+"""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from expression import Error, Ok, Result
+
+from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.settings import defaults
+from trefoilhaven_core.telemetry.runtimes import ProcessClock
+from trefoilhaven_core.wire.codec import Codec
+
+logger = logging.getLogger(__name__)
+
+# A larger message is refused; a region's state takes 1.8 MB.
+MAX_MESSAGE_BYTES: Final = 16 * 1024 * 1024
+
+_LENGTH_BYTES: Final = 4
+
+TransferHandler = Callable[[Any], NamedTuple]
+
+
+class TransferError(NamedTuple):
+    """Why a call brought no message."""
+
+    reason: str
+
+
+class TransferEndpoint:
+    """Answers calls by the type of their message."""
+
+    def __init__(self, codec: Codec, clock: ProcessClock) -> None:
+        """Start without handlers."""
+        self._codec = codec
+        self._clock = clock
+        self._handlers: dict[type[NamedTuple], TransferHandler] = {}
+        self._server: asyncio.Server | None = None
+
+    def on(self, kind: type[NamedTuple], handler: TransferHandler) -> None:
+        """Register the handler of a message type."""
+        self._handlers[kind] = handler
+
+    async def start(self, address: Address) -> None:
+        """Listen at an address; raises ``OSError`` when it is taken."""
+        self._server = await asyncio.start_server(
+            self._serve, address.host, address.port
+        )
+
+    def close(self) -> None:
+        """Close the endpoint."""
+        if self._server is not None:
+            self._server.close()
+
+    async def call(
+        self,
+        address: Address,
+        message: NamedTuple,
+        timeout_s: float = defaults.PEER_CALL_TIMEOUT_S,
+    ) -> Result[Any, TransferError]:
+        """Send a message to another process and return its answer."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(*address)
+                with contextlib.closing(writer):
+                    self._send(writer, message)
+                    raw = await _read(reader)
+        except (OSError, EOFError, TimeoutError) as exc:
+            return Error(TransferError(str(exc) or 'no answer in time'))
+        decoded = self._codec.decode(raw)
+        if decoded.is_error():
+            return Error(TransferError(decoded.error.reason))
+        self._clock.observe(decoded.ok.clock)
+        return Ok(decoded.ok.message)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.closing(writer):
+            try:
+                async with asyncio.timeout(defaults.PEER_CALL_TIMEOUT_S):
+                    raw = await _read(reader)
+            except (OSError, EOFError, TimeoutError) as exc:
+                logger.info('peer call failed', extra={'reason': str(exc)})
+                return
+            decoded = self._codec.decode(raw)
+            if decoded.is_error():
+                reason = decoded.error.reason
+                logger.warning('malformed call', extra={'reason': reason})
+                return
+            handler = self._handlers.get(type(decoded.ok.message))
+            if handler is not None:
+                self._clock.observe(decoded.ok.clock)
+                self._send(writer, handler(decoded.ok.message))
+
+    def _send(self, writer: asyncio.StreamWriter, message: NamedTuple) -> None:
+        raw = self._codec.encode(message, self._clock.stamp())
+        writer.write(len(raw).to_bytes(_LENGTH_BYTES, 'big') + raw)
+
+
+async def _read(reader: asyncio.StreamReader) -> bytes:
+    length = int.from_bytes(await reader.readexactly(_LENGTH_BYTES), 'big')
+    if length > MAX_MESSAGE_BYTES:
+        raise EOFError(f'a message of {length} bytes is too large')
+    return await reader.readexactly(length)
--- a/scripts/checks.py
+++ b/scripts/checks.py
@@ -18,6 +18,7 @@
 PACKAGES = ('core', 'balancer', 'agent', 'bench')
 PYTHON_PATHS = (
     *[f'packages/{name}/src' for name in PACKAGES],
+    'platform/src',
     'features',
     'scripts',
 )
@@ -122,7 +123,8 @@
             f'--outfile={report}',
             '--format=progress2',
             '--no-capture',
-            'features',
+            'platform/src',
+    'features',
         ],
         cwd=ROOT,
         check=False,
