Ask the targets of other services before a reset

Ruled out: wrong verdicts of agents (all seven asked were right).

Change: a search goes on with the targets of all other services; a gateway is ready only when most targets have reported to it.

--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -174,10 +174,13 @@
     async def _greet(self) -> None:
         """Tell all agents where this gateway is."""
         while True:
-            for member in self._state.targets():
-                self._endpoint.send(self._hello, member.control)
+            self._send_hello()
             await asyncio.sleep(HELLO_S)
 
+    def _send_hello(self) -> None:
+        for member in self._state.targets():
+            self._endpoint.send(self._hello, member.control)
+
     async def _pull(self) -> None:
         """Fetch everything from a seed, for a start without the store."""
         backoff = Backoff(self._rng, limit_s=LIST_BACKOFF_LIMIT_S)
@@ -218,7 +221,8 @@
         self._note_complete('the store')
 
     def _note_complete(self, source: str) -> None:
-        self._state.router.knows_all = True
+        self._state.note_complete(monotonic())
+        self._send_hello()
         logger.info(
             'list of targets is known',
             extra={'source': source, 'targets': len(self._state.targets())},
--- a/packages/balancer/src/trefoilhaven/gateway/process.py
+++ b/packages/balancer/src/trefoilhaven/gateway/process.py
@@ -20,6 +20,7 @@
 from trefoilhaven_core.telemetry.logs import configure_logging
 from trefoilhaven_core.telemetry.scrapes import serve_metrics
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime, make_runtime
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.codec import make_codec
 from trefoilhaven_core.wire.endpoints import measure_endpoint, open_endpoint
 from trefoilhaven_core.wire.transfers import TransferEndpoint
@@ -65,7 +66,9 @@
         await transfers.start(cfg.control)
         measure_endpoint(self._runtime.metrics, 'control', endpoint)
         await serve_metrics(cfg.metrics, self._runtime.metrics)
-        await self._adapter.serve_readiness(lambda: not state.obstacle)
+        await self._adapter.serve_readiness(
+            lambda: not state.find_obstacle(monotonic()),
+        )
         tasks = [
             asyncio.create_task(segments.run()),
             asyncio.create_task(discovery.run()),
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from collections.abc import Iterable
+from typing import Final
 
 import msgspec
 
@@ -20,6 +21,12 @@
 
 logger = logging.getLogger(__name__)
 
+# A gateway that starts waits until this share of the targets has reported,
+# but no longer than this time, in seconds: without reports it can't tell
+# the targets that live from those that have ended.
+HEARD_SHARE: Final = 0.6
+HEARING_S: Final = 1.5
+
 
 class GatewayState:
     """Records, routes and connections of one gateway.
@@ -42,25 +49,30 @@
         self.spread = TargetSpread(cfg.failure_domain)
         self.router = ConnectionRouter(self.routes, self.spread, rng)
         self.is_stopping = False
+        self._complete_at: float | None = None
 
-    @property
-    def obstacle(self) -> str:
-        """Why this process must get no traffic, '' when it may."""
+    def find_obstacle(self, now: float) -> str:
+        """Return why this process must get no traffic, '' when it may."""
         if self.is_stopping:
             return 'the process is stopping'
         if not self.routes.version:
             return 'no configuration is known'
-        if not self.router.knows_all:
+        if self._complete_at is None:
             return 'the list of targets is not known'
+        waited_s = now - self._complete_at
+        if self.spread.heard_share() < HEARD_SHARE and waited_s < HEARING_S:
+            return 'few targets have reported'
         return ''
 
     def targets(self) -> list[Member]:
         """Return the members of all services that may be reached."""
-        return [
-            member
-            for service in self.store.services
-            for member in self.spread.members(service)
-        ]
+        return self.spread.members(self.spread.services)
+
+    def note_complete(self, now: float) -> None:
+        """Note that the list of targets is known, at a monotonic time."""
+        self.router.knows_all = True
+        if self._complete_at is None:
+            self._complete_at = now
 
     def refresh(self, services: Iterable[str]) -> None:
         """Bring routes and targets in step with the store."""
--- a/packages/core/src/trefoilhaven_core/connections/lookups.py
+++ b/packages/core/src/trefoilhaven_core/connections/lookups.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from trefoilhaven_core.connections.effects import (
@@ -54,14 +55,26 @@
     """The search for the holder of one connection."""
 
     def __init__(
-        self, now: float, segment: Segment, members: list[Member]
+        self,
+        now: float,
+        segment: Segment,
+        members: Iterable[Member],
+        others: Iterable[Member],
     ) -> None:
-        """Start with the first segment and all members that may hold it."""
+        """Start with the first segment.
+
+        ``members`` are asked first. ``others`` are of services that the
+        route does not name now; connections stay where they are when the
+        route changes, so that they are asked when the first are not it.
+        """
         self.key: ConnectionKey = segment.key
         self.started_at = now
         self._members = {
             (member.service, member.target): member for member in members
         }
+        self._others = {
+            (member.service, member.target): member for member in others
+        }
         self._segments: deque[Segment] = deque(
             [segment], maxlen=WAITING_SEGMENTS
         )
@@ -115,20 +128,21 @@
         effects.extend(self._offer(now))
         return effects
 
+    def ask_others(self, now: float) -> list[Effect]:
+        """Go on with the members that were left out at first."""
+        if not self._others or not self.is_absent():
+            return []
+        self._members |= self._others
+        self._others = {}
+        self._asked_at = now
+        return self.ask()
+
     def is_absent(self) -> bool:
-        """Tell whether every member said that it is not the holder."""
+        """Tell whether every asked member said that it is not the holder."""
         return bool(self._members) and all(
             self._verdicts.get(key) is Verdict.absent for key in self._members
         )
 
-    def unanswered(self) -> list[Member]:
-        """Return the members without a definite answer."""
-        return [
-            member
-            for key, member in self._members.items()
-            if self._verdicts.get(key) is not Verdict.absent
-        ]
-
     def reset(self) -> ResetClient:
         """Return the reset of a connection that no target holds."""
         latest = self._segments[-1]
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -207,18 +207,19 @@
         return [self._forward(route, segment)]
 
     def _search(self, now: float, segment: Segment) -> list[Effect]:
-        members = [
-            member
-            for service in sorted(self._routes.holders(segment.key[2:]))
-            for member in self._spread.members(service)
-        ]
+        services = self._routes.holders(segment.key[2:])
+        members = self._spread.members(services)
+        others = self._spread.members(self._spread.services - services)
         if not members:
             return [DropSegment(segment, DropCause.no_target)]
-        search = Search(now, segment, members)
+        search = Search(now, segment, members, others)
         self._searches[segment.key] = search
         return search.ask()
 
     def _conclude(self, now: float, search: Search) -> list[Effect]:
+        effects = search.ask_others(now)
+        if effects:
+            return effects
         if search.is_absent():
             del self._searches[search.key]
             if self.knows_all:
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -95,14 +95,33 @@
             target.load = load
             target.placed = max(0, target.placed - 1)
 
-    def members(self, service: str) -> list[Member]:
-        """Return all members of a service that may hold connections."""
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of all services with members."""
+        return frozenset(self._targets)
+
+    def members(self, services: Iterable[str]) -> list[Member]:
+        """Return all members of services that may hold connections."""
         return [
             target.member
+            for service in sorted(services)
             for target in self._targets.get(service, {}).values()
             if target.member.state < MemberState.left
         ]
 
+    def heard_share(self) -> float:
+        """Return the share of all targets that have reported, 1 for none."""
+        targets = [
+            target
+            for known in self._targets.values()
+            for target in known.values()
+            if target.member.state < MemberState.left
+        ]
+        if not targets:
+            return 1.0
+        heard = sum(target.seen_at > -math.inf for target in targets)
+        return heard / len(targets)
+
     def member(self, service: str, name: str) -> Member | None:
         """Return a member of a service."""
         target = self._targets.get(service, {}).get(name)
