Reload settings at SIGHUP

Change: SettingsReloader reads the file again; log level and seeds take effect at once, other fields at the next start, faulty files change nothing.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Final
 
 from trefoilhaven_agent.sidecar.reporting import ReportingTask
@@ -10,6 +12,9 @@
 from trefoilhaven_agent.sidecar.targets import Place, TargetBelief
 from trefoilhaven_core.connections.holders import HeldConnections
 from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.settings.findings import format_findings
+from trefoilhaven_core.settings.loader import load_sidecar_settings
+from trefoilhaven_core.settings.reloads import SettingsReloader
 from trefoilhaven_core.settings.types import SidecarSettings
 from trefoilhaven_core.telemetry.lifecycles import (
     end_tasks,
@@ -24,6 +29,8 @@
 
 logger = logging.getLogger(__name__)
 
+EXIT_FINDINGS: Final = 1
+
 # Connections without a segment for this time are forgotten, in seconds.
 CONNECTION_IDLE_S: Final = 60.0
 
@@ -86,12 +93,20 @@
 
 
 def run(
-    cfg: SidecarSettings,
+    settings: Path,
     make_adapter: Callable[[SidecarSettings], PlatformAdapter],
-) -> None:
-    """Run a sidecar until SIGTERM or SIGINT."""
+) -> int:
+    """Run a sidecar until SIGTERM or SIGINT; return the exit code."""
+    loaded = load_sidecar_settings(settings)
+    if loaded.is_error():
+        sys.stderr.write(f'{format_findings(loaded.error)}\n')
+        return EXIT_FINDINGS
+    cfg = loaded.ok
     configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
     runtime = make_runtime(cfg.name)
+    reloader = SettingsReloader(cfg, lambda: load_sidecar_settings(settings))
     run_until_signal(
         lambda stop: SidecarProcess(cfg, runtime, make_adapter(cfg)).run(stop),
+        on_hangup=reloader.reload,
     )
+    return 0
--- a/packages/balancer/src/trefoilhaven/gateway/process.py
+++ b/packages/balancer/src/trefoilhaven/gateway/process.py
@@ -3,7 +3,9 @@
 import asyncio
 import logging
 import random
+import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Final
 
 from trefoilhaven.gateway.discovery import DiscoveryTask
@@ -11,6 +13,9 @@
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.membership.messages import MemberState
 from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.settings.findings import format_findings
+from trefoilhaven_core.settings.loader import load_gateway_settings
+from trefoilhaven_core.settings.reloads import SettingsReloader
 from trefoilhaven_core.settings.types import GatewaySettings
 from trefoilhaven_core.telemetry.lifecycles import (
     end_tasks,
@@ -27,6 +32,8 @@
 
 logger = logging.getLogger(__name__)
 
+EXIT_FINDINGS: Final = 1
+
 # The fabric asks twice a second and stops after two misses; segments that
 # are on their way arrive a little later.
 STOP_FORWARDING_S: Final = 1.8
@@ -88,12 +95,20 @@
 
 
 def run(
-    cfg: GatewaySettings,
+    settings: Path,
     make_adapter: Callable[[GatewaySettings], PlatformAdapter],
-) -> None:
-    """Run a gateway until SIGTERM or SIGINT."""
+) -> int:
+    """Run a gateway until SIGTERM or SIGINT; return the exit code."""
+    loaded = load_gateway_settings(settings)
+    if loaded.is_error():
+        sys.stderr.write(f'{format_findings(loaded.error)}\n')
+        return EXIT_FINDINGS
+    cfg = loaded.ok
     configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
     runtime = make_runtime(cfg.name)
+    reloader = SettingsReloader(cfg, lambda: load_gateway_settings(settings))
     run_until_signal(
         lambda stop: GatewayProcess(cfg, runtime, make_adapter(cfg)).run(stop),
+        on_hangup=reloader.reload,
     )
+    return 0
--- a/packages/core/src/trefoilhaven_core/telemetry/lifecycles.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/lifecycles.py
@@ -36,12 +36,18 @@
 
 def run_until_signal(
     serve: Callable[[asyncio.Event], Awaitable[None]],
+    on_hangup: Callable[[], object] | None = None,
 ) -> None:
-    """Run a process; SIGTERM and SIGINT set the event it is given."""
+    """Run a process; SIGTERM and SIGINT set the event it is given.
+
+    ``on_hangup`` is called at SIGHUP, which ends the process without it.
+    """
 
     async def start() -> None:
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
+        if on_hangup is not None:
+            loop.add_signal_handler(signal.SIGHUP, on_hangup)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         await serve(stop)
