Agents ask the store for balancers until one greets them

Ruled out: slow starts as such (all processes ran 10 s before traffic).

Change: an agent lists the balancers while none has greeted it in 3 s; the greeting names the failure domain.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Iterable
 from typing import Final, NamedTuple
@@ -46,6 +47,9 @@
 # A balancer that was not heard for this time is taken to have ended.
 BALANCER_SILENT_S: Final = 30.0
 
+# Balancers greet each second. While none does, the store is asked for them.
+HELLO_LOST_S: Final = 3.0
+
 # A target that misses two heartbeats is asked whether it lives.
 SILENT_TARGET_S: Final = 2.6
 CHECK_S: Final = 0.2
@@ -92,6 +96,7 @@
         self._registrar = Registrar(self._client, path, rng)
         self._balancers: dict[Address, _Balancer] = {}
         self._departing = False
+        self._hello_at = -math.inf
         self._left: tuple[Member, ...] = ()
         self._left_reports = 0
         endpoint.on(BalancerHello, self._on_hello)
@@ -179,10 +184,11 @@
 
     def _on_hello(self, hello: BalancerHello, sender: Address) -> None:
         known = self._balancers.get(sender)
-        is_near = known.is_near if known else True
+        is_near = hello.failure_domain == self._cfg.failure_domain
         if known is None:
             logger.info('balancer found', extra={'balancer': hello.name})
-        self._balancers[sender] = _Balancer(sender, is_near, monotonic())
+        self._hello_at = monotonic()
+        self._balancers[sender] = _Balancer(sender, is_near, self._hello_at)
 
     async def _report_regularly(self) -> None:
         turn = 0
@@ -231,15 +237,24 @@
             self._endpoint.send(report, address)
 
     async def _list_balancers(self) -> None:
+        """Read the balancers from the store while none is heard.
+
+        Agents may start before all balancers; one that knows this agent
+        tells it to the others.
+        """
         while True:
-            listed = await self._client.list(BALANCERS_PREFIX)
-            if listed.is_ok():
-                break
+            if monotonic() - self._hello_at > HELLO_LOST_S:
+                await self._list_once()
+            await asyncio.sleep(self._backoff.next_s())
+
+    async def _list_once(self) -> None:
+        listed = await self._client.list(BALANCERS_PREFIX)
+        if listed.is_error():
             logger.warning(
                 'balancers not read',
                 extra={'reason': describe_error(listed.error)},
             )
-            await asyncio.sleep(self._backoff.next_s())
+            return
         now = monotonic()
         for each in listed.ok.objects:
             read = read_balancer(each.content)
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -128,7 +128,9 @@
             self._client, f'{BALANCERS_PREFIX}{cfg.name}', rng
         )
         self._registrar.want(balancer_content(own))
-        self._hello = BalancerHello(cfg.name, state.runtime.incarnation)
+        self._hello = BalancerHello(
+            cfg.name, cfg.failure_domain, state.runtime.incarnation
+        )
         endpoint.on(TargetReport, self._on_report)
         transfers.on(StateRequest, self._on_state)
 
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -181,6 +181,7 @@
     """A balancer's regular sign of life to an agent."""
 
     name: str
+    failure_domain: str
     incarnation: int
 
 
