Collect questions about connections and read sockets in bursts

A balancer with a quarter of a core repeated each of 100 searches every 50 ms to 11 agents, so that the answers were not read.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -50,7 +50,9 @@
         self._adapter = adapter
         self._connections = HeldConnections(cfg.service, CONNECTION_IDLE_S)
         place = Place(cfg.host, cfg.failure_domain, cfg.control)
-        self._belief = TargetBelief(cfg.service, place, self._connections)
+        self._belief = TargetBelief(
+            cfg.service, place, self._connections, runtime.incarnation
+        )
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set.
@@ -72,7 +74,7 @@
             self._adapter,
             endpoint,
         )
-        await segments.open()
+        segments.open()
         measure_endpoint(self._runtime.metrics, 'control', endpoint)
         await self._adapter.serve_announcements(reporting.on_announcement)
         await self._adapter.serve_readiness(lambda: True)
--- a/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
@@ -63,9 +63,9 @@
         endpoint.on(SegmentForward, self._on_forward)
         endpoint.on(HolderQuery, self._on_query)
 
-    async def open(self) -> None:
+    def open(self) -> None:
         """Open the socket of the target; raises ``OSError``."""
-        self._outbound = await open_raw(self._cfg.segments, self._on_raw)
+        self._outbound = open_raw(self._cfg.segments, self._on_raw)
 
     async def run(self) -> None:
         """Settle probes and forget old connections until cancelled."""
@@ -114,7 +114,7 @@
     def _on_query(self, query: HolderQuery, sender: Address) -> None:
         self.apply(self._connections.on_query(monotonic(), query, sender))
 
-    def _on_raw(self, raw: bytes) -> None:
+    def _on_raw(self, raw: bytes, _: tuple[str, int]) -> None:
         segment = self._adapter.codec.decode_from_target(raw)
         if segment is None:
             self._dropped.add()
--- a/packages/balancer/src/trefoilhaven/gateway/process.py
+++ b/packages/balancer/src/trefoilhaven/gateway/process.py
@@ -69,7 +69,7 @@
         discovery = DiscoveryTask(
             state, self._adapter, endpoint, transfers, segments, self._rng
         )
-        await segments.open()
+        segments.open()
         await transfers.start(cfg.control)
         measure_endpoint(self._runtime.metrics, 'control', endpoint)
         await serve_metrics(cfg.metrics, self._runtime.metrics)
--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -7,6 +7,7 @@
 
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.effects import (
+    AskMember,
     DropCause,
     DropSegment,
     Effect,
@@ -15,13 +16,15 @@
 )
 from trefoilhaven_core.connections.messages import (
     ConnectionAccepted,
+    HolderQuery,
     HolderReply,
+    Question,
     SegmentForward,
     SegmentReturn,
     TargetReport,
 )
 from trefoilhaven_core.connections.texts import connection_text
-from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.membership.messages import Address, Member
 from trefoilhaven_core.platform.adapters import PlatformAdapter
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -34,6 +37,13 @@
 TICK_S: Final = 0.02
 IDLE_TICK_S: Final = 0.1
 
+# Questions to one agent are collected for this time, in seconds: after a
+# change of the fabric, hundreds of connections are looked for at once.
+COLLECT_S: Final = 0.003
+
+# Questions in one datagram, which then stays below 1,400 bytes.
+QUERY_QUESTIONS: Final = 40
+
 
 class SegmentTask:
     """Feeds the router and carries out its effects."""
@@ -49,6 +59,7 @@
         self._adapter = adapter
         self._endpoint = endpoint
         self._fabric: RawEndpoint | None = None
+        self._questions: dict[Member, list[Question]] = {}
         self._log = RateLimitedLog(logger)
         metrics = state.runtime.metrics
         self._drops = {
@@ -63,9 +74,9 @@
         endpoint.on(HolderReply, self._on_reply)
         endpoint.on(ConnectionAccepted, self._on_accepted)
 
-    async def open(self) -> None:
+    def open(self) -> None:
         """Open the socket of the fabric; raises ``OSError``."""
-        self._fabric = await open_raw(self._state.cfg.segments, self._on_raw)
+        self._fabric = open_raw(self._state.cfg.segments, self._on_raw)
 
     async def run(self) -> None:
         """Go on with searches until cancelled."""
@@ -83,7 +94,7 @@
         """Hand an agent's report to the router."""
         self._state.router.on_report(monotonic(), report)
 
-    def _on_raw(self, raw: bytes) -> None:
+    def _on_raw(self, raw: bytes, _: tuple[str, int]) -> None:
         segment = self._adapter.codec.decode_from_client(raw)
         if segment is None:
             self._drops[DropCause.malformed].add()
@@ -124,11 +135,28 @@
                 self._endpoint.send(effect.message, effect.address)
                 if isinstance(effect.message, SegmentForward):
                     self._forwards.add()
+            elif isinstance(effect, AskMember):
+                self._ask(effect)
             elif isinstance(effect, ResetClient):
                 self._reset(effect)
             elif isinstance(effect, DropSegment):
                 self._drop(effect)
 
+    def _ask(self, effect: AskMember) -> None:
+        if not self._questions:
+            loop = asyncio.get_running_loop()
+            loop.call_later(COLLECT_S, self._send_questions)
+        self._questions.setdefault(effect.member, []).append(effect.question)
+
+    def _send_questions(self) -> None:
+        collected = self._questions
+        self._questions = {}
+        for member, questions in collected.items():
+            for start in range(0, len(questions), QUERY_QUESTIONS):
+                batch = tuple(questions[start:][:QUERY_QUESTIONS])
+                query = HolderQuery(member.service, member.target, batch)
+                self._endpoint.send(query, member.control)
+
     def _drop(self, effect: DropSegment) -> None:
         self._drops[effect.cause].add()
         self._log.warn(
@@ -137,6 +165,7 @@
             'segment dropped',
             connection=connection_text(effect.segment.key),
             reason=effect.cause.value,
+            detail=effect.detail,
             version=self._state.routes.version,
         )
 
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -3,8 +3,12 @@
 from enum import Enum
 from typing import NamedTuple
 
-from trefoilhaven_core.connections.messages import ConnectionKey, Segment
-from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.connections.messages import (
+    ConnectionKey,
+    Question,
+    Segment,
+)
+from trefoilhaven_core.membership.messages import Address, Member
 
 
 class ResetCause(Enum):
@@ -35,6 +39,13 @@
     message: NamedTuple
 
 
+class AskMember(NamedTuple):
+    """Ask the agent of a member; questions to one agent travel together."""
+
+    member: Member
+    question: Question
+
+
 class DeliverToTarget(NamedTuple):
     """Hand a client's segment to the target beside the agent."""
 
@@ -65,8 +76,14 @@
 
     segment: Segment
     cause: DropCause
+    detail: str = ''
 
 
 Effect = (
-    SendMessage | DeliverToTarget | SendToClient | ResetClient | DropSegment
+    SendMessage
+    | AskMember
+    | DeliverToTarget
+    | SendToClient
+    | ResetClient
+    | DropSegment
 )
--- a/packages/core/src/trefoilhaven_core/connections/holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/holders.py
@@ -21,11 +21,13 @@
 )
 from trefoilhaven_core.connections.messages import (
     SEQUENCE_SPACE,
+    Answer,
     ConnectionAccepted,
     ConnectionKey,
     ConnectionLoad,
     HolderQuery,
     HolderReply,
+    Question,
     ReturnReason,
     Segment,
     SegmentFlag,
@@ -194,19 +196,13 @@
         query: HolderQuery,
         balancer: Address,
     ) -> list[Effect]:
-        """Answer whether the target holds a connection."""
-        held = self._held.get(query.key)
-        if query.service != self.service:
-            verdict = Verdict.absent
-        elif held is not None:
-            is_chosen = self._is_chosen(held, query.acknowledged)
-            verdict = Verdict.held if is_chosen else Verdict.absent
-        elif self._may_hold(now, query.key):
-            verdict = Verdict.unsure
-        else:
-            verdict = Verdict.absent
-        asked = Identity(query.service, query.target, 0)
-        return [_reply(balancer, asked, query.key, verdict)]
+        """Answer whether the target holds some connections."""
+        answers = tuple(
+            Answer(question.key, self._judge(now, query, question))
+            for question in query.questions
+        )
+        reply = HolderReply(query.service, query.target, 0, answers)
+        return [SendMessage(balancer, reply)]
 
     def on_target_segment(self, now: float, segment: Segment) -> list[Effect]:
         """Decide about a segment that the target sent."""
@@ -259,6 +255,19 @@
             key: until for key, until in self._absent.items() if until > now
         }
 
+    def _judge(
+        self, now: float, query: HolderQuery, question: Question
+    ) -> Verdict:
+        if query.service != self.service:
+            return Verdict.absent
+        held = self._held.get(question.key)
+        if held is not None:
+            is_chosen = self._is_chosen(held, question.acknowledged)
+            return Verdict.held if is_chosen else Verdict.absent
+        if self._may_hold(now, question.key):
+            return Verdict.unsure
+        return Verdict.absent
+
     def _is_over(self, now: float, held: _Held) -> bool:
         if held.closed_at is not None:
             return now - held.closed_at >= CLOSED_S
@@ -398,7 +407,8 @@
 def _reply(
     balancer: Address, asked: Identity, key: ConnectionKey, verdict: Verdict
 ) -> SendMessage:
-    return SendMessage(balancer, HolderReply(*asked, key, verdict))
+    reply = HolderReply(*asked, (Answer(key, verdict),))
+    return SendMessage(balancer, reply)
 
 
 def _return(
--- a/packages/core/src/trefoilhaven_core/connections/lookups.py
+++ b/packages/core/src/trefoilhaven_core/connections/lookups.py
@@ -2,8 +2,8 @@
 
 A balancer that does not know a connection asks the agents of all targets
 that may hold it. Agents that started after their targets are unsure; the
-first waiting segment is offered to their targets, one at a time, and a
-target that does not hold the connection refuses it.
+first waiting segment is offered to their targets, and a target that does
+not hold the connection refuses it.
 """
 
 from collections import deque
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 from trefoilhaven_core.connections.effects import (
+    AskMember,
     DropCause,
     DropSegment,
     Effect,
@@ -20,19 +21,21 @@
 )
 from trefoilhaven_core.connections.messages import (
     ConnectionKey,
-    HolderQuery,
+    Question,
     Segment,
     SegmentForward,
     Verdict,
 )
 from trefoilhaven_core.membership.messages import Member
 
-# Agents that have not answered are asked again after this time, in seconds.
-# The way to another failure domain and back takes 8 ms.
-ASK_INTERVAL_S: Final = 0.05
+# Agents that have not answered are asked again after this time, in seconds,
+# which doubles each time. The way to another failure domain and back takes
+# 8 ms; after a restart of everything, questions must not crowd out answers.
+ASK_INTERVAL_S: Final = 0.1
 
-# A target that refuses an offered segment does so within this time.
-OFFER_S: Final = 0.12
+# An offer that was neither taken nor refused was lost; it is repeated after
+# this time, in seconds.
+OFFER_S: Final = 0.2
 
 # A search ends after this time, in seconds; the client's next segment
 # starts another one. Clients repeat after 200 ms at the earliest.
@@ -60,14 +63,18 @@
         segment: Segment,
         members: Iterable[Member],
         others: Iterable[Member],
+        knows_all: bool,
     ) -> None:
         """Start with the first segment.
 
+        ``knows_all`` tells that the lists of members are complete.
+
         ``members`` are asked first. ``others`` are of services that the
         route does not name now; connections stay where they are when the
         route changes, so that they are asked when the first are not it.
         """
         self.key: ConnectionKey = segment.key
+        self.knows_all = knows_all
         self.started_at = now
         self._members = {
             (member.service, member.target): member for member in members
@@ -79,7 +86,9 @@
             [segment], maxlen=WAITING_SEGMENTS
         )
         self._verdicts: dict[TargetKey, Verdict] = {}
-        self._asked_at = now
+        self._ask_due = now + ASK_INTERVAL_S
+        self._ask_interval_s = ASK_INTERVAL_S
+        self._is_asked_again = False
         self._offered: dict[TargetKey, float] = {}
 
     @property
@@ -95,15 +104,10 @@
         return []
 
     def ask(self) -> list[Effect]:
-        """Return queries to the members that have not answered."""
-        acknowledged = self._segments[0].acknowledged
+        """Return questions to the members that have not answered."""
+        question = Question(self.key, self._segments[0].acknowledged)
         return [
-            SendMessage(
-                member.control,
-                HolderQuery(
-                    member.service, member.target, self.key, acknowledged
-                ),
-            )
+            AskMember(member, question)
             for key, member in self._members.items()
             if key not in self._verdicts
         ]
@@ -122,8 +126,10 @@
     def tick(self, now: float) -> list[Effect]:
         """Repeat questions and offer a segment to an unsure target."""
         effects: list[Effect] = []
-        if now - self._asked_at >= ASK_INTERVAL_S:
-            self._asked_at = now
+        if now >= self._ask_due:
+            self._ask_interval_s *= 2
+            self._ask_due = now + self._ask_interval_s
+            self._is_asked_again = True
             effects.extend(self.ask())
         effects.extend(self._offer(now))
         return effects
@@ -134,7 +140,8 @@
             return []
         self._members |= self._others
         self._others = {}
-        self._asked_at = now
+        self._ask_due = now + ASK_INTERVAL_S
+        self._ask_interval_s = ASK_INTERVAL_S
         return self.ask()
 
     def is_absent(self) -> bool:
@@ -143,6 +150,14 @@
             self._verdicts.get(key) is Verdict.absent for key in self._members
         )
 
+    def pending(self) -> str:
+        """Return the members without a definite answer, as text."""
+        return ','.join(
+            f'{key[1]}:{verdict.name if verdict else "silent"}'
+            for key in self._members
+            if (verdict := self._verdicts.get(key)) is not Verdict.absent
+        )
+
     def reset(self) -> ResetClient:
         """Return the reset of a connection that no target holds."""
         latest = self._segments[-1]
@@ -152,29 +167,30 @@
         )
 
     def _offer(self, now: float) -> list[Effect]:
-        unsure = [
-            key
-            for key, verdict in self._verdicts.items()
-            if verdict is Verdict.unsure
-        ]
-        is_pending = any(
-            now - self._offered.get(key, -OFFER_S) < OFFER_S for key in unsure
-        )
-        fresh = [key for key in unsure if key not in self._offered]
-        if is_pending or not fresh or not self._is_rest_known():
+        """Offer the first segment to all unsure targets together.
+
+        The holder is among them, unless its agent is silent, and the
+        others refuse the segment.
+        """
+        if not self._is_rest_known():
             return []
-        member = self._members[fresh[0]]
-        self._offered[fresh[0]] = now
-        forward = SegmentForward(
-            member.service,
-            member.target,
-            member.incarnation,
-            is_probe=True,
-            raw=self._segments[0].raw,
-        )
-        return [SendMessage(member.control, forward)]
+        effects: list[Effect] = []
+        for key, verdict in self._verdicts.items():
+            is_due = now - self._offered.get(key, -OFFER_S) >= OFFER_S
+            if verdict is not Verdict.unsure or not is_due:
+                continue
+            self._offered[key] = now
+            member = self._members[key]
+            forward = SegmentForward(
+                member.service,
+                member.target,
+                member.incarnation,
+                is_probe=True,
+                raw=self._segments[0].raw,
+            )
+            effects.append(SendMessage(member.control, forward))
+        return effects
 
     def _is_rest_known(self) -> bool:
         """Tell whether all members answered or were asked twice."""
-        waited = self._asked_at > self.started_at
-        return waited or len(self._verdicts) == len(self._members)
+        return self._is_asked_again or len(self._verdicts) == len(self._members)
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -133,27 +133,39 @@
     raw: bytes
 
 
-class HolderQuery(NamedTuple):
-    """Asks an agent whether its target holds a connection.
+class Question(NamedTuple):
+    """A connection whose holder is looked for.
 
     ``acknowledged`` is that of the client's latest segment and tells which
     of several targets that accepted the connection the client chose.
     """
 
+    key: ConnectionKey
+    acknowledged: int
+
+
+class HolderQuery(NamedTuple):
+    """Asks an agent whether its target holds some connections."""
+
     service: str
     target: str
+    questions: tuple[Question, ...]
+
+
+class Answer(NamedTuple):
+    """What an agent says about one connection."""
+
     key: ConnectionKey
-    acknowledged: int
+    verdict: Verdict
 
 
 class HolderReply(NamedTuple):
-    """An agent's answer to a query or a probe."""
+    """An agent's answers to a query or a probe."""
 
     service: str
     target: str
     incarnation: int
-    key: ConnectionKey
-    verdict: Verdict
+    answers: tuple[Answer, ...]
 
 
 class ConnectionAccepted(NamedTuple):
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -19,6 +19,7 @@
 )
 from trefoilhaven_core.connections.lookups import SEARCH_S, Search
 from trefoilhaven_core.connections.messages import (
+    Answer,
     ConnectionAccepted,
     ConnectionKey,
     HolderReply,
@@ -128,19 +129,11 @@
         return self._search(now, segment)
 
     def on_reply(self, now: float, reply: HolderReply) -> list[Effect]:
-        """Note an agent's answer about a connection."""
-        search = self._searches.get(reply.key)
-        if search is None:
-            return []
-        holder = search.on_verdict(
-            now, reply.service, reply.target, reply.verdict
-        )
-        if holder is None:
-            return [*search.tick(now), *self._conclude(now, search)]
-        del self._searches[reply.key]
-        route = self._remember(reply.key, holder)
-        route.is_accepted = True
-        return [self._forward(route, segment) for segment in search.segments]
+        """Note an agent's answers about connections."""
+        effects: list[Effect] = []
+        for answer in reply.answers:
+            effects.extend(self._on_answer(now, reply, answer))
+        return effects
 
     def on_accepted(self, now: float, accepted: ConnectionAccepted) -> None:
         """Note that a target accepted a connection."""
@@ -163,6 +156,22 @@
             effects.extend(self._conclude(now, search))
         return effects
 
+    def _on_answer(
+        self, now: float, reply: HolderReply, answer: Answer
+    ) -> list[Effect]:
+        search = self._searches.get(answer.key)
+        if search is None:
+            return []
+        holder = search.on_verdict(
+            now, reply.service, reply.target, answer.verdict
+        )
+        if holder is None:
+            return [*search.tick(now), *self._conclude(now, search)]
+        del self._searches[answer.key]
+        route = self._remember(answer.key, holder)
+        route.is_accepted = True
+        return [self._forward(route, segment) for segment in search.segments]
+
     def _on_no_route(self, segment: Segment) -> list[Effect]:
         if segment.is_opening and self._routes.version:
             cause = ResetCause.no_route
@@ -212,7 +221,7 @@
         others = self._spread.members(self._spread.services - services)
         if not members:
             return [DropSegment(segment, DropCause.no_target)]
-        search = Search(now, segment, members, others)
+        search = Search(now, segment, members, others, self.knows_all)
         self._searches[segment.key] = search
         return search.ask()
 
@@ -222,14 +231,14 @@
             return effects
         if search.is_absent():
             del self._searches[search.key]
-            if self.knows_all:
+            if search.knows_all:
                 return [search.reset()]
         elif now - search.started_at >= SEARCH_S:
             del self._searches[search.key]
         else:
             return []
         return [
-            DropSegment(segment, DropCause.not_found)
+            DropSegment(segment, DropCause.not_found, search.pending())
             for segment in search.segments
         ]
 
--- a/packages/core/src/trefoilhaven_core/platform/registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/registrar.py
@@ -64,7 +64,13 @@
         return done and not self._is_wanted
 
     async def _put(self, content: Any) -> bool:
-        written = await self._client.put(self._path, content, self._version)
+        known = self._version
+        written = await self._client.put(self._path, content, known)
+        if written.is_error() and isinstance(written.error, Conflict):
+            # The object of an earlier process is there; its version is known
+            # now, so that waiting would not help.
+            known = written.error.version
+            written = await self._client.put(self._path, content, known)
         if written.is_ok():
             self._version = written.ok
             return True
--- a/packages/core/src/trefoilhaven_core/wire/endpoints.py
+++ b/packages/core/src/trefoilhaven_core/wire/endpoints.py
@@ -7,15 +7,15 @@
 
 import asyncio
 import logging
-import socket
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple, cast
+from typing import Any, Final, NamedTuple
 
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
 from trefoilhaven_core.telemetry.metrics import Metrics
 from trefoilhaven_core.telemetry.runtimes import ProcessClock
 from trefoilhaven_core.wire.codec import Codec
+from trefoilhaven_core.wire.raw import RawEndpoint, open_raw
 
 logger = logging.getLogger(__name__)
 
@@ -38,7 +38,7 @@
         self.unexpected = 0
 
 
-class DatagramEndpoint(asyncio.DatagramProtocol):
+class DatagramEndpoint:
     """One UDP socket with handlers by message type."""
 
     def __init__(self, codec: Codec, clock: ProcessClock) -> None:
@@ -47,17 +47,18 @@
         self._codec = codec
         self._clock = clock
         self._handlers: dict[type[NamedTuple], Handler] = {}
-        self._transport: asyncio.DatagramTransport | None = None
+        self._raw: RawEndpoint | None = None
         self._log = RateLimitedLog(logger)
 
     def on(self, kind: type[NamedTuple], handler: Handler) -> None:
         """Register the handler of a message type."""
         self._handlers[kind] = handler
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport of the opened socket."""
-        # asyncio's own datagram transport is not a subclass of this type.
-        self._transport = cast(asyncio.DatagramTransport, transport)
+    def open(self, address: Address) -> None:
+        """Open the socket; raises ``OSError`` when the address is taken."""
+        self._raw = open_raw(
+            address, self.datagram_received, RECEIVE_BUFFER_BYTES
+        )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode one datagram and call the handler of its type."""
@@ -82,23 +83,20 @@
             return
         handler(decoded.ok.message, Address(addr[0], addr[1]))
 
-    def error_received(self, exc: Exception) -> None:
-        """Ignore refused datagrams: the peer may be restarting."""
-        logger.debug('socket error', extra={'error': str(exc)})
-
     def send(self, message: NamedTuple, address: Address) -> None:
         """Send a message; a closed socket drops it like a lost packet."""
-        if self._transport is None or self._transport.is_closing():
+        if self._raw is None:
             return
         raw = self._codec.encode(message, self._clock.stamp())
         self.counters.sent += 1
         self.counters.sent_bytes += len(raw)
-        self._transport.sendto(raw, (address.host, address.port))
+        self._raw.send(raw, address)
 
     def close(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._raw is not None:
+            self._raw.close()
+            self._raw = None
 
 
 async def open_endpoint(
@@ -110,15 +108,9 @@
 
     Raises ``OSError`` when the address is in use or not of this host.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setblocking(False)
-    sock.bind((address.host, address.port))
-    _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: DatagramEndpoint(codec, clock),
-        sock=sock,
-    )
-    return protocol
+    endpoint = DatagramEndpoint(codec, clock)
+    endpoint.open(address)
+    return endpoint
 
 
 def measure_endpoint(
--- a/packages/core/src/trefoilhaven_core/wire/raw.py
+++ b/packages/core/src/trefoilhaven_core/wire/raw.py
@@ -1,10 +1,14 @@
-"""UDP sockets whose datagrams are not the product's own messages."""
+"""UDP sockets that are read in bursts.
+
+asyncio's datagram transport reads one datagram each time that it waits,
+so that a burst costs a system call and a wake-up for each of its packets.
+"""
 
 import asyncio
 import logging
 import socket
 from collections.abc import Callable
-from typing import Final, cast
+from typing import Final
 
 from trefoilhaven_core.membership.messages import Address
 
@@ -14,54 +18,74 @@
 # Unread bytes count as memory of the process.
 RECEIVE_BUFFER_BYTES: Final = 1024 * 1024
 
-RawHandler = Callable[[bytes], None]
+# Datagrams read from one socket before the loop turns to the next.
+READ_BURST: Final = 32
+
+_READ_BYTES: Final = 65_536
 
+RawHandler = Callable[[bytes, tuple[str, int]], None]
 
-class RawEndpoint(asyncio.DatagramProtocol):
-    """One UDP socket with a handler for its datagrams."""
 
-    def __init__(self, handler: RawHandler) -> None:
-        """Prepare an endpoint; ``open_raw`` opens its socket."""
+class RawEndpoint:
+    """One UDP socket with a handler for its datagrams and their senders."""
+
+    def __init__(self, sock: socket.socket, handler: RawHandler) -> None:
+        """Read a bound socket in the running loop."""
         self.received = 0
         self.sent = 0
+        self.unsent = 0
+        self._sock = sock
         self._handler = handler
-        self._transport: asyncio.DatagramTransport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport of the opened socket."""
-        # asyncio's own datagram transport is not a subclass of this type.
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        asyncio.get_running_loop().add_reader(sock.fileno(), self._read)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hand a datagram to the handler."""
-        self.received += 1
-        self._handler(data)
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore refused datagrams: the receiver may be restarting."""
-        logger.debug('socket error', extra={'error': str(exc)})
-
-    def send(self, raw: bytes, address: Address) -> None:
-        """Send a datagram; a closed socket drops it like a lost packet."""
-        if self._transport is None or self._transport.is_closing():
+    def send(self, raw: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram; one that can't be sent is dropped and counted."""
+        if self._sock.fileno() < 0:
+            return
+        try:
+            self._sock.sendto(raw, address)
+        except OSError as exc:
+            # A full buffer, or the answer that an earlier datagram found no
+            # receiver: both are a lost packet to the protocols above.
+            self.unsent += 1
+            logger.debug('datagram not sent', extra={'error': str(exc)})
             return
         self.sent += 1
-        self._transport.sendto(raw, address)
 
     def close(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._sock.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self._sock.fileno())
+            self._sock.close()
+
+    def _read(self) -> None:
+        for _ in range(READ_BURST):
+            if self._sock.fileno() < 0:
+                return
+            try:
+                raw, sender = self._sock.recvfrom(_READ_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                # A refused datagram: the receiver may be restarting.
+                logger.debug('socket error', extra={'error': str(exc)})
+                continue
+            self.received += 1
+            self._handler(raw, sender)
 
 
-async def open_raw(address: Address, handler: RawHandler) -> RawEndpoint:
+def open_raw(
+    address: Address,
+    handler: RawHandler,
+    buffer_bytes: int = RECEIVE_BUFFER_BYTES,
+) -> RawEndpoint:
     """Open a UDP socket; raises ``OSError`` when the address is taken."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     sock.setblocking(False)
-    sock.bind((address.host, address.port))
-    _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: RawEndpoint(handler),
-        sock=sock,
-    )
-    return protocol
+    try:
+        sock.bind((address.host, address.port))
+    except OSError:
+        sock.close()
+        raise
+    return RawEndpoint(sock, handler)
