--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/tests/world.py
@@ -0,0 +1,393 @@
+"""A network of clients, balancers, agents and targets in simulated time.
+
+Messages take 1 to 5 ms and some are lost. The fabric sprays segments by a
+hash over the balancers of the moment, so that nearly all connections move
+when one comes or goes.
+"""
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from trefoilhaven_core.connections.effects import (
+    AskMember,
+    DeliverToTarget,
+    Effect,
+    ResetClient,
+    SendMessage,
+    SendToClient,
+)
+from trefoilhaven_core.connections.holders import HeldConnections, Identity
+from trefoilhaven_core.connections.messages import (
+    ConnectionAccepted,
+    ConnectionKey,
+    HolderQuery,
+    HolderReply,
+    Segment,
+    SegmentFlag,
+    SegmentForward,
+    SegmentReturn,
+)
+from trefoilhaven_core.connections.routers import ConnectionRouter
+from trefoilhaven_core.connections.routes import AddressRoutes
+from trefoilhaven_core.connections.spreads import TargetSpread
+from trefoilhaven_core.connections.tests import support
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Member,
+    MemberState,
+)
+
+TICK_S = 0.02
+REPORT_S = 0.25
+
+# A client repeats an opening segment after these times, in seconds.
+COPIES_S = (0.2, 0.6)
+RETRY_S = 0.2
+SEND_S = 0.3
+
+
+class Target:
+    """A server with its agent; the server outlives the agent's restarts."""
+
+    def __init__(self, world: 'World', name: str, service: str) -> None:
+        """Start both."""
+        self.member = support.make_member(name, service)
+        self.is_alive = True
+        self.held: dict[ConnectionKey, int] = {}
+        self.strangers: dict[ConnectionKey, int] = {}
+        self.agent = HeldConnections(service, 60.0)
+        self.is_agent_up = True
+        self._world = world
+        self.announce(saw_start=True)
+
+    def announce(self, *, saw_start: bool) -> None:
+        """Send a heartbeat to the agent."""
+        identity = Identity(
+            self.member.service, self.member.target, self.member.incarnation
+        )
+        effects = self.agent.set_target(identity, saw_start)
+        self.agent.accepts = self.member.state is MemberState.alive
+        self._world.apply(self.member.control, effects)
+
+    def take(self, raw: bytes) -> None:
+        """Serve a segment as a server does, or refuse it."""
+        if not self.is_alive:
+            return
+        segment = support.decode(raw)
+        key = segment.key
+        if segment.is_opening:
+            first = self.held.setdefault(
+                key, self._world.rng.randrange(1 << 32)
+            )
+            self._answer(support.accepting(key, first))
+        elif key in self.held:
+            self._world.note_delivery(key, self.member.target)
+            if segment.length:
+                answer = support.make_segment(
+                    key,
+                    SegmentFlag.acknowledges,
+                    (self.held[key] + 1) % (1 << 32),
+                    segment.sequence + segment.length,
+                    100,
+                )
+                self._answer(answer)
+        else:
+            self._world.note_stranger(key, self.member.target)
+            self._answer(support.bounced(segment))
+
+    def _answer(self, segment: Segment) -> None:
+        if self.is_agent_up:
+            now = self._world.now
+            effects = self.agent.on_target_segment(now, segment)
+            self._world.apply(self.member.control, effects)
+
+
+class Client:
+    """One connection of a client that sends data now and then."""
+
+    def __init__(self, world: 'World', key: ConnectionKey) -> None:
+        """Open the connection."""
+        self.key = key
+        self.first: int | None = None
+        self.is_over = False
+        self.answered = 0
+        self.last_answer_at = world.now
+        self.reset_cause = ''
+        self._sent = 1
+        self._world = world
+        for copy, delay in enumerate((0.0, *COPIES_S)):
+            world.after(delay, lambda copy=copy: self._open(copy))
+
+    def take(self, segment: Segment) -> None:
+        """Take a segment of the target."""
+        if segment.is_accepting:
+            if self.first is None:
+                self.first = segment.sequence
+                self._send(0)
+                self._world.after(0.01, self._send_data)
+            return
+        self.answered += 1
+        self.last_answer_at = self._world.now
+
+    def _open(self, copy: int) -> None:
+        if self.first is None and not self.is_over:
+            self._world.from_client(support.opening(self.key, copy))
+
+    def _send_data(self) -> None:
+        if self.is_over:
+            return
+        is_answered = self.last_answer_at > self._world.now - RETRY_S
+        if is_answered:
+            self._sent += 50
+        self._send(50)
+        self._world.after(SEND_S if is_answered else RETRY_S, self._send_data)
+
+    def _send(self, length: int) -> None:
+        acknowledged = ((self.first or 0) + 1) % (1 << 32)
+        self._world.from_client(
+            support.make_segment(
+                self.key,
+                SegmentFlag.acknowledges,
+                self._sent,
+                acknowledged,
+                length,
+            )
+        )
+
+
+class World:
+    """Everything, with an agenda of what happens next."""
+
+    def __init__(self, seed: int, loss: float = 0.01) -> None:
+        """Start empty, with a seeded generator."""
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.targets: dict[Address, Target] = {}
+        self.balancers: dict[Address, ConnectionRouter] = {}
+        self.clients: dict[ConnectionKey, Client] = {}
+        self.resets: list[tuple[ConnectionKey, str]] = []
+        self.strangers: dict[tuple[ConnectionKey, str], int] = {}
+        self.deliveries: dict[ConnectionKey, float] = {}
+        self.version = 1
+        self.services = ('certify',)
+        self._loss = loss
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        self._order += 1
+        heapq.heappush(self._agenda, (self.now + delay_s, self._order, action))
+
+    def run(self, until_s: float) -> None:
+        """Let time pass."""
+        while self._agenda and self._agenda[0][0] <= until_s:
+            self.now, _, action = heapq.heappop(self._agenda)
+            action()
+        self.now = until_s
+
+    def add_target(self, name: str, service: str = 'certify') -> Target:
+        """Start a server with its agent, known to all balancers."""
+        target = Target(self, name, service)
+        self.targets[target.member.control] = target
+        self._tell_members()
+        self._report(target)
+        self._tick_agent(target)
+        return target
+
+    def add_balancer(self, name: str) -> Address:
+        """Start a balancer that knows the members and the routes."""
+        address = Address(name, 7000)
+        routes = AddressRoutes()
+        routes.offer(support.make_routes(self.version, *self.services))
+        router = ConnectionRouter(
+            routes, TargetSpread('a'), random.Random(self.rng.random())
+        )
+        router.knows_all = True
+        self.balancers[address] = router
+        self._tell_members()
+        self._tick_balancer(address)
+        return address
+
+    def remove_balancer(self, address: Address) -> None:
+        """End a balancer with all that it remembers."""
+        self.balancers.pop(address)
+
+    def restart_agent(self, target: Target, down_s: float) -> None:
+        """Kill an agent; its successor knows nothing."""
+        target.is_agent_up = False
+
+        def start() -> None:
+            target.agent = HeldConnections(target.member.service, 60.0)
+            target.is_agent_up = True
+            self.after(0.5, lambda: target.announce(saw_start=False))
+
+        self.after(down_s, start)
+
+    def crash(self, target: Target) -> None:
+        """End a server; its agent notices it a little later."""
+        target.is_alive = False
+        target.held.clear()
+
+        def notice() -> None:
+            if target.is_agent_up:
+                self.apply(target.member.control, target.agent.on_target_gone())
+            target.member = target.member._replace(
+                state=MemberState.left, sequence=target.member.sequence + 1
+            )
+            self._tell_members()
+
+        self.after(0.2, notice)
+
+    def drain(self, target: Target) -> None:
+        """Let a server take no new connections."""
+        target.member = target.member._replace(state=MemberState.draining)
+        target.agent.accepts = False
+        self._tell_members()
+
+    def set_services(self, *services: str) -> None:
+        """Change the route of the service's address."""
+        self.version += 1
+        self.services = services
+        for router in self.balancers.values():
+            router._routes.offer(  # noqa: SLF001
+                support.make_routes(self.version, *services)
+            )
+
+    def connect(self, number: int) -> Client:
+        """Open a client's connection."""
+        key = support.key_of(number)
+        self.clients[key] = Client(self, key)
+        return self.clients[key]
+
+    def from_client(self, segment: Segment) -> None:
+        """Spray a client's segment."""
+        if not self.balancers:
+            return
+        names = sorted(self.balancers)
+        address = names[hash(segment.key) % len(names)]
+
+        def deliver() -> None:
+            router = self.balancers.get(address)
+            if router is not None:
+                self.apply(address, router.on_segment(self.now, segment))
+
+        self._send(deliver)
+
+    def apply(self, sender: Address, effects: Iterable[Effect]) -> None:
+        """Carry out effects of a balancer or an agent."""
+        for effect in effects:
+            if isinstance(effect, SendMessage):
+                self._message(sender, effect.address, effect.message)
+            elif isinstance(effect, AskMember):
+                query = HolderQuery(
+                    effect.member.service,
+                    effect.member.target,
+                    (effect.question,),
+                )
+                self._message(sender, effect.member.control, query)
+            elif isinstance(effect, DeliverToTarget):
+                target = self.targets[sender]
+                self.after(0.0005, lambda raw=effect.raw: target.take(raw))
+            elif isinstance(effect, SendToClient):
+                self._to_client(effect.key, support.decode(effect.raw))
+            elif isinstance(effect, ResetClient):
+                self._reset(effect)
+
+    def note_stranger(self, key: ConnectionKey, target: str) -> None:
+        """Count a segment that reached a target that does not hold it."""
+        place = (key, target)
+        self.strangers[place] = self.strangers.get(place, 0) + 1
+
+    def note_delivery(self, key: ConnectionKey, target: str) -> None:
+        """Note that a segment reached its target."""
+        self.deliveries[key] = self.now
+
+    def holder(self, client: Client) -> Target | None:
+        """Return the target at which a client's connection is open."""
+        for target in self.targets.values():
+            if target.held.get(client.key, -1) == client.first:
+                return target
+        return None
+
+    def _reset(self, effect: ResetClient) -> None:
+        client = self.clients[effect.key]
+        if client.first is not None and self.holder(client) is not None:
+            self.resets.append((effect.key, effect.cause.value))
+        client.is_over = True
+        client.reset_cause = effect.cause.value
+
+    def _send(self, action: Callable[[], None]) -> None:
+        if self.rng.random() >= self._loss:
+            self.after(self.rng.uniform(0.001, 0.005), action)
+
+    def _to_client(self, key: ConnectionKey, segment: Segment) -> None:
+        self._send(lambda: self.clients[key].take(segment))
+
+    def _message(self, sender: Address, address: Address, message: Any) -> None:
+        def deliver() -> None:
+            if address in self.balancers:
+                self._at_balancer(address, message)
+            elif address in self.targets:
+                self._at_agent(sender, self.targets[address], message)
+
+        self._send(deliver)
+
+    def _at_balancer(self, address: Address, message: Any) -> None:
+        router = self.balancers[address]
+        effects: list[Effect] = []
+        if isinstance(message, SegmentReturn):
+            segment = support.decode(message.raw)
+            effects = router.on_return(self.now, message, segment)
+        elif isinstance(message, HolderReply):
+            effects = router.on_reply(self.now, message)
+        elif isinstance(message, ConnectionAccepted):
+            router.on_accepted(self.now, message)
+        self.apply(address, effects)
+
+    def _at_agent(self, sender: Address, target: Target, message: Any) -> None:
+        if not target.is_agent_up:
+            return
+        effects: list[Effect] = []
+        if isinstance(message, SegmentForward):
+            segment = support.decode(message.raw)
+            effects = target.agent.on_forward(
+                self.now, message, segment, sender
+            )
+        elif isinstance(message, HolderQuery):
+            effects = target.agent.on_query(self.now, message, sender)
+        self.apply(target.member.control, effects)
+
+    def _tell_members(self) -> None:
+        members: dict[str, list[Member]] = {}
+        for target in self.targets.values():
+            service = target.member.service
+            members.setdefault(service, []).append(target.member)
+        for router in self.balancers.values():
+            for service, known in members.items():
+                router._spread.set_members(service, known)  # noqa: SLF001
+
+    def _report(self, target: Target) -> None:
+        if target.is_agent_up and target.is_alive:
+            load = target.agent.load()
+            report = support.make_report(
+                target.member, load.connections, load.waiting
+            )
+            for router in self.balancers.values():
+                router.on_report(self.now, report)
+        self.after(REPORT_S, lambda: self._report(target))
+
+    def _tick_agent(self, target: Target) -> None:
+        if target.is_agent_up:
+            effects = target.agent.tick(self.now)
+            self.apply(target.member.control, effects)
+            target.agent.forget(self.now)
+        self.after(TICK_S, lambda: self._tick_agent(target))
+
+    def _tick_balancer(self, address: Address) -> None:
+        router = self.balancers.get(address)
+        if router is not None:
+            self.apply(address, router.tick(self.now))
+            self.after(TICK_S, lambda: self._tick_balancer(address))
