Log placements and searches, bound the logs

A line for each placement with the inputs that decided it and their age, for each search with its time, and what was not answered; at most 60 lines a second after a burst of 300, and a reader that does not read never blocks the process.

--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -11,6 +11,8 @@
     DropCause,
     DropSegment,
     Effect,
+    HolderFound,
+    Placed,
     ResetClient,
     SendMessage,
 )
@@ -68,6 +70,8 @@
         }
         self._resets = metrics.counter('connections_reset')
         self._forwards = metrics.counter('segments_forwarded')
+        self._placed = metrics.counter('connections_placed')
+        self._searched = metrics.histogram('holder_search')
         metrics.gauge('cached_connections', lambda: len(state.router))
         metrics.gauge('searches', lambda: state.router.searches)
         endpoint.on(SegmentReturn, self._on_return)
@@ -139,9 +143,42 @@
                 self._ask(effect)
             elif isinstance(effect, ResetClient):
                 self._reset(effect)
+            elif isinstance(effect, Placed):
+                self._log_placed(effect)
+            elif isinstance(effect, HolderFound):
+                self._log_found(effect)
             elif isinstance(effect, DropSegment):
                 self._drop(effect)
 
+    def _log_placed(self, effect: Placed) -> None:
+        self._placed.add()
+        logger.info(
+            'connection placed',
+            extra={
+                'connection': connection_text(effect.key),
+                'service': effect.member.service,
+                'target': effect.member.target,
+                'incarnation': effect.member.incarnation,
+                'busy_share': round(effect.busy_share, 2),
+                'report_age_s': round(effect.report_age_s, 3),
+                'tried': effect.tried,
+                'version': self._state.routes.version,
+            },
+        )
+
+    def _log_found(self, effect: HolderFound) -> None:
+        self._searched.observe(effect.searched_s)
+        logger.info(
+            'holder found',
+            extra={
+                'connection': connection_text(effect.key),
+                'service': effect.member.service,
+                'target': effect.member.target,
+                'searched_s': round(effect.searched_s, 4),
+                'segments': effect.segments,
+            },
+        )
+
     def _ask(self, effect: AskMember) -> None:
         if not self._questions:
             loop = asyncio.get_running_loop()
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -71,6 +71,29 @@
     detail: str = ''
 
 
+class Placed(NamedTuple):
+    """A target was chosen for a new connection, for the log.
+
+    ``busy_share`` is that of its slots and ``report_age_s`` the age of the
+    report behind it, in seconds. ``tried`` names the targets before it.
+    """
+
+    key: ConnectionKey
+    member: Member
+    busy_share: float
+    report_age_s: float
+    tried: tuple[str, ...]
+
+
+class HolderFound(NamedTuple):
+    """A search ended after some seconds, for the log."""
+
+    key: ConnectionKey
+    member: Member
+    searched_s: float
+    segments: int
+
+
 class DropSegment(NamedTuple):
     """A segment was dropped."""
 
@@ -85,5 +108,7 @@
     | DeliverToTarget
     | SendToClient
     | ResetClient
+    | Placed
+    | HolderFound
     | DropSegment
 )
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -13,6 +13,8 @@
     DropCause,
     DropSegment,
     Effect,
+    HolderFound,
+    Placed,
     ResetCause,
     ResetClient,
     SendMessage,
@@ -170,7 +172,16 @@
         del self._searches[answer.key]
         route = self._remember(answer.key, holder)
         route.is_accepted = True
-        return [self._forward(route, segment) for segment in search.segments]
+        found = HolderFound(
+            answer.key,
+            holder,
+            now - search.started_at,
+            len(search.segments),
+        )
+        return [
+            found,
+            *(self._forward(route, segment) for segment in search.segments),
+        ]
 
     def _on_no_route(self, segment: Segment) -> list[Effect]:
         if segment.is_opening and self._routes.version:
@@ -213,7 +224,14 @@
             return [DropSegment(segment, DropCause.no_target)]
         route = self._remember(segment.key, member)
         route.tried = tried
-        return [self._forward(route, segment)]
+        placed = Placed(
+            segment.key,
+            member,
+            self._spread.busy_share(member.service, member.target),
+            self._spread.silent_s(now, member.service, member.target),
+            tried,
+        )
+        return [placed, self._forward(route, segment)]
 
     def _search(self, now: float, segment: Segment) -> list[Effect]:
         services = self._routes.holders(segment.key[2:])
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Collection, Iterable
-from typing import Final, NamedTuple
+from typing import Final
 
 from trefoilhaven_core.connections.messages import (
     ConnectionLoad,
@@ -46,12 +46,6 @@
         return share + COLD_SHARE if self.is_cold else share
 
 
-class Choice(NamedTuple):
-    """The target chosen for a connection."""
-
-    member: Member
-
-
 class TargetSpread:
     """Targets of all services as one balancer sees them."""
 
@@ -132,6 +126,11 @@
         target = self._targets.get(service, {}).get(name)
         return now - target.seen_at if target else math.inf
 
+    def busy_share(self, service: str, name: str) -> float:
+        """Return the busy share of a target's slots, 0 for an unknown one."""
+        target = self._targets.get(service, {}).get(name)
+        return target.busy_share() if target else 0.0
+
     def choose(
         self,
         now: float,
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_schedules.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_schedules.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+from functools import partial
 
 import pytest
 from trefoilhaven_core.connections.tests.world import Target, World
@@ -25,7 +26,7 @@
         world.add_balancer(f'b{number}')
     world.run(0.5)
     for number in range(CONNECTIONS):
-        world.after(number * 0.02, lambda number=number: world.connect(number))
+        world.after(number * 0.02, partial(world.connect, number))
     world.run(2.0)
     return world
 
@@ -128,7 +129,7 @@
         """A search that leaves out former services resets connections."""
         monkeypatch.setattr(
             'trefoilhaven_core.connections.lookups.Search.ask_others',
-            lambda self, now: [],
+            lambda search, now: [],
         )
         world = build(1)
         world.set_services('certify', 'collect')
@@ -161,7 +162,7 @@
         """An agent that claims to know all loses what its target holds."""
         monkeypatch.setattr(
             'trefoilhaven_core.connections.holders.HeldConnections._may_hold',
-            lambda self, now, key: False,
+            lambda held, now, key: False,
         )
         world = build(2)
         for target in world.targets.values():
--- a/packages/core/src/trefoilhaven_core/connections/tests/world.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/world.py
@@ -8,6 +8,7 @@
 import heapq
 import random
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 from trefoilhaven_core.connections.effects import (
@@ -39,6 +40,8 @@
     MemberState,
 )
 
+Action = Callable[[], object]
+
 TICK_S = 0.02
 REPORT_S = 0.25
 
@@ -118,7 +121,7 @@
         self._sent = 1
         self._world = world
         for copy, delay in enumerate((0.0, *COPIES_S)):
-            world.after(delay, lambda copy=copy: self._open(copy))
+            world.after(delay, partial(self._open, copy))
 
     def take(self, segment: Segment) -> None:
         """Take a segment of the target."""
@@ -171,12 +174,12 @@
         self.strangers: dict[tuple[ConnectionKey, str], int] = {}
         self.deliveries: dict[ConnectionKey, float] = {}
         self.version = 1
-        self.services = ('certify',)
+        self.services: tuple[str, ...] = ('certify',)
         self._loss = loss
-        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._agenda: list[tuple[float, int, Action]] = []
         self._order = 0
 
-    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+    def after(self, delay_s: float, action: Action) -> None:
         """Do something later."""
         self._order += 1
         heapq.heappush(self._agenda, (self.now + delay_s, self._order, action))
@@ -184,7 +187,8 @@
     def run(self, until_s: float) -> None:
         """Let time pass."""
         while self._agenda and self._agenda[0][0] <= until_s:
-            self.now, _, action = heapq.heappop(self._agenda)
+            due_s, _, action = heapq.heappop(self._agenda)
+            self.now = due_s
             action()
         self.now = until_s
 
@@ -290,7 +294,7 @@
                 self._message(sender, effect.member.control, query)
             elif isinstance(effect, DeliverToTarget):
                 target = self.targets[sender]
-                self.after(0.0005, lambda raw=effect.raw: target.take(raw))
+                self.after(0.0005, partial(target.take, effect.raw))
             elif isinstance(effect, SendToClient):
                 self._to_client(effect.key, support.decode(effect.raw))
             elif isinstance(effect, ResetClient):
@@ -319,7 +323,7 @@
         client.is_over = True
         client.reset_cause = effect.cause.value
 
-    def _send(self, action: Callable[[], None]) -> None:
+    def _send(self, action: Action) -> None:
         if self.rng.random() >= self._loss:
             self.after(self.rng.uniform(0.001, 0.005), action)
 
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -46,6 +46,10 @@
 # Observability.
 TIMELINE_EVENTS: Final = 4096
 LOG_LINES_PER_S: Final = 1.0
+# A process writes at most this many lines a second, and a burst after a
+# change; a line takes 60 microseconds.
+LOG_BUDGET_LINES_PER_S: Final = 60.0
+LOG_BURST_LINES: Final = 300
 # Histograms cover 1 microsecond to 1 hour with 2 significant digits.
 HISTOGRAM_LOWEST_S: Final = 0.000001
 HISTOGRAM_HIGHEST_S: Final = 3600.0
--- a/packages/core/src/trefoilhaven_core/telemetry/logs.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/logs.py
@@ -6,7 +6,10 @@
 """
 
 import logging
+import os
 import sys
+import time
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Final, TextIO
 
@@ -23,6 +26,78 @@
 _OTHER_KEYS: Final = 'others'
 
 
+class LineBudget(logging.Filter):
+    """Passes a bounded number of lines a second.
+
+    The next line that passes tells in ``suppressed_lines`` how many were
+    left out before it. Errors always pass.
+    """
+
+    def __init__(
+        self,
+        lines_per_s: float = defaults.LOG_BUDGET_LINES_PER_S,
+        burst: int = defaults.LOG_BURST_LINES,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Start with a full budget; ``clock`` returns seconds."""
+        super().__init__()
+        self._lines_per_s = lines_per_s
+        self._burst = burst
+        self._clock = clock
+        self._tokens = float(burst)
+        self._filled_at = clock()
+        self._suppressed = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Take a line from the budget."""
+        now = self._clock()
+        gained = (now - self._filled_at) * self._lines_per_s
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1 and record.levelno < logging.ERROR:
+            self._suppressed += 1
+            return False
+        self._tokens = max(0, self._tokens - 1)
+        if self._suppressed:
+            record.suppressed_lines = self._suppressed
+            self._suppressed = 0
+        return True
+
+
+class DroppingHandler(logging.StreamHandler[TextIO]):
+    """Writes lines without ever waiting for the reader.
+
+    A line that the pipe does not take is dropped and counted; the next one
+    tells the number in ``dropped_lines``.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        """Switch the stream's file to non-blocking mode, if it has one."""
+        super().__init__(stream)
+        self.dropped = 0
+        try:
+            self._file: int | None = stream.fileno()
+            os.set_blocking(self._file, False)
+        except OSError:
+            # A stream in memory, as in tests, never blocks.
+            self._file = None
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line or drop it."""
+        if self._file is None:
+            super().emit(record)
+            return
+        if self.dropped:
+            record.dropped_lines = self.dropped
+        line = f'{self.format(record)}\n'.encode()
+        try:
+            os.write(self._file, line)
+        except OSError:
+            self.dropped += 1
+            return
+        self.dropped = 0
+
+
 def configure_logging(
     process: str,
     failure_domain: str,
@@ -31,7 +106,8 @@
 ) -> None:
     """Send all logs of this process to a stream as JSON lines.
 
-    An exception that ends the process is logged too.
+    An exception that ends the process is logged too. The volume is bounded
+    and a reader that does not read never blocks the process.
     """
     formatter = JsonFormatter(
         ['levelname', 'name', 'message'],
@@ -39,8 +115,9 @@
         static_fields={'process': process, 'failure_domain': failure_domain},
         timestamp='time',
     )
-    handler = logging.StreamHandler(stream)
+    handler = DroppingHandler(stream)
     handler.setFormatter(formatter)
+    handler.addFilter(LineBudget())
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
--- a/packages/core/src/trefoilhaven_core/telemetry/tests/test_telemetry.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/tests/test_telemetry.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import os
 import sys
 from collections.abc import Iterator
 
@@ -19,6 +20,8 @@
 )
 from trefoilhaven_core.telemetry.logs import (
     MAX_LIMITED_KEYS,
+    DroppingHandler,
+    LineBudget,
     RateLimitedLog,
     configure_logging,
 )
@@ -43,6 +46,48 @@
     sys.excepthook = hook
 
 
+class TestLineBudget:
+    """The bound on the volume of logs."""
+
+    def test_burst(self) -> None:
+        """Guards against a flood of lines that takes the processor."""
+        now = 0.0
+        budget = LineBudget(10, 20, lambda: now)
+        record = logging.makeLogRecord({'levelno': logging.INFO})
+        passed = sum(budget.filter(record) for _ in range(100))
+        assert passed == 20
+        now = 1.0
+        passed = sum(budget.filter(record) for _ in range(100))
+        assert passed == 10
+        assert vars(record)['suppressed_lines'] == 80
+
+    def test_errors_pass(self) -> None:
+        """Guards against a lost error in a flood of other lines."""
+        budget = LineBudget(1, 1, float)
+        line = logging.makeLogRecord({'levelno': logging.INFO})
+        error = logging.makeLogRecord({'levelno': logging.ERROR})
+        assert [budget.filter(line) for _ in range(3)] == [True, False, False]
+        assert budget.filter(error)
+
+
+class TestDroppingHandler:
+    """Lines for a reader that does not read."""
+
+    def test_never_blocks(self) -> None:
+        """Guards against a process that waits for the reader of its logs."""
+        reader, writer = os.pipe()
+        with os.fdopen(reader, 'rb') as source, os.fdopen(writer, 'w') as sink:
+            handler = DroppingHandler(sink)
+            record = logging.makeLogRecord({'msg': 'x' * 1000})
+            for _ in range(200):
+                handler.emit(record)
+            assert handler.dropped
+            os.read(source.fileno(), 1_000_000)
+            handler.emit(record)
+            assert handler.dropped == 0
+            assert vars(record)['dropped_lines']
+
+
 class TestLogs:
     """JSON lines and the rate limit."""
 
