--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -14,6 +14,7 @@
     BalancerHello,
     TargetReport,
 )
+from trefoilhaven_core.connections.pacing import report_interval_s
 from trefoilhaven_core.membership.messages import (
     Address,
     Member,
@@ -40,12 +41,14 @@
 
 logger = logging.getLogger(__name__)
 
-# Balancers of the own failure domain choose this target most.
-REPORT_S: Final = 0.25
-FAR_REPORT_S: Final = 0.5
+# Balancers of the own failure domain choose this target most; the others
+# get every second report.
+FAR_TURNS: Final = 2
 
-# A balancer that was not heard for this time is taken to have ended.
+# A balancer that was not heard for this time, and as many of its own
+# intervals, is taken to have ended.
 BALANCER_SILENT_S: Final = 30.0
+SILENT_INTERVALS: Final = 3
 
 # Balancers greet each second. While none does, the store is asked for them.
 HELLO_LOST_S: Final = 3.0
@@ -66,7 +69,7 @@
 class _Balancer(NamedTuple):
     address: Address
     is_near: bool
-    heard_at: float
+    expires_at: float
 
 
 class ReportingTask:
@@ -103,7 +106,8 @@
         now = monotonic()
         for seed in cfg.seeds:
             address = Address(seed.host, cfg.control.port)
-            self._balancers[address] = _Balancer(address, True, now)
+            expires_at = now + BALANCER_SILENT_S
+            self._balancers[address] = _Balancer(address, True, expires_at)
 
     async def run(self) -> None:
         """Report, register and watch the target until cancelled."""
@@ -188,17 +192,19 @@
         if known is None:
             logger.info('balancer found', extra={'balancer': hello.name})
         self._hello_at = monotonic()
-        self._balancers[sender] = _Balancer(sender, is_near, self._hello_at)
+        silent_s = max(BALANCER_SILENT_S, SILENT_INTERVALS * hello.interval_s)
+        expires_at = self._hello_at + silent_s
+        self._balancers[sender] = _Balancer(sender, is_near, expires_at)
 
     async def _report_regularly(self) -> None:
         turn = 0
         while True:
-            await asyncio.sleep(REPORT_S)
+            await asyncio.sleep(report_interval_s(len(self._balancers)))
             turn += 1
             self._forget_balancers()
             member = self._belief.member
             if member is not None:
-                is_far_due = turn % round(FAR_REPORT_S / REPORT_S) == 0
+                is_far_due = turn % FAR_TURNS == 0
                 self._send(
                     member,
                     [
@@ -218,11 +224,11 @@
             self._left = ()
 
     def _forget_balancers(self) -> None:
-        oldest = monotonic() - BALANCER_SILENT_S
+        now = monotonic()
         self._balancers = {
             address: balancer
             for address, balancer in self._balancers.items()
-            if balancer.heard_at >= oldest
+            if balancer.expires_at >= now
         }
 
     def _send_all(self, member: Member) -> None:
@@ -263,7 +269,8 @@
                 continue
             address = read.ok.control
             is_near = read.ok.failure_domain == self._cfg.failure_domain
-            self._balancers[address] = _Balancer(address, is_near, now)
+            expires_at = now + BALANCER_SILENT_S
+            self._balancers[address] = _Balancer(address, is_near, expires_at)
         if self._belief.member is not None:
             self._send_all(self._belief.member)
 
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -24,6 +24,7 @@
     BalancerHello,
     TargetReport,
 )
+from trefoilhaven_core.connections.pacing import HELLO_S, hello_interval_s
 from trefoilhaven_core.membership.dissemination import Disseminator
 from trefoilhaven_core.membership.messages import (
     Address,
@@ -58,7 +59,6 @@
 logger = logging.getLogger(__name__)
 
 TICK_S: Final = 0.25
-HELLO_S: Final = 1.0
 
 # A watch whose connection fell silent must end well before a configuration
 # has to be in force, which is 3 s after its confirmation.
@@ -129,7 +129,7 @@
         )
         self._registrar.want(balancer_content(own))
         self._hello = BalancerHello(
-            cfg.name, cfg.failure_domain, state.runtime.incarnation
+            cfg.name, cfg.failure_domain, state.runtime.incarnation, HELLO_S
         )
         endpoint.on(TargetReport, self._on_report)
         transfers.on(StateRequest, self._on_state)
@@ -176,12 +176,16 @@
     async def _greet(self) -> None:
         """Tell all agents where this gateway is."""
         while True:
-            self._send_hello()
-            await asyncio.sleep(HELLO_S)
+            await asyncio.sleep(self._send_hello())
 
-    def _send_hello(self) -> None:
-        for member in self._state.targets():
-            self._endpoint.send(self._hello, member.control)
+    def _send_hello(self) -> float:
+        """Greet all agents; return the time until the next greeting."""
+        targets = self._state.targets()
+        interval_s = hello_interval_s(len(targets))
+        hello = self._hello._replace(interval_s=interval_s)
+        for member in targets:
+            self._endpoint.send(hello, member.control)
+        return interval_s
 
     async def _pull(self) -> None:
         """Fetch everything from a seed, for a start without the store."""
--- a/packages/core/src/trefoilhaven_core/connections/holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/holders.py
@@ -180,6 +180,10 @@
         if forward.service != self.service:
             return [DropSegment(segment, DropCause.other_service)]
         held = self._held.get(segment.key)
+        if held is not None and segment.is_opening and held.closed_at:
+            # The client uses the port again for a new connection.
+            del self._held[segment.key]
+            held = None
         if held is not None and self._matches(held, segment):
             held.balancer = balancer
             return self._deliver(now, held, segment)
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -190,11 +190,15 @@
 
 
 class BalancerHello(NamedTuple):
-    """A balancer's regular sign of life to an agent."""
+    """A balancer's regular sign of life to an agent.
+
+    The next one follows after ``interval_s`` seconds.
+    """
 
     name: str
     failure_domain: str
     incarnation: int
+    interval_s: float
 
 
 def follows(number: int, start: int, span: int) -> bool:
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/pacing.py
@@ -0,0 +1,31 @@
+"""Intervals of regular messages within a budget of bytes.
+
+The number of receivers grows with the fleet, and the budget of a node
+does not: with many receivers, the interval grows in place of the volume.
+"""
+
+from typing import Final
+
+# Bytes of a greeting and of a report, with UDP and IP headers.
+HELLO_BYTES: Final = 110
+REPORT_BYTES: Final = 260
+
+# Parts of the 20 KB/s that a node may spend for control at the target size.
+HELLO_BYTES_PER_S: Final = 4_000
+REPORT_BYTES_PER_S: Final = 8_000
+
+HELLO_S: Final = 1.0
+REPORT_S: Final = 0.25
+
+
+def hello_interval_s(targets: int) -> float:
+    """Return the interval between two greetings of all targets."""
+    return max(HELLO_S, targets * HELLO_BYTES / HELLO_BYTES_PER_S)
+
+
+def report_interval_s(balancers: int) -> float:
+    """Return the interval between two reports to all balancers.
+
+    Balancers of other failure domains get every second report.
+    """
+    return max(REPORT_S, balancers * REPORT_BYTES / REPORT_BYTES_PER_S)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
@@ -0,0 +1,281 @@
+"""Decisions of an agent about segments."""
+
+from trefoilhaven_core.connections.effects import (
+    DeliverToTarget,
+    DropSegment,
+    ResetClient,
+    SendMessage,
+    SendToClient,
+)
+from trefoilhaven_core.connections.holders import (
+    CLOSED_S,
+    REFUSAL_S,
+    HeldConnections,
+    Identity,
+)
+from trefoilhaven_core.connections.messages import (
+    ConnectionAccepted,
+    HolderQuery,
+    HolderReply,
+    Question,
+    ReturnReason,
+    Segment,
+    SegmentFlag,
+    SegmentReturn,
+    Verdict,
+)
+from trefoilhaven_core.connections.tests.support import (
+    BALANCER,
+    accepting,
+    bounced,
+    key_of,
+    make_forward,
+    make_member,
+    make_segment,
+    opening,
+)
+
+MEMBER = make_member('t1')
+KEY = key_of(1)
+FIRST = 5000
+
+
+def make_table(*, saw_start: bool = True) -> HeldConnections:
+    """Return the table of an agent whose target is ready."""
+    table = HeldConnections('certify', 60.0)
+    table.set_target(Identity('certify', 't1', 1), saw_start)
+    table.accepts = True
+    return table
+
+
+def open_connection(table: HeldConnections) -> None:
+    """Let the target accept a connection."""
+    table.on_forward(
+        0, make_forward(MEMBER, opening(KEY)), opening(KEY), BALANCER
+    )
+    table.on_target_segment(0, accepting(KEY, FIRST))
+
+
+def forward(
+    table: HeldConnections,
+    segment: Segment,
+    *,
+    now: float = 1.0,
+    is_probe: bool = False,
+) -> list[object]:
+    """Return what the agent does with a client's segment."""
+    message = make_forward(MEMBER, segment, is_probe=is_probe)
+    return list(table.on_forward(now, message, segment, BALANCER))
+
+
+def data(acknowledged: int = FIRST + 1, sequence: int = 8) -> Segment:
+    """Return a client's segment with data."""
+    return make_segment(
+        KEY, SegmentFlag.acknowledges, sequence, acknowledged, 100
+    )
+
+
+def ask(table: HeldConnections, acknowledged: int, now: float = 1.0) -> Verdict:
+    """Return the agent's verdict about the connection."""
+    query = HolderQuery('certify', 't1', (Question(KEY, acknowledged),))
+    (effect,) = table.on_query(now, query, BALANCER)
+    assert isinstance(effect, SendMessage)
+    assert isinstance(effect.message, HolderReply)
+    return effect.message.answers[0].verdict
+
+
+def returned(effects: list[object]) -> SegmentReturn:
+    """Return the only message, a segment that comes back."""
+    (effect,) = effects
+    assert isinstance(effect, SendMessage)
+    assert isinstance(effect.message, SegmentReturn)
+    return effect.message
+
+
+class TestGate:
+    """What may reach the target."""
+
+    def test_draining(self) -> None:
+        """Guards against new work after a departure was acknowledged."""
+        table = make_table()
+        table.accepts = False
+        back = returned(forward(table, opening(KEY)))
+        assert back.reason is ReturnReason.not_accepted
+
+    def test_no_target(self) -> None:
+        """Guards against work before the target announced itself."""
+        table = HeldConnections('certify', 60.0)
+        back = returned(forward(table, opening(KEY)))
+        assert back.reason is ReturnReason.not_accepted
+        assert back.target == 't1'
+
+    def test_other_service(self) -> None:
+        """Guards against a segment for the host's earlier service."""
+        table = HeldConnections('collect', 60.0)
+        (effect,) = forward(table, opening(KEY))
+        assert isinstance(effect, DropSegment)
+
+    def test_other_incarnation(self) -> None:
+        """Guards against connections meant for an earlier target."""
+        table = make_table()
+        later = MEMBER._replace(incarnation=2)
+        message = make_forward(later, opening(KEY))
+        effects = table.on_forward(0, message, opening(KEY), BALANCER)
+        assert returned(list(effects)).reason is ReturnReason.other_target
+
+    def test_unknown_connection(self) -> None:
+        """Guards against segments of other targets' connections."""
+        back = returned(forward(make_table(), data()))
+        assert back.reason is ReturnReason.not_held
+
+    def test_raw_is_unchanged(self) -> None:
+        """Guards against a target that gets other bytes than were sent."""
+        table = make_table()
+        open_connection(table)
+        segment = data()
+        assert forward(table, segment) == [DeliverToTarget(segment.raw)]
+
+
+class TestChoice:
+    """Several targets that accepted one opening segment."""
+
+    def test_chosen(self) -> None:
+        """Guards against a lost connection."""
+        table = make_table()
+        open_connection(table)
+        assert ask(table, FIRST + 1) is Verdict.held
+
+    def test_not_chosen(self) -> None:
+        """Guards against two targets that both claim a connection."""
+        table = make_table()
+        open_connection(table)
+        assert ask(table, FIRST + (1 << 30)) is Verdict.absent
+        back = returned(forward(table, data(FIRST + (1 << 30))))
+        assert back.reason is ReturnReason.not_held
+
+    def test_accepted_is_told(self) -> None:
+        """Guards against repeats that go to another target."""
+        table = make_table()
+        forward(table, opening(KEY))
+        effects = table.on_target_segment(0, accepting(KEY, FIRST))
+        messages = [
+            each.message for each in effects if isinstance(each, SendMessage)
+        ]
+        assert isinstance(messages[0], ConnectionAccepted)
+
+    def test_port_used_again(self) -> None:
+        """Guards against a new connection that is judged by the old one."""
+        table = make_table()
+        open_connection(table)
+        reset = make_segment(KEY, SegmentFlag.reset, 9, FIRST + 1)
+        forward(table, reset)
+        forward(table, opening(KEY))
+        table.on_target_segment(2, accepting(KEY, 1 << 31))
+        assert ask(table, (1 << 31) + 1) is Verdict.held
+
+
+class TestRestart:
+    """An agent that started after its target."""
+
+    def test_unsure(self) -> None:
+        """Guards against a verdict that the agent can't know."""
+        assert ask(make_table(saw_start=False), FIRST) is Verdict.unsure
+
+    def test_offer_is_refused(self) -> None:
+        """Guards against segments that go to the wrong target again."""
+        table = make_table(saw_start=False)
+        segment = data()
+        assert forward(table, segment, is_probe=True) == [
+            DeliverToTarget(segment.raw)
+        ]
+        back = returned(list(table.on_target_segment(1, bounced(segment))))
+        assert back.reason is ReturnReason.not_held
+        assert back.raw == segment.raw
+        assert ask(table, FIRST, now=1.1) is Verdict.absent
+
+    def test_offer_is_taken(self) -> None:
+        """Guards against a holder that is not found."""
+        table = make_table(saw_start=False)
+        forward(table, data(), is_probe=True)
+        assert not table.tick(1.0)
+        (effect,) = table.tick(1.0 + REFUSAL_S)
+        assert isinstance(effect, SendMessage)
+        assert ask(table, FIRST, now=1.1) is Verdict.held
+
+    def test_target_speaks_first(self) -> None:
+        """Guards against answers that an agent does not pass on."""
+        table = make_table(saw_start=False)
+        answer = make_segment(KEY, SegmentFlag.acknowledges, FIRST, 9, 10)
+        assert table.on_target_segment(1, answer) == [
+            SendToClient(KEY, answer.raw)
+        ]
+        assert ask(table, FIRST) is Verdict.held
+
+
+class TestEnd:
+    """Targets and connections that end."""
+
+    def test_target_gone(self) -> None:
+        """Guards against clients that wait for a target that has ended."""
+        table = make_table()
+        open_connection(table)
+        forward(table, data())
+        (effect,) = table.on_target_gone()
+        assert isinstance(effect, ResetClient)
+        assert effect.sequence == FIRST + 1
+
+    def test_next_incarnation(self) -> None:
+        """Guards against connections of a target that was replaced."""
+        table = make_table()
+        open_connection(table)
+        effects = table.set_target(Identity('certify', 't2', 2), True)
+        assert [type(each) for each in effects] == [ResetClient]
+
+    def test_dropped_by_target(self) -> None:
+        """Guards against a search for what the target has dropped."""
+        table = make_table()
+        open_connection(table)
+        (effect,) = table.on_target_segment(2, bounced(data()))
+        assert isinstance(effect, ResetClient)
+
+    def test_late_copies(self) -> None:
+        """Guards against a closed connection that is forgotten at once."""
+        table = make_table()
+        open_connection(table)
+        last = SegmentFlag.last | SegmentFlag.acknowledges
+        forward(table, make_segment(KEY, last, 9, FIRST + 1))
+        table.on_target_segment(1, make_segment(KEY, last, FIRST + 1, 10))
+        assert table.load().connections == 0
+        table.forget(1 + CLOSED_S / 2)
+        assert len(table) == 1
+        table.forget(1 + CLOSED_S)
+        assert not len(table)
+
+
+class TestLoad:
+    """What the agent counts."""
+
+    def test_waiting(self) -> None:
+        """Guards against a busy target that looks free, and the reverse."""
+        table = make_table()
+        open_connection(table)
+        forward(table, data())
+        forward(table, data())
+        assert table.load().waiting == 1
+        answer = make_segment(KEY, SegmentFlag.acknowledges, FIRST + 1, 9, 50)
+        table.on_target_segment(1.04, answer)
+        assert table.load().waiting == 0
+        assert abs(table.load().service_time_s - 0.04) < 1e-9
+        # A repeat of data that was answered is not another request.
+        forward(table, data(), now=1.2)
+        assert table.load().waiting == 0
+        forward(table, data(sequence=200), now=1.3)
+        assert table.load().waiting == 1
+
+    def test_forgotten(self) -> None:
+        """Guards against a count that grows with lost connections."""
+        table = make_table()
+        open_connection(table)
+        forward(table, data())
+        table.forget(100)
+        assert table.load().waiting == 0
