--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_targets.py
@@ -11,6 +11,7 @@
 from trefoilhaven_core.platform.adapters import TargetAnnouncement
 
 BORN = 1_700_000_000_000
+LATER = BORN + 60_000
 PLACE = Place('host-1', 'a', Address('127.0.0.1', 7000))
 
 
@@ -28,7 +29,7 @@
 
 
 def make_belief(
-    started_ms: int = BORN + 60_000,
+    started_ms: int = LATER,
 ) -> tuple[TargetBelief, HeldConnections]:
     """Return the belief of an agent that started a minute later."""
     connections = HeldConnections('certify', 60.0)
--- a/packages/core/src/trefoilhaven_core/connections/tests/support.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/support.py
@@ -1,5 +1,8 @@
 """Segments and members for tests of connections."""
 
+from collections.abc import Iterable
+from typing import TypeVar
+
 import msgspec
 
 from trefoilhaven_core.connections.messages import (
@@ -21,6 +24,8 @@
     MemberState,
 )
 
+Value = TypeVar('Value')
+
 SERVICE_ADDRESS = (1, 443)
 BALANCER = Address('10.0.0.1', 7000)
 
@@ -117,3 +122,10 @@
     weighted = tuple(WeightedService(name, 1.0) for name in services)
     route = AddressRoute(SERVICE_ADDRESS, weighted)
     return RouteConfiguration(version, (route,), 15.0)
+
+
+def only(values: Iterable[Value]) -> Value:
+    """Return the value of a list that must have exactly one."""
+    listed = list(values)
+    assert len(listed) == 1, listed
+    return listed[0]
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
@@ -32,12 +32,14 @@
     make_forward,
     make_member,
     make_segment,
+    only,
     opening,
 )
 
 MEMBER = make_member('t1')
 KEY = key_of(1)
 FIRST = 5000
+CHOSEN = FIRST + 1
 
 
 def make_table(*, saw_start: bool = True) -> HeldConnections:
@@ -68,7 +70,7 @@
     return list(table.on_forward(now, message, segment, BALANCER))
 
 
-def data(acknowledged: int = FIRST + 1, sequence: int = 8) -> Segment:
+def data(acknowledged: int = CHOSEN, sequence: int = 8) -> Segment:
     """Return a client's segment with data."""
     return make_segment(
         KEY, SegmentFlag.acknowledges, sequence, acknowledged, 100
@@ -78,7 +80,7 @@
 def ask(table: HeldConnections, acknowledged: int, now: float = 1.0) -> Verdict:
     """Return the agent's verdict about the connection."""
     query = HolderQuery('certify', 't1', (Question(KEY, acknowledged),))
-    (effect,) = table.on_query(now, query, BALANCER)
+    effect = only(table.on_query(now, query, BALANCER))
     assert isinstance(effect, SendMessage)
     assert isinstance(effect.message, HolderReply)
     return effect.message.answers[0].verdict
@@ -86,7 +88,7 @@
 
 def returned(effects: list[object]) -> SegmentReturn:
     """Return the only message, a segment that comes back."""
-    (effect,) = effects
+    effect = only(effects)
     assert isinstance(effect, SendMessage)
     assert isinstance(effect.message, SegmentReturn)
     return effect.message
@@ -112,7 +114,7 @@
     def test_other_service(self) -> None:
         """Guards against a segment for the host's earlier service."""
         table = HeldConnections('collect', 60.0)
-        (effect,) = forward(table, opening(KEY))
+        effect = only(forward(table, opening(KEY)))
         assert isinstance(effect, DropSegment)
 
     def test_other_incarnation(self) -> None:
@@ -198,7 +200,7 @@
         table = make_table(saw_start=False)
         forward(table, data(), is_probe=True)
         assert not table.tick(1.0)
-        (effect,) = table.tick(1.0 + REFUSAL_S)
+        effect = only(table.tick(1.0 + REFUSAL_S))
         assert isinstance(effect, SendMessage)
         assert ask(table, FIRST, now=1.1) is Verdict.held
 
@@ -220,7 +222,7 @@
         table = make_table()
         open_connection(table)
         forward(table, data())
-        (effect,) = table.on_target_gone()
+        effect = only(table.on_target_gone())
         assert isinstance(effect, ResetClient)
         assert effect.sequence == FIRST + 1
 
@@ -235,7 +237,7 @@
         """Guards against a search for what the target has dropped."""
         table = make_table()
         open_connection(table)
-        (effect,) = table.on_target_segment(2, bounced(data()))
+        effect = only(table.on_target_segment(2, bounced(data())))
         assert isinstance(effect, ResetClient)
 
     def test_late_copies(self) -> None:
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -33,6 +33,7 @@
     make_report,
     make_routes,
     make_segment,
+    only,
     opening,
 )
 from trefoilhaven_core.membership.messages import Member, MemberState
@@ -91,12 +92,14 @@
 
 def forwarded(effects: list[Effect]) -> str:
     """Return the target of the only forwarded segment."""
-    (name,) = [
-        effect.message.target
-        for effect in effects
-        if isinstance(effect, SendMessage)
-        and isinstance(effect.message, SegmentForward)
-    ]
+    name = only(
+        [
+            effect.message.target
+            for effect in effects
+            if isinstance(effect, SendMessage)
+            and isinstance(effect.message, SegmentForward)
+        ]
+    )
     return name
 
 
@@ -178,14 +181,14 @@
         """Guards against a choice that nobody can explain afterwards."""
         bench = Bench()
         effects = bench.router.on_segment(0.1, opening(KEY))
-        (placed,) = [each for each in effects if isinstance(each, Placed)]
+        placed = only([each for each in effects if isinstance(each, Placed)])
         assert abs(placed.report_age_s - 0.1) < 1e-9
 
     def test_no_route(self) -> None:
         """Guards against a removed route that goes on."""
         bench = Bench()
         key = KEY._replace(service_port=80)
-        (effect,) = bench.router.on_segment(0.1, opening(key))
+        effect = only(bench.router.on_segment(0.1, opening(key)))
         assert isinstance(effect, ResetClient)
 
     def test_no_route_yet(self) -> None:
@@ -193,7 +196,7 @@
         router = ConnectionRouter(
             AddressRoutes(), TargetSpread('a'), random.Random(1)
         )
-        (effect,) = router.on_segment(0.1, opening(KEY))
+        effect = only(router.on_segment(0.1, opening(KEY)))
         assert isinstance(effect, DropSegment)
 
 
@@ -218,7 +221,7 @@
         bench.router.on_segment(1, make_segment(KEY, acknowledged=77))
         assert not bench.reply(1.01, 't1', Verdict.absent)
         assert not bench.reply(1.01, 't2', Verdict.absent)
-        (effect,) = bench.reply(1.02, 't3', Verdict.absent)
+        effect = only(bench.reply(1.02, 't3', Verdict.absent))
         assert isinstance(effect, ResetClient)
         assert effect.sequence == 77
 
