--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -31,6 +31,9 @@
 
 EXIT_FINDINGS: Final = 1
 
+# Events are kept and counted after the start, when time is less dear.
+OBSERVE_S: Final = 5.0
+
 # Connections without a segment for this time are forgotten, in seconds.
 CONNECTION_IDLE_S: Final = 60.0
 
@@ -83,6 +86,7 @@
             asyncio.create_task(segments.run()),
             asyncio.create_task(reporting.run()),
         ]
+        asyncio.get_running_loop().call_later(OBSERVE_S, self._runtime.observe)
         logger.info('sidecar started')
         await wait_for_stop(stop, tasks)
         logger.info('sidecar stops')
@@ -105,7 +109,7 @@
         return EXIT_FINDINGS
     cfg = loaded.ok
     configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
-    runtime = make_runtime(cfg.name)
+    runtime = make_runtime(cfg.name, is_observed=False)
     reloader = SettingsReloader(cfg, lambda: load_sidecar_settings(settings))
     run_until_signal(
         lambda stop: SidecarProcess(cfg, runtime, make_adapter(cfg)).run(stop),
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -59,7 +59,8 @@
 CHECK_TIMEOUT_S: Final = 0.15
 SILENT_CHECK_S: Final = 1.0
 
-LIST_BACKOFF_LIMIT_S: Final = 1.0
+LIST_BACKOFF_S: Final = 0.6
+LIST_BACKOFF_LIMIT_S: Final = 1.2
 
 # The record of a target that left is reported so often, since datagrams
 # may be lost.
@@ -94,7 +95,7 @@
         self._segments = segments
         self._endpoint = endpoint
         self._client = adapter.make_client()
-        self._backoff = Backoff(rng, limit_s=LIST_BACKOFF_LIMIT_S)
+        self._backoff = Backoff(rng, LIST_BACKOFF_S, LIST_BACKOFF_LIMIT_S)
         path = f'{TARGETS_PREFIX}{cfg.name}'
         self._registrar = Registrar(self._client, path, rng)
         self._balancers: dict[Address, _Balancer] = {}
--- a/packages/balancer/src/trefoilhaven/balancer/platforms.py
+++ b/packages/balancer/src/trefoilhaven/balancer/platforms.py
@@ -11,15 +11,14 @@
 from typing import Any, Final
 
 import msgspec
-import xxhash
 
 from trefoilhaven.balancer.control import ControlTask
 from trefoilhaven.balancer.state import BalancerState
 from trefoilhaven_core.membership.messages import (
     ConfigurationNotice,
-    MemberState,
     RegistryNotice,
 )
+from trefoilhaven_core.membership.ranks import balancer_rank
 from trefoilhaven_core.membership.registrations import (
     RegistrationPlan,
     RegistrationPlanner,
@@ -155,13 +154,4 @@
             )
 
     def _rank(self) -> int:
-        own = _weigh(self._name)
-        return sum(
-            _weigh(record.name) < own
-            for record in self._state.store.balancers
-            if record.state < MemberState.dead
-        )
-
-
-def _weigh(name: str) -> tuple[int, str]:
-    return xxhash.xxh64_intdigest(f'platform\n{name}'.encode()), name
+        return balancer_rank(self._name, self._state.store.balancers)
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -42,6 +42,7 @@
     read_balancer,
     read_member,
 )
+from trefoilhaven_core.membership.ranks import balancer_rank
 from trefoilhaven_core.platform.adapters import (
     ROUTES_PATH,
     ROUTES_PREFIX,
@@ -60,9 +61,12 @@
 
 TICK_S: Final = 0.25
 
-# A watch whose connection fell silent must end well before a configuration
-# has to be in force, which is 3 s after its confirmation.
-WATCH_S: Final = 1.5
+# A few gateways end their watch so soon that a connection which fell silent
+# is noticed before a configuration has to be in force; the others learn of
+# it from them. Each watch that ends costs a call.
+WATCHERS: Final = 6
+WATCH_S: Final = 3.0
+OTHER_WATCH_S: Final = 12.0
 WATCH_BACKOFF_LIMIT_S: Final = 0.5
 
 LIST_BACKOFF_LIMIT_S: Final = 1.0
@@ -240,10 +244,14 @@
             ROUTES_PREFIX,
             self._on_routes,
             self._rng,
-            watch_timeout_s=WATCH_S,
             backoff_limit_s=WATCH_BACKOFF_LIMIT_S,
         )
-        await watcher.run()
+        while True:
+            name = self._state.cfg.name
+            rank = balancer_rank(name, self._state.store.balancers)
+            is_watcher = rank < WATCHERS
+            watcher.watch_timeout_s = WATCH_S if is_watcher else OTHER_WATCH_S
+            await watcher.advance()
 
     def _on_routes(self, change: ObjectChange) -> None:
         if change.deleted or change.path != ROUTES_PATH:
--- a/packages/balancer/src/trefoilhaven/gateway/process.py
+++ b/packages/balancer/src/trefoilhaven/gateway/process.py
@@ -34,6 +34,9 @@
 
 EXIT_FINDINGS: Final = 1
 
+# Events are kept and counted after the start, when time is less dear.
+OBSERVE_S: Final = 5.0
+
 # The fabric asks twice a second and stops after two misses; segments that
 # are on their way arrive a little later.
 STOP_FORWARDING_S: Final = 1.8
@@ -80,6 +83,7 @@
             asyncio.create_task(segments.run()),
             asyncio.create_task(discovery.run()),
         ]
+        asyncio.get_running_loop().call_later(OBSERVE_S, self._runtime.observe)
         logger.info('gateway started')
         await wait_for_stop(stop, tasks)
         logger.info('gateway stops')
@@ -105,7 +109,7 @@
         return EXIT_FINDINGS
     cfg = loaded.ok
     configure_logging(cfg.name, cfg.failure_domain, cfg.log_level)
-    runtime = make_runtime(cfg.name)
+    runtime = make_runtime(cfg.name, is_observed=False)
     reloader = SettingsReloader(cfg, lambda: load_gateway_settings(settings))
     run_until_signal(
         lambda stop: GatewayProcess(cfg, runtime, make_adapter(cfg)).run(stop),
--- a/packages/core/src/trefoilhaven_core/platform/watchers.py
+++ b/packages/core/src/trefoilhaven_core/platform/watchers.py
@@ -40,7 +40,7 @@
     ) -> None:
         """Prepare a watcher; ``run`` starts it."""
         self.failures = 0
-        self._watch_timeout_s = watch_timeout_s
+        self.watch_timeout_s = watch_timeout_s
         self._client = client
         self._prefix = prefix
         self._deliver = deliver
@@ -71,7 +71,7 @@
             changes = await self._client.watch(
                 self._prefix,
                 self._revision,
-                self._watch_timeout_s,
+                self.watch_timeout_s,
             )
             if changes.is_error():
                 return changes.error
--- a/packages/core/src/trefoilhaven_core/telemetry/events.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/events.py
@@ -6,11 +6,11 @@
 
 import logging
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
-from reactivex import operators
-from reactivex.abc import DisposableBase
-from reactivex.subject import Subject
+if TYPE_CHECKING:
+    from reactivex.abc import DisposableBase
+    from reactivex.subject import Subject
 
 from trefoilhaven_core.telemetry.metrics import Metrics
 from trefoilhaven_core.timeline.clocks import HybridClock
@@ -19,6 +19,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Events that are kept until the first subscription.
+EARLY_EVENTS: Final = 256
+
 
 class ProcessEvent(NamedTuple):
     """Something that happened; fields that do not apply are empty."""
@@ -35,28 +38,52 @@
 
 
 class EventStream:
-    """Delivers events to the subscribers in the publisher's task."""
+    """Delivers events to the subscribers in the publisher's task.
+
+    ``reactivex`` is imported with the first subscription, since it takes
+    a tenth of the time until a process on a small host is up. Events from
+    before are kept for ``replay``.
+    """
 
     def __init__(self) -> None:
         """Start without subscribers."""
-        self._subject: Subject[ProcessEvent] = Subject()
+        self._subject: Subject[ProcessEvent] | None = None
+        self._early: list[ProcessEvent] = []
 
     def publish(self, event: ProcessEvent) -> None:
         """Deliver an event to all subscribers of its kind."""
-        self._subject.on_next(event)
-
-    def subscribe(self, kind: str, handler: Handler) -> DisposableBase:
+        if self._subject is not None:
+            self._subject.on_next(event)
+        elif len(self._early) < EARLY_EVENTS:
+            self._early.append(event)
+
+    def replay(self) -> None:
+        """Deliver the events from before the first subscription."""
+        early = self._early
+        self._early = []
+        for event in early:
+            self.publish(event)
+
+    def subscribe(self, kind: str, handler: Handler) -> 'DisposableBase':
         """Call a handler for each event of a kind, until disposed."""
+        from reactivex import operators  # noqa: PLC0415
 
         def is_of_kind(event: ProcessEvent) -> bool:
             return event.kind == kind
 
-        of_kind = self._subject.pipe(operators.filter(is_of_kind))
+        of_kind = self._open().pipe(operators.filter(is_of_kind))
         return of_kind.subscribe(on_next=_guarded(handler))
 
-    def subscribe_all(self, handler: Handler) -> DisposableBase:
+    def subscribe_all(self, handler: Handler) -> 'DisposableBase':
         """Call a handler for each event, until disposed."""
-        return self._subject.subscribe(on_next=_guarded(handler))
+        return self._open().subscribe(on_next=_guarded(handler))
+
+    def _open(self) -> 'Subject[ProcessEvent]':
+        if self._subject is None:
+            from reactivex.subject import Subject  # noqa: PLC0415
+
+            self._subject = Subject()
+        return self._subject
 
 
 def record_events(
@@ -64,7 +91,7 @@
     ring: EventRing,
     clock: HybridClock,
     wall_time: Callable[[], float],
-) -> DisposableBase:
+) -> 'DisposableBase':
     """Stamp all events of a stream and keep them in a ring."""
 
     def record(event: ProcessEvent) -> None:
@@ -74,7 +101,7 @@
     return stream.subscribe_all(record)
 
 
-def count_events(stream: EventStream, metrics: Metrics) -> DisposableBase:
+def count_events(stream: EventStream, metrics: Metrics) -> 'DisposableBase':
     """Count all events of a stream by kind and service."""
 
     def count(event: ProcessEvent) -> None:
--- a/packages/core/src/trefoilhaven_core/telemetry/runtimes.py
+++ b/packages/core/src/trefoilhaven_core/telemetry/runtimes.py
@@ -19,15 +19,15 @@
 
     def __init__(self, clock: HybridClock) -> None:
         """Wrap a clock."""
-        self._clock = clock
+        self.hybrid = clock
 
     def stamp(self) -> int:
         """Return the stamp of an outgoing message."""
-        return self._clock.tick(time.time())
+        return self.hybrid.tick(time.time())
 
     def observe(self, stamp: int) -> None:
         """Take the stamp of an incoming message."""
-        self._clock.receive(stamp, time.time())
+        self.hybrid.receive(stamp, time.time())
 
 
 class ProcessRuntime(NamedTuple):
@@ -55,23 +55,27 @@
             ProcessEvent(kind, service, flow, request_key, host, detail),
         )
 
+    def observe(self) -> None:
+        """Keep and count all events, those from before included."""
+        record_events(self.events, self.ring, self.clock.hybrid, time.time)
+        count_events(self.events, self.metrics)
+        self.events.replay()
 
-def make_runtime(process: str) -> ProcessRuntime:
+
+def make_runtime(process: str, *, is_observed: bool = True) -> ProcessRuntime:
     """Return the runtime of a process that starts now.
 
-    The incarnation is the start time in milliseconds of Unix time.
+    The incarnation is the start time in milliseconds of Unix time. A
+    process that must be up quickly calls ``observe`` later itself.
     """
-    clock = HybridClock()
-    events = EventStream()
-    ring = EventRing(process)
-    metrics = Metrics()
-    record_events(events, ring, clock, time.time)
-    count_events(events, metrics)
-    return ProcessRuntime(
+    runtime = ProcessRuntime(
         process,
         time.time_ns() // 1_000_000,
-        ProcessClock(clock),
-        events,
-        ring,
-        metrics,
+        ProcessClock(HybridClock()),
+        EventStream(),
+        EventRing(process),
+        Metrics(),
     )
+    if is_observed:
+        runtime.observe()
+    return runtime
