--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -14,7 +14,10 @@
     BalancerHello,
     TargetReport,
 )
-from trefoilhaven_core.connections.pacing import report_interval_s
+from trefoilhaven_core.connections.pacing import (
+    changed_report_interval_s,
+    report_interval_s,
+)
 from trefoilhaven_core.membership.messages import (
     Address,
     Member,
@@ -100,6 +103,7 @@
         self._registrar = Registrar(self._client, path, rng)
         self._balancers: dict[Address, _Balancer] = {}
         self._departing = False
+        self._reported_waiting = 0
         self._hello_at = -math.inf
         self._left: tuple[Member, ...] = ()
         self._left_reports = 0
@@ -114,6 +118,7 @@
         """Report, register and watch the target until cancelled."""
         await asyncio.gather(
             self._report_regularly(),
+            self._report_changes(),
             self._list_balancers(),
             self._registrar.run(),
             self._check_target(),
@@ -216,6 +221,20 @@
                 )
             self._repeat_left()
 
+    async def _report_changes(self) -> None:
+        """Tell the near balancers soon when the load has changed."""
+        while True:
+            near = [
+                balancer.address
+                for balancer in self._balancers.values()
+                if balancer.is_near
+            ]
+            await asyncio.sleep(changed_report_interval_s(len(near)))
+            member = self._belief.member
+            load = self._connections.load()
+            if member is not None and load.waiting != self._reported_waiting:
+                self._send(member, near)
+
     def _repeat_left(self) -> None:
         if self._left_reports:
             self._left_reports -= 1
@@ -237,9 +256,9 @@
 
     def _send(self, member: Member, addresses: Iterable[Address]) -> None:
         now = monotonic()
-        report = TargetReport(
-            member, self._connections.load(), self._belief.is_cold(now)
-        )
+        load = self._connections.load()
+        self._reported_waiting = load.waiting
+        report = TargetReport(member, load, self._belief.is_cold(now))
         for address in addresses:
             self._endpoint.send(report, address)
 
--- a/packages/core/src/trefoilhaven_core/connections/pacing.py
+++ b/packages/core/src/trefoilhaven_core/connections/pacing.py
@@ -17,12 +17,21 @@
 HELLO_S: Final = 1.0
 REPORT_S: Final = 0.25
 
+# A load that changed is reported to the near balancers after this time.
+CHANGED_REPORT_S: Final = 0.08
+
 
 def hello_interval_s(targets: int) -> float:
     """Return the interval between two greetings of all targets."""
     return max(HELLO_S, targets * HELLO_BYTES / HELLO_BYTES_PER_S)
 
 
+def changed_report_interval_s(near_balancers: int) -> float:
+    """Return the least interval between reports of a changed load."""
+    budget_s = near_balancers * REPORT_BYTES / REPORT_BYTES_PER_S
+    return max(CHANGED_REPORT_S, budget_s)
+
+
 def report_interval_s(balancers: int) -> float:
     """Return the interval between two reports to all balancers.
 
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -22,6 +22,11 @@
 # Share of the slots by which a target that has just started counts as busy.
 COLD_SHARE: Final = 0.5
 
+# Targets whose cost differs by less than this share are taken as equal and
+# one of them is drawn. Reports are up to 0.25 s old, and all balancers see
+# the same ones: without the draw they would all choose the same target.
+CLOSE_SHARE: Final = 0.3
+
 # An open connection without a request counts as this part of a busy one.
 IDLE_WEIGHT: Final = 0.05
 
@@ -149,13 +154,13 @@
             and target.member.target not in excluded
         ]
         heard = [target for target in usable if now - target.seen_at < SILENT_S]
-        ranked = [
-            (self._cost(target), rng.random(), target)
-            for target in heard or usable
-        ]
-        if not ranked:
+        costs = [(self._cost(target), target) for target in heard or usable]
+        if not costs:
             return None
-        chosen = min(ranked)[-1]
+        lowest = min(cost for cost, _ in costs)
+        chosen = rng.choice(
+            [target for cost, target in costs if cost < lowest + CLOSE_SHARE]
+        )
         chosen.placed += 1
         return chosen.member
 
