--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -52,7 +52,7 @@
         self._runtime = runtime
         self._adapter = adapter
         self._connections = HeldConnections(cfg.service, CONNECTION_IDLE_S)
-        place = Place(cfg.host, cfg.failure_domain, cfg.control)
+        place = Place(cfg.host, cfg.failure_domain, cfg.advertise_control)
         self._belief = TargetBelief(
             cfg.service, place, self._connections, runtime.incarnation
         )
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -113,8 +113,8 @@
             state.runtime.incarnation,
             1,
             MemberState.alive,
-            cfg.control,
-            cfg.control,
+            cfg.advertise_control,
+            cfg.advertise_control,
         )
         seeds = {
             f'seed {address.host}': PeerAddresses(address, address)
--- a/packages/core/src/trefoilhaven_core/settings/loader.py
+++ b/packages/core/src/trefoilhaven_core/settings/loader.py
@@ -71,7 +71,7 @@
     """Read and check the settings file of a balancer for segments."""
     return read_document(path).bind(
         lambda document: read_fields(document, GATEWAY_FIELDS).map(
-            lambda read: GatewaySettings(**_with_seed_addresses(read)),
+            lambda read: GatewaySettings(**_complete(read)),
         ),
     )
 
@@ -80,7 +80,7 @@
     """Read and check the settings file of an agent for segments."""
     return read_document(path).bind(
         lambda document: read_fields(document, SIDECAR_FIELDS).map(
-            lambda read: SidecarSettings(**_with_seed_addresses(read)),
+            lambda read: SidecarSettings(**_complete(read)),
         ),
     )
 
@@ -122,8 +122,11 @@
     }
 
 
-def _with_seed_addresses(read: _Values) -> _Values:
-    return read | {'seeds': tuple(seed['address'] for seed in read['seeds'])}
+def _complete(read: _Values) -> _Values:
+    return read | {
+        'advertise_control': read.get('advertise_control', read['control']),
+        'seeds': tuple(seed['address'] for seed in read['seeds']),
+    }
 
 
 def _build_balancer(read: _Values) -> BalancerSettings:
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -207,6 +207,12 @@
     _name('failure_domain', 'Failure domain of the host.'),
     _address('readiness', 'TCP address that the fabric asks for readiness.'),
     _address('control', 'UDP and TCP address for other processes.'),
+    Field(
+        'advertise_control',
+        FieldKind.address,
+        'Address that others use in place of "control".',
+        optional=True,
+    ),
     _address('metrics', 'TCP address of the metrics endpoint.'),
     _address('platform', "TCP address of the platform's store."),
     Field(
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -115,6 +115,7 @@
     failure_domain: str
     readiness: Address
     control: Address
+    advertise_control: Address
     metrics: Address
     platform: Address
     seeds: tuple[Address, ...]
@@ -133,6 +134,7 @@
     failure_domain: str
     readiness: Address
     control: Address
+    advertise_control: Address
     metrics: Address
     platform: Address
     seeds: tuple[Address, ...]
--- a/packages/core/src/trefoilhaven_core/wire/http.py
+++ b/packages/core/src/trefoilhaven_core/wire/http.py
@@ -51,7 +51,9 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(OSError, TimeoutError):
+        # A connection that is open when the process stops is cancelled, which
+        # asyncio would report as an error.
+        with contextlib.suppress(OSError, TimeoutError, asyncio.CancelledError):
             await _serve_connection(reader, writer, handler)
         writer.close()
 
