Leave out targets that hang

Cause: a target that falls silent while its host is up keeps its agent's reports, so that new connections go on to it; each waits 0.2 s for the client's first repeat, longer than the aim of most requests.

Change: an agent whose target has left an opening unanswered for 0.12 s takes one trial each 0.4 s and hands the others back at once; its reports tell the balancers.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -258,7 +258,12 @@
         now = monotonic()
         load = self._connections.load()
         self._reported_waiting = load.waiting
-        report = TargetReport(member, load, self._belief.is_cold(now))
+        report = TargetReport(
+            member,
+            load,
+            self._belief.is_cold(now),
+            self._connections.is_silent(now),
+        )
         for address in addresses:
             self._endpoint.send(report, address)
 
--- a/packages/core/src/trefoilhaven_core/connections/holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/holders.py
@@ -6,6 +6,7 @@
 what the target refuses.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -56,6 +57,11 @@
 # Numbers up to half of the sequence space ahead are later ones.
 _HALF_SPACE: Final = SEQUENCE_SPACE // 2
 
+# A target answers an opening segment within milliseconds. One that has not
+# answered for this time, in seconds, gets no further ones but for trials.
+SILENT_S: Final = 0.12
+TRIAL_S: Final = 0.4
+
 # Weight of a new service time in the mean.
 _SERVICE_TIME_WEIGHT: Final = 0.1
 
@@ -128,6 +134,8 @@
         self.saw_start = False
         self.accepts = False
         self.idle_timeout_s = idle_timeout_s
+        self._opening_at: float | None = None
+        self._tried_at = -math.inf
         self._held: dict[ConnectionKey, _Held] = {}
         self._probes: dict[ConnectionKey, _Probe] = {}
         self._absent: dict[ConnectionKey, float] = {}
@@ -138,6 +146,11 @@
         """Return the number of known connections, closed ones included."""
         return len(self._held)
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the target has left an opening unanswered."""
+        asked_at = self._opening_at
+        return asked_at is not None and now - asked_at >= SILENT_S
+
     def load(self) -> ConnectionLoad:
         """Return the target's load."""
         open_count = sum(held.closed_at is None for held in self._held.values())
@@ -165,6 +178,7 @@
         ]
         self._held.clear()
         self._probes.clear()
+        self._opening_at = None
         self._waiting = 0
         self.accepts = False
         return effects
@@ -210,6 +224,7 @@
 
     def on_target_segment(self, now: float, segment: Segment) -> list[Effect]:
         """Decide about a segment that the target sent."""
+        self._opening_at = None
         if segment.flags & SegmentFlag.bounced:
             return self._on_refused(now, segment)
         effects: list[Effect] = [SendToClient(segment.key, segment.raw)]
@@ -304,12 +319,17 @@
         balancer: Address,
     ) -> list[Effect]:
         identity = self.identity
-        if identity is None or not self.accepts:
+        is_trial_due = now - self._tried_at >= TRIAL_S
+        is_open = self.accepts and (is_trial_due or not self.is_silent(now))
+        if identity is None or not is_open:
             reason = ReturnReason.not_accepted
             return [_return(balancer, _asked(forward), reason, segment)]
         if _asked(forward) != identity:
             reason = ReturnReason.other_target
             return [_return(balancer, _asked(forward), reason, segment)]
+        self._tried_at = now
+        if self._opening_at is None:
+            self._opening_at = now
         held = _Held(now, balancer)
         self._held[segment.key] = held
         return self._deliver(now, held, segment)
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -181,12 +181,14 @@
 class TargetReport(NamedTuple):
     """An agent's regular report about its target to a balancer.
 
-    ``is_cold`` tells that the target has started lately and is slow.
+    ``is_cold`` tells that the target has started lately and is slow, and
+    ``is_silent`` that it does not answer at the moment.
     """
 
     member: Member
     load: ConnectionLoad
     is_cold: bool
+    is_silent: bool
 
 
 class BalancerHello(NamedTuple):
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -34,10 +34,18 @@
 class _Target:
     """What a balancer knows about one target."""
 
-    __slots__ = ('is_cold', 'load', 'member', 'placed', 'seen_at')
+    __slots__ = (
+        'is_cold',
+        'is_silent',
+        'load',
+        'member',
+        'placed',
+        'seen_at',
+    )
 
     def __init__(self, member: Member) -> None:
         self.is_cold = False
+        self.is_silent = False
         self.load = ConnectionLoad()
         self.member = member
         self.placed = 0
@@ -80,6 +88,7 @@
         if target is None or target.member.incarnation != member.incarnation:
             return
         target.is_cold = report.is_cold
+        target.is_silent = report.is_silent
         target.seen_at = now
         target.load = report.load
         target.placed = 0
@@ -153,7 +162,11 @@
             if target.member.state is MemberState.alive
             and target.member.target not in excluded
         ]
-        heard = [target for target in usable if now - target.seen_at < SILENT_S]
+        heard = [
+            target
+            for target in usable
+            if now - target.seen_at < SILENT_S and not target.is_silent
+        ]
         costs = [(self._cost(target), target) for target in heard or usable]
         if not costs:
             return None
--- a/packages/core/src/trefoilhaven_core/connections/tests/support.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/support.py
@@ -105,7 +105,7 @@
 ) -> TargetReport:
     """Return an agent's report."""
     load = ConnectionLoad(connections, waiting, 0.05)
-    return TargetReport(member, load, is_cold=False)
+    return TargetReport(member, load, is_cold=False, is_silent=False)
 
 
 def make_forward(
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
@@ -10,6 +10,8 @@
 from trefoilhaven_core.connections.holders import (
     CLOSED_S,
     REFUSAL_S,
+    SILENT_S,
+    TRIAL_S,
     HeldConnections,
     Identity,
 )
@@ -214,6 +216,36 @@
         assert ask(table, FIRST) is Verdict.held
 
 
+class TestSilence:
+    """A target that hangs although its host is up."""
+
+    def test_further_openings(self) -> None:
+        """Guards against clients that wait for a target that hangs."""
+        table = make_table()
+        forward(table, opening(KEY), now=1.0)
+        assert not table.is_silent(1.0 + SILENT_S / 2)
+        later = 1.0 + SILENT_S
+        assert table.is_silent(later)
+        back = returned(forward(table, opening(key_of(2)), now=later))
+        assert back.reason is ReturnReason.not_accepted
+
+    def test_trial(self) -> None:
+        """Guards against a target that is left out for ever."""
+        table = make_table()
+        forward(table, opening(KEY), now=1.0)
+        trial = opening(key_of(2))
+        assert forward(table, trial, now=1.01 + TRIAL_S) == [
+            DeliverToTarget(trial.raw)
+        ]
+
+    def test_back(self) -> None:
+        """Guards against doubt about a target that answers again."""
+        table = make_table()
+        forward(table, opening(KEY), now=1.0)
+        table.on_target_segment(2, accepting(KEY, FIRST))
+        assert not table.is_silent(2)
+
+
 class TestEnd:
     """Targets and connections that end."""
 
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -133,6 +133,14 @@
         bench.router.on_report(later, make_report(bench.members['t3']))
         assert bench.open(later) == 't3'
 
+    def test_hanging_is_left_out(self) -> None:
+        """Guards against connections to a target that does not answer."""
+        bench = Bench()
+        for name in ('t1', 't2'):
+            report = make_report(bench.members[name])
+            bench.router.on_report(0.05, report._replace(is_silent=True))
+        assert bench.open() == 't3'
+
     def test_draining_is_left_out(self) -> None:
         """Guards against new work at a target that leaves."""
         bench = Bench()
