--- a/packages/bench/src/trefoilhaven_bench/measurements/__main__.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/__main__.py
@@ -8,6 +8,7 @@
 import typer
 
 from trefoilhaven_bench.measurements import decisions
+from trefoilhaven_bench.measurements.connections import measure_connections
 from trefoilhaven_bench.measurements.costs import measure_costs
 from trefoilhaven_bench.measurements.memory import measure_memory
 from trefoilhaven_bench.measurements.plots import plot_bars
@@ -71,6 +72,12 @@
     _show([memory, measure_costs()], out)
 
 
+@app.command()
+def connections(out: OutOption = _OUT) -> None:
+    """Measure decisions about connections on the users' platform."""
+    _show(measure_connections(), out)
+
+
 @app.command()
 def slopes(out: OutOption = _OUT) -> None:
     """Measure the slopes of state and time that docs/CAPACITY.md uses."""
@@ -81,6 +88,7 @@
 def run_all(seed: SeedOption = 1, out: OutOption = _OUT) -> None:
     """Run all measurements, one after the other, in about five minutes."""
     costs(out)
+    connections(out)
     slopes(out)
     load(seed, out)
     routing(seed, out)
--- /dev/null
+++ b/packages/bench/src/trefoilhaven_bench/measurements/connections.py
@@ -0,0 +1,182 @@
+"""Processor time and memory of decisions about connections."""
+
+import random
+import tracemalloc
+from collections.abc import Callable
+from typing import Final
+
+from trefoilhaven_bench.measurements.costs import (
+    SERVICE,
+    CostRow,
+    make_member,
+    time_operation,
+)
+from trefoilhaven_bench.measurements.memory import MemoryRow
+from trefoilhaven_bench.measurements.tables import Table, table_of
+from trefoilhaven_core.connections.holders import HeldConnections, Identity
+from trefoilhaven_core.connections.messages import (
+    Answer,
+    ConnectionKey,
+    ConnectionLoad,
+    HolderQuery,
+    HolderReply,
+    Question,
+    Segment,
+    SegmentFlag,
+    SegmentForward,
+    TargetReport,
+    Verdict,
+)
+from trefoilhaven_core.connections.routers import ConnectionRouter
+from trefoilhaven_core.connections.routes import (
+    AddressRoute,
+    AddressRoutes,
+    RouteConfiguration,
+    WeightedService,
+)
+from trefoilhaven_core.connections.spreads import TargetSpread
+from trefoilhaven_core.membership.messages import Address
+
+TARGETS: Final = 16
+CONNECTIONS: Final = 20_000
+QUESTIONS: Final = 40
+
+_ADDRESS: Final = (1, 443)
+_BALANCER: Final = Address('127.0.0.1', 7000)
+_MIB: Final = 1024 * 1024
+_COUNT: Final = 5000
+
+
+def measure_connections() -> list[Table]:
+    """Measure a gateway with 16 targets and an agent."""
+    opened = make_router()
+    known = make_router()
+    for number in range(_COUNT):
+        known.on_segment(0, _segment(number, SegmentFlag.opening))
+    held = make_held(_COUNT)
+    rows = [
+        CostRow(
+            'gateway: place a new connection',
+            f'{TARGETS} targets',
+            time_operation(
+                lambda number: opened.on_segment(
+                    0, _segment(number, SegmentFlag.opening)
+                ),
+                _COUNT,
+            ),
+        ),
+        CostRow(
+            'gateway: segment of a known connection',
+            f'{_COUNT} cached',
+            time_operation(
+                lambda number: known.on_segment(0, _segment(number % _COUNT)),
+                _COUNT,
+            ),
+        ),
+        CostRow(
+            'gateway: search until all are absent',
+            f'{TARGETS} targets',
+            time_operation(_search(make_router()), _COUNT // 10),
+        ),
+        CostRow(
+            'agent: segment of a held connection',
+            f'{_COUNT} held',
+            time_operation(
+                lambda number: held.on_forward(
+                    0, _forward(number % _COUNT), _segment(number), _BALANCER
+                ),
+                _COUNT,
+            ),
+        ),
+        CostRow(
+            'agent: answer a query',
+            f'{QUESTIONS} questions',
+            time_operation(_query(held), _COUNT // 10),
+        ),
+    ]
+    times = table_of('connections', 'Processor time of a decision', rows)
+    return [times, _measure_memory()]
+
+
+def make_router() -> ConnectionRouter:
+    """Return a router with one route and reports of all its targets."""
+    routes = AddressRoutes()
+    weighted = (WeightedService(SERVICE, 1.0),)
+    routes.offer(
+        RouteConfiguration(1, (AddressRoute(_ADDRESS, weighted),), 15.0)
+    )
+    spread = TargetSpread('tainan-a')
+    members = [make_member(f't{number}', number) for number in range(TARGETS)]
+    spread.set_members(SERVICE, members)
+    router = ConnectionRouter(routes, spread, random.Random(1))
+    router.knows_all = True
+    for member in members:
+        load = ConnectionLoad(10, 1, 0.03)
+        router.on_report(0, TargetReport(member, load, False, False))
+    return router
+
+
+def make_held(count: int) -> HeldConnections:
+    """Return the table of an agent with open connections."""
+    held = HeldConnections(SERVICE, 60.0)
+    held.set_target(Identity(SERVICE, 't1', 1), saw_start=True)
+    held.accepts = True
+    for number in range(count):
+        segment = _segment(number, SegmentFlag.opening)
+        held.on_forward(0, _forward(number), segment, _BALANCER)
+        accepting = SegmentFlag.opening | SegmentFlag.acknowledges
+        held.on_target_segment(0, _segment(number, accepting))
+    return held
+
+
+def _measure_memory() -> Table:
+    tracemalloc.start()
+    router = make_router()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(CONNECTIONS):
+        router.on_segment(0, _segment(number, SegmentFlag.opening))
+    cached = tracemalloc.get_traced_memory()[0] - before
+    before = tracemalloc.get_traced_memory()[0]
+    held = make_held(CONNECTIONS)
+    taken = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    rows = [
+        _memory_row('cached connections of a gateway', len(router), cached),
+        _memory_row('held connections of an agent', len(held), taken),
+    ]
+    return table_of('connections-memory', 'Memory of connections', rows)
+
+
+def _memory_row(entries: str, number: int, taken: int) -> MemoryRow:
+    return MemoryRow(entries, number, taken / _MIB, taken / number)
+
+
+def _key(number: int) -> ConnectionKey:
+    return ConnectionKey(number // 50_000, number % 50_000, *_ADDRESS)
+
+
+def _segment(
+    number: int, flags: SegmentFlag = SegmentFlag.acknowledges
+) -> Segment:
+    return Segment(_key(number), flags, 1, 1, 0, b'')
+
+
+def _forward(number: int) -> SegmentForward:
+    return SegmentForward(SERVICE, 't1', 1, is_probe=False, raw=b'')
+
+
+def _search(router: ConnectionRouter) -> Callable[[int], object]:
+    def search(number: int) -> None:
+        router.on_segment(0, _segment(number))
+        answers = (Answer(_key(number), Verdict.absent),)
+        for target in range(TARGETS):
+            reply = HolderReply(SERVICE, f't{target}', 0, answers)
+            router.on_reply(0, reply)
+
+    return search
+
+
+def _query(held: HeldConnections) -> Callable[[int], object]:
+    questions = tuple(Question(_key(number), 1) for number in range(QUESTIONS))
+    query = HolderQuery(SERVICE, 't1', questions)
+    return lambda _: held.on_query(0, query, _BALANCER)
--- a/packages/bench/src/trefoilhaven_bench/measurements/costs.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/costs.py
@@ -55,7 +55,9 @@
             CostRow(
                 'table: compute',
                 f'{size} targets',
-                _time(lambda _: build_table(SERVICE, _names(size)), 20),
+                time_operation(
+                    lambda _: build_table(SERVICE, _names(size)), 20
+                ),
             )
             for size in TABLE_SIZES
         ],
@@ -112,7 +114,8 @@
     return [f'{SERVICE}-{number}' for number in range(1, count + 1)]
 
 
-def _time(operation: Callable[[int], object], count: int) -> float:
+def time_operation(operation: Callable[[int], object], count: int) -> float:
+    """Return the processor time of one operation in microseconds."""
     best = float('inf')
     for repetition in range(REPETITIONS):
         gc.collect()
@@ -143,7 +146,7 @@
         assert isinstance(route, Route)
         codec.encode(route.packet)
 
-    return _time(forward, 10_000)
+    return time_operation(forward, 10_000)
 
 
 def _beat_cost() -> float:
@@ -169,7 +172,7 @@
         assert reply is not None
         codec.encode(reply)
 
-    return _time(answer, 5000)
+    return time_operation(answer, 5000)
 
 
 def _flow_costs() -> list[CostRow]:
@@ -177,7 +180,7 @@
     ownership = make_owner(_names(1)[0], now)
     table = FlowTable(SERVICE, _names(1)[0], 1_790_000_000_000)
     table.set_limits(1_000_000, 3600)
-    first = _time(
+    first = time_operation(
         lambda number: table.on_packet(
             now,
             make_packet(number, FlowMark.first),
@@ -186,7 +189,7 @@
         ),
         2000,
     )
-    known = _time(
+    known = time_operation(
         lambda number: table.on_packet(
             now,
             make_packet(number % 2000, FlowMark.none),
@@ -204,7 +207,7 @@
 def _request_cost() -> float:
     table = RequestTable(SERVICE, _names(1)[0], 1_790_000_000_000)
     standing = Standing(is_owner=True, lease_valid=True, horizon=0)
-    return _time(
+    return time_operation(
         lambda number: table.on_decide(
             1000.0,
             2000.0,
