Give no state while the list of targets is not known

Cause: found in review. A gateway that starts takes a peer's state for complete and may then reset connections; a peer that has just started itself answered with the few targets that it had heard.

Change: such a peer does not answer requests for everything.

Test: test_incomplete, failed before.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -78,7 +78,6 @@
         """Register the handlers of the control socket."""
         rng = random.Random(f'{cfg.name}/{runtime.incarnation}')
         self._cfg = cfg
-        self._runtime = runtime
         self._connections = connections
         self._belief = belief
         self._segments = segments
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -289,5 +289,8 @@
             )
         self._segments.on_report(report)
 
-    def _on_state(self, req: StateRequest) -> State:
+    def _on_state(self, req: StateRequest) -> State | None:
+        """Return the records; a starting gateway takes them for complete."""
+        if not req.services and not self._state.router.knows_all:
+            return None
         return self._state.store.state(self._state.cfg.name, req.services)
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -0,0 +1,166 @@
+"""What a gateway tells others, and when it may get traffic."""
+
+import random
+from typing import Any
+from unittest import mock
+
+import pytest
+from trefoilhaven.gateway.discovery import DiscoveryTask
+from trefoilhaven.gateway.segments import SegmentTask
+from trefoilhaven.gateway.state import HEARING_S, GatewayState
+from trefoilhaven_core.connections.contents import ROUTES_NAME, encode_routes
+from trefoilhaven_core.connections.messages import (
+    ConnectionLoad,
+    TargetReport,
+)
+from trefoilhaven_core.connections.routes import (
+    AddressRoute,
+    RouteConfiguration,
+    WeightedService,
+)
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Member,
+    MemberState,
+    State,
+    StateRequest,
+)
+from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.settings.types import GatewaySettings
+from trefoilhaven_core.telemetry.runtimes import make_runtime
+from trefoilhaven_core.wire.codec import make_codec
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.transfers import TransferEndpoint
+
+CONTROL = Address('127.0.0.1', 7000)
+
+
+class Handlers(TransferEndpoint):
+    """An endpoint that only keeps its handlers."""
+
+    def __init__(self, **kwargs: Any) -> None:
+        """Start without handlers."""
+        super().__init__(**kwargs)
+        self.by_type: dict[type, Any] = {}
+
+    def on(self, kind: type, handler: Any) -> None:
+        """Keep a handler."""
+        self.by_type[kind] = handler
+
+
+def make_state() -> GatewayState:
+    """Return the state of a gateway that has just started."""
+    cfg = GatewaySettings(
+        'g1',
+        'host-1',
+        'a',
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        (),
+        'info',
+        CONTROL,
+    )
+    return GatewayState(cfg, make_runtime('g1'), random.Random(1))
+
+
+def make_member(name: str) -> Member:
+    """Return a target's record."""
+    return Member(
+        'certify',
+        name,
+        f'host-{name}',
+        'a',
+        1,
+        1,
+        MemberState.alive,
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        2,
+    )
+
+
+@pytest.fixture(name='handlers')
+def handlers_fixture() -> tuple[GatewayState, Handlers]:
+    """Return a gateway's state and its handlers of calls."""
+    state = make_state()
+    codec = make_codec()
+    clock = state.runtime.clock
+    endpoint = DatagramEndpoint(codec, clock)
+    transfers = Handlers(codec=codec, clock=clock)
+    adapter = mock.Mock(spec=PlatformAdapter)
+    segments = SegmentTask(state, adapter, endpoint)
+    DiscoveryTask(
+        state, adapter, endpoint, transfers, segments, random.Random(1)
+    )
+    return state, transfers
+
+
+Pair = tuple[GatewayState, Handlers]
+
+
+class TestState:
+    """States for gateways that start."""
+
+    def test_incomplete(self, handlers: Pair) -> None:
+        """Guards against a part of the targets that is taken for all.
+
+        A gateway that knows all resets connections that none of its
+        targets holds.
+        """
+        _, transfers = handlers
+        answer = transfers.by_type[StateRequest]
+        assert answer(StateRequest('g2')) is None
+
+    def test_complete(self, handlers: Pair) -> None:
+        """Guards against a gateway that nobody helps while it starts."""
+        state, transfers = handlers
+        state.note_complete(0)
+        answer = transfers.by_type[StateRequest]
+        assert isinstance(answer(StateRequest('g2')), State)
+
+
+class TestReadiness:
+    """When the fabric may send segments."""
+
+    def test_order(self) -> None:
+        """Guards against traffic to a gateway that knows too little."""
+        state = make_state()
+        assert 'configuration' in state.find_obstacle(0)
+        route = AddressRoute((1, 443), (WeightedService('certify', 1),))
+        content = encode_routes(RouteConfiguration(3, (route,), 15))
+        state.store.set_configuration(ROUTES_NAME, 3, content)
+        state.refresh([ROUTES_NAME])
+        assert 'list of targets' in state.find_obstacle(0)
+        member = make_member('t1')
+        state.store.merge([member])
+        state.refresh(['certify'])
+        state.note_complete(1)
+        assert 'reported' in state.find_obstacle(1)
+        load = ConnectionLoad()
+        report = TargetReport(member, load, is_cold=False, is_silent=False)
+        state.router.on_report(1, report)
+        assert not state.find_obstacle(1)
+        state.is_stopping = True
+        assert 'stopping' in state.find_obstacle(1)
+
+    def test_silent_targets(self) -> None:
+        """Guards against a gateway that waits for dead targets for ever."""
+        state = make_state()
+        state.store.merge([make_member('t1')])
+        content = encode_routes(RouteConfiguration(1, (), 15))
+        state.store.set_configuration(ROUTES_NAME, 1, content)
+        state.refresh(['certify', ROUTES_NAME])
+        state.note_complete(1)
+        assert state.find_obstacle(1)
+        assert not state.find_obstacle(1 + HEARING_S)
+
+    def test_malformed_routes(self) -> None:
+        """Guards against a crash by routes that can't be read."""
+        state = make_state()
+        state.store.set_configuration(ROUTES_NAME, 9, b'\xc1')
+        state.refresh([ROUTES_NAME])
+        assert state.routes.version == 0
--- a/packages/core/src/trefoilhaven_core/wire/transfers.py
+++ b/packages/core/src/trefoilhaven_core/wire/transfers.py
@@ -25,7 +25,7 @@
 
 _LENGTH_BYTES: Final = 4
 
-TransferHandler = Callable[[Any], NamedTuple]
+TransferHandler = Callable[[Any], 'NamedTuple | None']
 
 
 class TransferError(NamedTuple):
@@ -45,7 +45,10 @@
         self._server: asyncio.Server | None = None
 
     def on(self, kind: type[NamedTuple], handler: TransferHandler) -> None:
-        """Register the handler of a message type."""
+        """Register the handler of a message type.
+
+        A handler that returns None leaves the caller without an answer.
+        """
         self._handlers[kind] = handler
 
     async def start(self, address: Address) -> None:
@@ -98,7 +101,9 @@
             handler = self._handlers.get(type(decoded.ok.message))
             if handler is not None:
                 self._clock.observe(decoded.ok.clock)
-                self._send(writer, handler(decoded.ok.message))
+                answer = handler(decoded.ok.message)
+                if answer is not None:
+                    self._send(writer, answer)
 
     def _send(self, writer: asyncio.StreamWriter, message: NamedTuple) -> None:
         raw = self._codec.encode(message, self._clock.stamp())
