--- a/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
@@ -111,6 +111,20 @@
         assert await registrar.write()
         assert platform.content is None
 
+    async def test_predecessors_object(self, platform: OneObject) -> None:
+        """Guards against an object that outlives its target.
+
+        A restarted agent whose target has ended never wrote the object
+        itself, so that it does not know its version.
+        """
+        platform.version = 7
+        platform.content = 'old'
+        registrar = Registrar(platform, PATH, Random(1))
+        registrar.want(None)
+        for _ in range(3):
+            await registrar.write()
+        assert platform.content is None
+
     async def test_changed_meanwhile(self, platform: OneObject) -> None:
         """Guards against an older content that stays."""
         registrar = Registrar(platform, PATH, Random(1))
