Remove dead names, share HttpAnswer, name only live settings

Found in the last read of the change: two drop and reset causes, the idle time of AddressRoutes and a property of DiscoveryTask had no reader; the HTTP answer stood twice; the reload named seeds as taking effect at once, although both processes read them at the start only. No other change of behaviour; no assertion was touched.

--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -49,7 +49,7 @@
     PlatformAdapter,
 )
 from trefoilhaven_core.platform.backoffs import Backoff
-from trefoilhaven_core.platform.clients import ObjectChange, PlatformClient
+from trefoilhaven_core.platform.clients import ObjectChange
 from trefoilhaven_core.platform.errors import describe_error
 from trefoilhaven_core.platform.registrar import Registrar
 from trefoilhaven_core.platform.watchers import Watcher
@@ -138,11 +138,6 @@
         endpoint.on(TargetReport, self._on_report)
         transfers.on(StateRequest, self._on_state)
 
-    @property
-    def client(self) -> PlatformClient:
-        """Client of the platform's store."""
-        return self._client
-
     async def run(self) -> None:
         """Discover and announce until cancelled."""
         await asyncio.gather(
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -15,7 +15,6 @@
     """Why the system ends a connection."""
 
     no_route = 'no route for the address'
-    no_target = 'no target takes new connections'
     not_held = 'no target holds the connection'
     target_gone = 'the target has ended'
 
@@ -28,7 +27,6 @@
     not_found = 'the holder was not found in time'
     queue_full = 'too many segments wait for the holder'
     other_service = 'segment of another service'
-    unknown_target = 'the target has not announced itself yet'
     malformed = 'malformed segment'
 
 
--- a/packages/core/src/trefoilhaven_core/connections/routes.py
+++ b/packages/core/src/trefoilhaven_core/connections/routes.py
@@ -39,7 +39,6 @@
     def __init__(self) -> None:
         """Start without routes, at version 0."""
         self.version = 0
-        self.idle_timeout_s: float | None = None
         self._routes: dict[ServiceAddress, tuple[WeightedService, ...]] = {}
         self._former: dict[ServiceAddress, frozenset[str]] = {}
 
@@ -52,7 +51,6 @@
         if configuration.version <= self.version:
             return False
         self.version = configuration.version
-        self.idle_timeout_s = configuration.idle_timeout_s
         self._routes = {
             route.address: route.services for route in configuration.routes
         }
--- a/packages/core/src/trefoilhaven_core/platform/http.py
+++ b/packages/core/src/trefoilhaven_core/platform/http.py
@@ -25,6 +25,7 @@
 )
 from trefoilhaven_core.platform.errors import PlatformError
 from trefoilhaven_core.settings import defaults
+from trefoilhaven_core.wire.http import HttpAnswer
 
 # Tries of one call, the first included. Longer outages are the caller's
 # concern, which knows whether the call still matters.
@@ -203,7 +204,7 @@
         query: dict[str, str],
         body: bytes,
         timeout_s: float | None = None,
-    ) -> Result[replies.HttpAnswer, PlatformError]:
+    ) -> Result[HttpAnswer, PlatformError]:
         if self._session is None:
             self._session = aiohttp.ClientSession(middlewares=(_send_once,))
         limit_s = self._timeout_s if timeout_s is None else timeout_s
@@ -218,7 +219,7 @@
             ) as response:
                 retry_after = response.headers.get('Retry-After', '')
                 content = await response.read()
-                answer = replies.HttpAnswer(
+                answer = HttpAnswer(
                     response.status,
                     retry_after,
                     content,
--- a/packages/core/src/trefoilhaven_core/platform/replies.py
+++ b/packages/core/src/trefoilhaven_core/platform/replies.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple, TypedDict, TypeVar
+from typing import Any, Final, TypedDict, TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
@@ -16,6 +16,7 @@
 )
 from trefoilhaven_core.platform.errors import PlatformError
 from trefoilhaven_core.settings import defaults
+from trefoilhaven_core.wire.http import HttpAnswer
 
 _RETRY_AFTER_S: Final = 1.0
 _SERVER_FAULTS: Final = 500
@@ -23,14 +24,6 @@
 _Value = TypeVar('_Value')
 
 
-class HttpAnswer(NamedTuple):
-    """Status, Retry-After header and body of an answer."""
-
-    status: int
-    retry_after: str
-    body: bytes
-
-
 class _ObjectReply(TypedDict):
     path: str
     version: int
--- a/packages/core/src/trefoilhaven_core/settings/reloads.py
+++ b/packages/core/src/trefoilhaven_core/settings/reloads.py
@@ -11,7 +11,7 @@
 logger = logging.getLogger(__name__)
 
 # Fields that take effect without a restart.
-LIVE_FIELDS = frozenset(('log_level', 'seeds'))
+LIVE_FIELDS = frozenset(('log_level',))
 
 LoadSettings = Callable[[], Result[Any, Findings]]
 
@@ -26,8 +26,8 @@
 class SettingsReloader:
     """Reads the settings again at SIGHUP.
 
-    Faulty settings are logged and change nothing. Addresses and names
-    take effect at the next start.
+    Faulty settings are logged and change nothing. All other
+    fields take effect at the next start.
     """
 
     def __init__(self, settings: Any, load: LoadSettings) -> None:
