Ask a mute target at once whether it lives; leave out targets that fail quickly

Cause: an agent noticed the crash of its target only by two missing heartbeats (2.6 s), while its clients waited for their deadlines; and a target that fails requests at once has none waiting, so that the choice by load prefers it. Ruled out: reading the answers, which belong to the ends. Change: a target that has left segments unanswered for 0.15 s is asked by a TCP connection, and a refused one resets its connections at once (sidecar.checks). Agents learn the usual time and first segment of answers and report the share of odd ones (connections.answers); gateways count it against the usual share of the service (connections.spreads).

--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/checks.py
@@ -0,0 +1,55 @@
+"""When an agent asks whether its target still lives.
+
+Pure decision code. A question is one TCP connection, which the target has
+to accept, so that it is not asked more often than the signs call for.
+"""
+
+import math
+from typing import Final
+
+# A target that misses two heartbeats is asked whether it lives.
+SILENT_TARGET_S: Final = 2.6
+
+# A target with segments to answer that has sent nothing for this time may
+# have crashed. Work of its own can keep it mute as long, so that it is
+# asked again only after twice the time.
+MUTE_TARGET_S: Final = 0.15
+
+# Pauses between two questions about a target that departs or is silent.
+DEPARTING_PAUSE_S: Final = 0.2
+SILENT_PAUSE_S: Final = 1.0
+
+
+class CheckSchedule:
+    """Decides when to ask; times are monotonic, in seconds."""
+
+    def __init__(self) -> None:
+        """Start before the first question."""
+        self._asked_at = -math.inf
+        self._mute_limit_s = MUTE_TARGET_S
+
+    def is_due(
+        self, now: float, silent_s: float, mute_s: float, *, departing: bool
+    ) -> bool:
+        """Tell whether to ask now.
+
+        ``silent_s`` is the time since the last heartbeat, and ``mute_s``
+        that since the first segment which the target has left unanswered.
+        """
+        if mute_s < MUTE_TARGET_S:
+            self._mute_limit_s = MUTE_TARGET_S
+        is_mute = mute_s >= self._mute_limit_s
+        if is_mute:
+            self._mute_limit_s = 2 * mute_s
+        pause_s = _pause_s(silent_s, departing=departing)
+        if not is_mute and (pause_s is None or now - self._asked_at < pause_s):
+            return False
+        self._asked_at = now
+        return True
+
+
+def _pause_s(silent_s: float, *, departing: bool) -> float | None:
+    """Return the pause between two questions, None without a sign."""
+    if departing:
+        return DEPARTING_PAUSE_S
+    return SILENT_PAUSE_S if silent_s > SILENT_TARGET_S else None
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from trefoilhaven_agent.sidecar.balancers import KnownBalancers
+from trefoilhaven_agent.sidecar.checks import CheckSchedule
 from trefoilhaven_agent.sidecar.segments import SegmentTask
 from trefoilhaven_agent.sidecar.targets import Noted, TargetBelief
 from trefoilhaven_core.connections.holders import HeldConnections
@@ -48,11 +49,9 @@
 # get every second report.
 FAR_TURNS: Final = 2
 
-# A target that misses two heartbeats is asked whether it lives.
-SILENT_TARGET_S: Final = 2.6
-CHECK_S: Final = 0.2
+# Time between two looks at the signs that a target has ended.
+CHECK_S: Final = 0.1
 CHECK_TIMEOUT_S: Final = 0.15
-SILENT_CHECK_S: Final = 1.0
 
 LIST_BACKOFF_S: Final = 0.6
 LIST_BACKOFF_LIMIT_S: Final = 1.2
@@ -199,7 +198,7 @@
             near = self._balancers.addresses(near_only=True)
             await asyncio.sleep(changed_report_interval_s(len(near)))
             member = self._belief.member
-            load = self._connections.load()
+            load = self._connections.load(monotonic())
             if member is not None and load.waiting != self._reported_waiting:
                 self._send(member, near)
 
@@ -216,7 +215,7 @@
 
     def _send(self, member: Member, addresses: Iterable[Address]) -> None:
         now = monotonic()
-        load = self._connections.load()
+        load = self._connections.load(now)
         self._reported_waiting = load.waiting
         report = TargetReport(
             member,
@@ -256,15 +255,22 @@
             self._send_all(self._belief.member)
 
     async def _check_target(self) -> None:
-        """Ask a target that departs or is silent whether it lives."""
+        """Ask a target that departs or says nothing whether it lives."""
+        schedule = CheckSchedule()
         while True:
-            silent_s = self._belief.silent_s(monotonic())
-            is_silent = silent_s > SILENT_TARGET_S
-            if self._departing or is_silent:
-                if await self._is_target_gone():
-                    self._on_gone()
-                    self._departing = False
-            await asyncio.sleep(SILENT_CHECK_S if is_silent else CHECK_S)
+            now = monotonic()
+            has_target = self._belief.member is not None
+            mute_s = self._connections.mute_s(now) if has_target else 0.0
+            is_due = schedule.is_due(
+                now,
+                self._belief.silent_s(now),
+                mute_s,
+                departing=self._departing,
+            )
+            if is_due and await self._is_target_gone():
+                self._on_gone()
+                self._departing = False
+            await asyncio.sleep(CHECK_S)
 
     def _on_gone(self) -> None:
         noted = self._belief.on_gone()
--- a/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
@@ -59,7 +59,9 @@
         self._dropped = metrics.counter('segments_dropped')
         self._resets = metrics.counter('connections_reset')
         metrics.gauge('connections', lambda: len(connections))
-        metrics.gauge('waiting_requests', lambda: connections.load().waiting)
+        metrics.gauge(
+            'waiting_requests', lambda: connections.load(monotonic()).waiting
+        )
         endpoint.on(SegmentForward, self._on_forward)
         endpoint.on(HolderQuery, self._on_query)
 
--- a/packages/core/src/trefoilhaven_core/connections/holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/holders.py
@@ -74,6 +74,7 @@
         self.saw_start = False
         self.accepts = False
         self._opening_at: float | None = None
+        self._unanswered_at: float | None = None
         self._tried_at = -math.inf
         self._table = HeldTable(idle_timeout_s)
         self._probes: dict[ConnectionKey, _Probe] = {}
@@ -88,9 +89,18 @@
         asked_at = self._opening_at
         return asked_at is not None and now - asked_at >= SILENT_S
 
-    def load(self) -> ConnectionLoad:
+    def mute_s(self, now: float) -> float:
+        """Return how long the target has sent nothing, in seconds.
+
+        The time counts from the first segment that it was handed and that
+        calls for an answer; without one it is 0.
+        """
+        started_at = self._unanswered_at
+        return 0.0 if started_at is None else now - started_at
+
+    def load(self, now: float) -> ConnectionLoad:
         """Return the target's load."""
-        return self._table.load()
+        return self._table.load(now)
 
     def set_target(self, identity: Identity, saw_start: bool) -> list[Effect]:
         """Take the target that announced itself.
@@ -114,6 +124,7 @@
         self._table.clear()
         self._probes.clear()
         self._opening_at = None
+        self._unanswered_at = None
         self.accepts = False
         return effects
 
@@ -137,7 +148,7 @@
         ):
             held.balancer = balancer
             self._table.on_client(now, held, segment)
-            return [DeliverToTarget(segment.raw)]
+            return self._deliver(now, segment)
         if segment.is_opening:
             return self._open(now, forward, segment, balancer)
         if held is None and self._may_hold(now, segment.key):
@@ -162,6 +173,7 @@
     def on_target_segment(self, now: float, segment: Segment) -> list[Effect]:
         """Decide about a segment that the target sent."""
         self._opening_at = None
+        self._unanswered_at = None
         if segment.flags & SegmentFlag.bounced:
             return self._on_refused(now, segment)
         effects: list[Effect] = [SendToClient(segment.key, segment.raw)]
@@ -171,7 +183,7 @@
             held.is_open = True
             effects.extend(self._settle_probe(segment.key))
         if segment.is_accepting:
-            effects.extend(self._on_accepting(segment, held))
+            effects.extend(self._on_accepting(now, segment, held))
         self._table.on_target(now, held, segment)
         return effects
 
@@ -236,7 +248,7 @@
             self._opening_at = now
         held = self._table.add(now, segment.key, balancer)
         self._table.on_client(now, held, segment)
-        return [DeliverToTarget(segment.raw)]
+        return self._deliver(now, segment)
 
     def _offer(
         self,
@@ -250,6 +262,12 @@
             return []
         probe = _Probe(balancer, _asked(forward), now)
         self._probes[segment.key] = probe
+        return self._deliver(now, segment)
+
+    def _deliver(self, now: float, segment: Segment) -> list[Effect]:
+        calls_for_answer = segment.is_opening or segment.length > 0
+        if calls_for_answer and self._unanswered_at is None:
+            self._unanswered_at = now
         return [DeliverToTarget(segment.raw)]
 
     def _on_refused(self, now: float, segment: Segment) -> list[Effect]:
@@ -272,13 +290,15 @@
             return [ResetClient(segment.key, segment.acknowledged, cause)]
         return [_return(held.balancer, self.identity, reason, segment)]
 
-    def _on_accepting(self, segment: Segment, held: Held) -> Iterable[Effect]:
+    def _on_accepting(
+        self, now: float, segment: Segment, held: Held
+    ) -> Iterable[Effect]:
         is_first = held.first_sequence is None
         held.first_sequence = segment.sequence
         identity = self.identity
         if not is_first or identity is None or held.balancer is None:
             return ()
-        message = ConnectionAccepted(*identity, segment.key, self.load())
+        message = ConnectionAccepted(*identity, segment.key, self.load(now))
         return (SendMessage(held.balancer, message),)
 
     def _settle_probe(self, key: ConnectionKey) -> list[Effect]:
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -100,12 +100,14 @@
     """Load of a target as its agent counts it from passing segments.
 
     ``waiting`` counts the connections with a request that has no answer
-    yet; ``service_time_s`` is the mean time until the answer begins.
+    yet; ``service_time_s`` is the mean time until the answer begins, and
+    ``odd_share`` the share of the latest answers that look like failures.
     """
 
     connections: int = 0
     waiting: int = 0
     service_time_s: float = 0
+    odd_share: float = 0
 
 
 class Identity(NamedTuple):
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from trefoilhaven_core.connections.messages import (
@@ -27,6 +27,12 @@
 # the same ones: without the draw they would all choose the same target.
 CLOSE_SHARE: Final = 0.3
 
+# A target whose latest answers look like failures counts as busy by this
+# many times its share of them above the usual one of its service. Shares
+# that differ by less than the margin are chance.
+ODD_COST: Final = 4.0
+ODD_MARGIN: Final = 0.2
+
 # An open connection without a request counts as this part of a busy one.
 IDLE_WEIGHT: Final = 0.05
 
@@ -167,9 +173,13 @@
             for target in usable
             if now - target.seen_at < SILENT_S and not target.is_silent
         ]
-        costs = [(self._cost(target), target) for target in heard or usable]
-        if not costs:
+        candidates = heard or usable
+        if not candidates:
             return None
+        usual_odd = _usual_odd_share(candidates)
+        costs = [
+            (self._cost(target, usual_odd), target) for target in candidates
+        ]
         lowest = min(cost for cost, _ in costs)
         chosen = rng.choice(
             [target for cost, target in costs if cost < lowest + CLOSE_SHARE]
@@ -177,7 +187,17 @@
         chosen.placed += 1
         return chosen.member
 
-    def _cost(self, target: _Target) -> float:
+    def _cost(self, target: _Target, usual_odd: float) -> float:
         share = target.busy_share()
+        excess = target.load.odd_share - usual_odd
+        if excess > ODD_MARGIN:
+            share += ODD_COST * excess
         is_near = target.member.failure_domain == self._domain
         return share if is_near else share + DOMAIN_SHARE
+
+
+def _usual_odd_share(targets: Sequence[_Target]) -> float:
+    """Return the median share of odd answers."""
+    # The module statistics would delay each start by 3 ms.
+    shares = sorted(target.load.odd_share for target in targets)
+    return shares[(len(shares) - 1) // 2]
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from trefoilhaven_core.connections.answers import AnswerForm
 from trefoilhaven_core.connections.messages import (
     SEQUENCE_SPACE,
     ConnectionKey,
@@ -89,6 +90,7 @@
         self._held: dict[ConnectionKey, Held] = {}
         self._idle_timeout_s = idle_timeout_s
         self._open = 0
+        self._form = AnswerForm()
         self._service_time_s = 0.0
         self._waiting = 0
 
@@ -117,8 +119,9 @@
         return held
 
     def clear(self) -> None:
-        """Remove all connections."""
+        """Remove all connections of a target that has ended."""
         self._held.clear()
+        self._form = AnswerForm()
         self._open = 0
         self._waiting = 0
 
@@ -130,9 +133,14 @@
             if held.closed_at is None
         )
 
-    def load(self) -> ConnectionLoad:
+    def load(self, now: float) -> ConnectionLoad:
         """Return the target's load."""
-        return ConnectionLoad(self._open, self._waiting, self._service_time_s)
+        return ConnectionLoad(
+            self._open,
+            self._waiting,
+            self._service_time_s,
+            round(self._form.odd_share(now), 2),
+        )
 
     def on_client(self, now: float, held: Held, segment: Segment) -> None:
         """Note a client's segment of a connection."""
@@ -155,8 +163,10 @@
         """Note a target's segment of a connection."""
         held.seen_at = now
         if segment.length:
-            self._on_answer(now, held)
+            self._on_answer(now, held, segment.length)
         if segment.flags & SegmentFlag.reset:
+            if held.requested_at is not None:
+                self._form.on_broken_off(now)
             self._close(now, held)
         elif segment.flags & SegmentFlag.last:
             held.target_closed = True
@@ -171,12 +181,13 @@
         for key in gone:
             self.remove(key)
 
-    def _on_answer(self, now: float, held: Held) -> None:
+    def _on_answer(self, now: float, held: Held, first_bytes: int) -> None:
         if held.requested_at is None:
             return
         taken_s = now - held.requested_at
         held.requested_at = None
         self._waiting -= 1
+        self._form.on_answer(now, taken_s, first_bytes)
         if not self._service_time_s:
             self._service_time_s = taken_s
         difference_s = taken_s - self._service_time_s
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
@@ -1,5 +1,6 @@
 """Decisions of an agent about segments."""
 
+import pytest
 from trefoilhaven_core.connections.effects import (
     DeliverToTarget,
     DropSegment,
@@ -245,6 +246,22 @@
         table.on_target_segment(2, accepting(KEY, FIRST))
         assert not table.is_silent(2)
 
+    def test_mute(self) -> None:
+        """Guards against a crash that shows only when heartbeats are missing.
+
+        The target may still accept openings of its own, so that data alone
+        must start the time.
+        """
+        table = make_table()
+        open_connection(table)
+        assert not table.mute_s(1.0)
+        forward(table, data(), now=1.0)
+        forward(table, data(sequence=200), now=1.2)
+        assert table.mute_s(1.3) == pytest.approx(0.3)
+        answer = make_segment(KEY, SegmentFlag.acknowledges, FIRST + 1, 9, 50)
+        table.on_target_segment(1.4, answer)
+        assert not table.mute_s(2.0)
+
 
 class TestEnd:
     """Targets and connections that end."""
@@ -279,7 +296,7 @@
         last = SegmentFlag.last | SegmentFlag.acknowledges
         forward(table, make_segment(KEY, last, 9, FIRST + 1))
         table.on_target_segment(1, make_segment(KEY, last, FIRST + 1, 10))
-        assert table.load().connections == 0
+        assert table.load(1.0).connections == 0
         table.forget(1 + CLOSED_S / 2)
         assert len(table) == 1
         table.forget(1 + CLOSED_S)
@@ -295,16 +312,16 @@
         open_connection(table)
         forward(table, data())
         forward(table, data())
-        assert table.load().waiting == 1
+        assert table.load(1.0).waiting == 1
         answer = make_segment(KEY, SegmentFlag.acknowledges, FIRST + 1, 9, 50)
         table.on_target_segment(1.04, answer)
-        assert table.load().waiting == 0
-        assert abs(table.load().service_time_s - 0.04) < 1e-9
+        assert table.load(1.0).waiting == 0
+        assert abs(table.load(1.0).service_time_s - 0.04) < 1e-9
         # A repeat of data that was answered is not another request.
         forward(table, data(), now=1.2)
-        assert table.load().waiting == 0
+        assert table.load(1.0).waiting == 0
         forward(table, data(sequence=200), now=1.3)
-        assert table.load().waiting == 1
+        assert table.load(1.0).waiting == 1
 
     def test_forgotten(self) -> None:
         """Guards against a count that grows with lost connections."""
@@ -312,4 +329,4 @@
         open_connection(table)
         forward(table, data())
         table.forget(100)
-        assert table.load().waiting == 0
+        assert table.load(1.0).waiting == 0
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -141,6 +141,24 @@
             bench.router.on_report(0.05, report._replace(is_silent=True))
         assert bench.open() == 't3'
 
+    def test_failing_is_left_out(self) -> None:
+        """Guards against a target that looks free since it fails at once."""
+        bench = Bench()
+        bench.report(0.05, t1=2, t2=2)
+        failing = ConnectionLoad(1, 0, 0.001, odd_share=0.8)
+        report = make_report(bench.members['t3'])
+        bench.router.on_report(0.05, report._replace(load=failing))
+        assert bench.open() in {'t1', 't2'}
+
+    def test_all_answer_alike(self) -> None:
+        """Guards against a changed service whose targets all look odd."""
+        bench = Bench()
+        for name, waiting in (('t1', 2), ('t2', 2), ('t3', 0)):
+            load = ConnectionLoad(2, waiting, 0.001, odd_share=0.8)
+            report = make_report(bench.members[name])
+            bench.router.on_report(0.05, report._replace(load=load))
+        assert bench.open() == 't3'
+
     def test_draining_is_left_out(self) -> None:
         """Guards against new work at a target that leaves."""
         bench = Bench()
--- a/packages/core/src/trefoilhaven_core/connections/tests/world.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/world.py
@@ -256,7 +256,7 @@
 
     def _report(self, target: Target) -> None:
         if target.is_agent_up and target.is_alive:
-            load = target.agent.load()
+            load = target.agent.load(self.now)
             report = support.make_report(
                 target.member, load.connections, load.waiting
             )
