Read the list of balancers at a lower price

Change: agents allow an old list, which the store serves at a tenth of the price; balancers beyond the first six end their watches after 24 s.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -238,7 +238,8 @@
             await asyncio.sleep(self._backoff.next_s())
 
     async def _list_once(self) -> None:
-        listed = await self._client.list(BALANCERS_PREFIX)
+        # Balancers that are missing in an old list are in a later one.
+        listed = await self._client.list(BALANCERS_PREFIX, may_be_old=True)
         if listed.is_error():
             logger.warning(
                 'balancers not read',
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -66,7 +66,7 @@
 # it from them. Each watch that ends costs a call.
 WATCHERS: Final = 6
 WATCH_S: Final = 3.0
-OTHER_WATCH_S: Final = 12.0
+OTHER_WATCH_S: Final = 24.0
 WATCH_BACKOFF_LIMIT_S: Final = 0.5
 
 LIST_BACKOFF_LIMIT_S: Final = 1.0
--- a/packages/core/src/trefoilhaven_core/platform/clients.py
+++ b/packages/core/src/trefoilhaven_core/platform/clients.py
@@ -72,8 +72,14 @@
         """Delete an object of the expected version."""
 
     @abstractmethod
-    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
-        """Return all objects whose path starts with a prefix."""
+    async def list(
+        self, prefix: str, *, may_be_old: bool = False
+    ) -> Result[Listing, PlatformError]:
+        """Return all objects whose path starts with a prefix.
+
+        With ``may_be_old`` the platform may answer with what it held some
+        seconds ago, where it has a cheaper call for that.
+        """
 
     @abstractmethod
     async def watch(
--- a/packages/core/src/trefoilhaven_core/platform/http.py
+++ b/packages/core/src/trefoilhaven_core/platform/http.py
@@ -117,7 +117,9 @@
             ),
         )
 
-    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+    async def list(
+        self, prefix: str, *, may_be_old: bool = False
+    ) -> Result[Listing, PlatformError]:
         """Return all objects whose path starts with a prefix."""
         return await self._retry(
             lambda: self._read(
--- a/packages/core/src/trefoilhaven_core/platform/tests/support.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/support.py
@@ -73,7 +73,9 @@
         """Not needed by any test yet."""
         raise NotImplementedError
 
-    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+    async def list(
+        self, prefix: str, *, may_be_old: bool = False
+    ) -> Result[Listing, PlatformError]:
         """Return all objects."""
         if self.is_down:
             return Error(DOWN)
--- a/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
@@ -61,7 +61,9 @@
         self.content = None
         return Ok(None)
 
-    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+    async def list(
+        self, prefix: str, *, may_be_old: bool = False
+    ) -> Result[Listing, PlatformError]:
         """Not called."""
         raise NotImplementedError
 
