Place long connections by their number; take lost hosts out of searches

Causes: (1) at a crest, targets with one slot reject work although others are free: connections that carry many requests were placed by the load of the moment, and differences of up to six connections were ignored. Ruled out for (1): short work, which the load of the moment serves well. Change: (1) balancers count requests for each opening of an address (connections.patterns) and place long ones by connections. (2) A balancer that hears the other agents takes one that was silent for 6 s, or three report intervals, as gone (connections.absences); after a pause or a cut of its own it waits as long again.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -16,6 +16,7 @@
     TargetReport,
 )
 from trefoilhaven_core.connections.pacing import (
+    FAR_TURNS,
     changed_report_interval_s,
     report_interval_s,
 )
@@ -45,10 +46,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Balancers of the own failure domain choose this target most; the others
-# get every second report.
-FAR_TURNS: Final = 2
-
 # Time between two looks at the signs that a target has ended.
 CHECK_S: Final = 0.1
 CHECK_TIMEOUT_S: Final = 0.15
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -24,7 +24,11 @@
     BalancerHello,
     TargetReport,
 )
-from trefoilhaven_core.connections.pacing import HELLO_S, hello_interval_s
+from trefoilhaven_core.connections.pacing import (
+    HELLO_S,
+    far_report_interval_s,
+    hello_interval_s,
+)
 from trefoilhaven_core.membership.dissemination import Disseminator
 from trefoilhaven_core.membership.messages import (
     Address,
@@ -170,6 +174,9 @@
                 self.gossip.take_changes(Changes(name, (), found.balancers))
             self.gossip.tick(now, found.probes)
             self._state.store.forget(now)
+            balancers = len(self._state.store.balancers)
+            absences = self._state.spread.absences
+            absences.report_s = far_report_interval_s(balancers)
             await asyncio.sleep(TICK_S)
 
     async def _greet(self) -> None:
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/absences.py
@@ -0,0 +1,61 @@
+"""Which targets a balancer may take as gone for good.
+
+A host that fails for good takes its agent with it, and nobody announces
+the end of its target. A balancer may conclude it from silence only while
+it hears the others: after a pause or a cut of its own, all are silent.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+# An agent that is silent for this time, in seconds, is gone. The planned
+# restart of an agent takes less than 3 s.
+GONE_S: Final = 6.0
+
+# A balancer is in touch while it has heard this share of the agents lately.
+TOUCH_SHARE: Final = 0.5
+LATELY_S: Final = 2.0
+
+# Time between two looks, and the gap that shows a pause of the process.
+LOOK_S: Final = 0.25
+PAUSE_S: Final = 1.0
+
+
+class AbsenceJudge:
+    """Tells whether silence means that an agent is gone.
+
+    ``report_s`` is the time between two reports of one agent in a large
+    fleet, where it exceeds the usual one; times are in seconds.
+    """
+
+    def __init__(self) -> None:
+        """Start without having heard anybody."""
+        self.report_s = 0.0
+        self._looked_at: float | None = None
+        self._in_touch_since: float | None = None
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether it is time to look."""
+        return self._looked_at is None or now - self._looked_at >= LOOK_S
+
+    def look(self, now: float, silences: Sequence[float]) -> None:
+        """Note for how long each agent has been silent."""
+        looked_at = self._looked_at
+        self._looked_at = now
+        if looked_at is not None and now - looked_at > PAUSE_S:
+            self._in_touch_since = None
+        lately_s = max(LATELY_S, 2 * self.report_s)
+        heard = sum(silent_s < lately_s for silent_s in silences)
+        if not silences or heard < TOUCH_SHARE * len(silences):
+            self._in_touch_since = None
+        elif self._in_touch_since is None:
+            self._in_touch_since = now
+
+    def is_gone(self, now: float, silent_s: float) -> bool:
+        """Tell whether an agent that is silent for so long is gone."""
+        since = self._in_touch_since
+        if since is None or self._looked_at is None:
+            return False
+        limit_s = max(GONE_S, 3 * self.report_s)
+        is_awake = now - self._looked_at <= PAUSE_S
+        return is_awake and silent_s >= limit_s and now - since >= limit_s
--- a/packages/core/src/trefoilhaven_core/connections/pacing.py
+++ b/packages/core/src/trefoilhaven_core/connections/pacing.py
@@ -17,6 +17,10 @@
 HELLO_S: Final = 1.0
 REPORT_S: Final = 0.25
 
+# Balancers of other failure domains choose a target less often and get only
+# every second report.
+FAR_TURNS: Final = 2
+
 # A load that changed is reported to the near balancers after this time.
 CHANGED_REPORT_S: Final = 0.08
 
@@ -33,8 +37,10 @@
 
 
 def report_interval_s(balancers: int) -> float:
-    """Return the interval between two reports to all balancers.
-
-    Balancers of other failure domains get every second report.
-    """
+    """Return the interval between two reports to the near balancers."""
     return max(REPORT_S, balancers * REPORT_BYTES / REPORT_BYTES_PER_S)
+
+
+def far_report_interval_s(balancers: int) -> float:
+    """Return the interval between two reports to the other balancers."""
+    return FAR_TURNS * report_interval_s(balancers)
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from typing import Final
 
 from trefoilhaven_core.connections.effects import (
@@ -32,7 +32,8 @@
     TargetReport,
     Verdict,
 )
-from trefoilhaven_core.connections.routes import AddressRoutes
+from trefoilhaven_core.connections.patterns import ConnectionPattern
+from trefoilhaven_core.connections.routes import AddressRoutes, ServiceAddress
 from trefoilhaven_core.connections.spreads import TargetSpread
 from trefoilhaven_core.membership.messages import Member, MemberState
 
@@ -75,6 +76,9 @@
         self._spread = spread
         self._rng = rng
         self._cache: OrderedDict[ConnectionKey, _Route] = OrderedDict()
+        self._patterns: defaultdict[ServiceAddress, ConnectionPattern] = (
+            defaultdict(ConnectionPattern)
+        )
         self._searches: dict[ConnectionKey, Search] = {}
 
     def __len__(self) -> int:
@@ -99,6 +103,8 @@
             return self._on_opening(now, segment, known)
         if known is not None:
             self._cache.move_to_end(segment.key)
+            if segment.length:
+                self._patterns[address].on_request()
             return [self._forward(known, segment)]
         search = self._searches.get(segment.key)
         if search is not None:
@@ -152,6 +158,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Go on with all searches; call it about every 20 ms."""
+        self._spread.tick(now)
         effects: list[Effect] = []
         for search in tuple(self._searches.values()):
             effects.extend(search.tick(now))
@@ -214,12 +221,16 @@
         service = self._routes.choose(address, self._rng)
         if service is None:
             return self._on_no_route(segment)
-        member = self._spread.choose(now, self._rng, service, tried)
-        if member is None:
-            for other in self._routes.alternatives(address, service):
-                member = self._spread.choose(now, self._rng, other, tried)
-                if member is not None:
-                    break
+        pattern = self._patterns[address]
+        if not tried:
+            pattern.on_opening()
+        member = None
+        for each in (service, *self._routes.alternatives(address, service)):
+            member = self._spread.choose(
+                now, self._rng, each, tried, is_long=pattern.is_long
+            )
+            if member is not None:
+                break
         if member is None:
             return [DropSegment(segment, DropCause.no_target)]
         route = self._remember(segment.key, member)
@@ -235,8 +246,10 @@
 
     def _search(self, now: float, segment: Segment) -> list[Effect]:
         services = self._routes.holders(segment.key[2:])
-        members = self._spread.members(services)
-        others = self._spread.members(self._spread.services - services)
+        members = self._spread.possible_holders(now, services)
+        others = self._spread.possible_holders(
+            now, self._spread.services - services
+        )
         if not members:
             return [DropSegment(segment, DropCause.no_target)]
         search = Search(now, segment, members, others, self.knows_all)
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
+from trefoilhaven_core.connections.absences import AbsenceJudge
 from trefoilhaven_core.connections.messages import (
     ConnectionLoad,
     TargetReport,
@@ -33,6 +34,12 @@
 ODD_COST: Final = 4.0
 ODD_MARGIN: Final = 0.2
 
+# A connection that stays is placed by the connections of the targets, as a
+# share of their mean. The slots that are busy at the moment count less, and
+# those whose cost differs by less than the last share are taken as equal.
+LONG_BUSY_WEIGHT: Final = 0.25
+LONG_CLOSE_SHARE: Final = 0.1
+
 # An open connection without a request counts as this part of a busy one.
 IDLE_WEIGHT: Final = 0.05
 
@@ -43,6 +50,7 @@
     __slots__ = (
         'is_cold',
         'is_silent',
+        'listed_at',
         'load',
         'member',
         'placed',
@@ -52,11 +60,22 @@
     def __init__(self, member: Member) -> None:
         self.is_cold = False
         self.is_silent = False
+        self.listed_at: float | None = None
         self.load = ConnectionLoad()
         self.member = member
         self.placed = 0
         self.seen_at = -math.inf
 
+    def silent_s(self, now: float) -> float:
+        """Return the time since the last report, or since it is known."""
+        listed_at = now if self.listed_at is None else self.listed_at
+        return now - max(self.seen_at, listed_at)
+
+    def connections(self) -> float:
+        """Return the connections for each slot."""
+        open_ones = self.load.connections + self.placed
+        return open_ones / max(1, self.member.slots)
+
     def busy_share(self) -> float:
         """Return the busy share of the slots, also above 1."""
         idle = self.load.connections - self.load.waiting
@@ -70,6 +89,7 @@
 
     def __init__(self, failure_domain: str) -> None:
         """Start without targets, at a balancer of a failure domain."""
+        self.absences = AbsenceJudge()
         self._domain = failure_domain
         self._targets: dict[str, dict[str, _Target]] = {}
 
@@ -123,6 +143,32 @@
             if target.member.state < MemberState.left
         ]
 
+    def tick(self, now: float) -> None:
+        """Note who is silent; call it at least every 0.2 s."""
+        if not self.absences.is_due(now):
+            return
+        silences = []
+        for known in self._targets.values():
+            for target in known.values():
+                if target.listed_at is None:
+                    target.listed_at = now
+                if target.member.state < MemberState.left:
+                    silences.append(target.silent_s(now))
+        self.absences.look(now, silences)
+
+    def possible_holders(
+        self, now: float, services: Iterable[str]
+    ) -> list[Member]:
+        """Return the members of services that are not gone for good."""
+        return [
+            member
+            for member in self.members(services)
+            if not self.absences.is_gone(
+                now,
+                self._targets[member.service][member.target].silent_s(now),
+            )
+        ]
+
     def heard_share(self) -> float:
         """Return the share of all targets that have reported, 1 for none."""
         targets = [
@@ -157,10 +203,13 @@
         rng: random.Random,
         service: str,
         excluded: Collection[str] = (),
+        *,
+        is_long: bool = False,
     ) -> Member | None:
         """Return the target of a new connection and count it there.
 
-        Silent targets are taken when there are no others.
+        Silent targets are taken when there are no others. ``is_long`` tells
+        that the connection will carry many requests.
         """
         usable = [
             target
@@ -177,23 +226,43 @@
         if not candidates:
             return None
         usual_odd = _usual_odd_share(candidates)
+        shares = (
+            _long_shares(candidates)
+            if is_long
+            else [target.busy_share() for target in candidates]
+        )
         costs = [
-            (self._cost(target, usual_odd), target) for target in candidates
+            share + self._surcharge(target, usual_odd)
+            for share, target in zip(shares, candidates, strict=True)
         ]
-        lowest = min(cost for cost, _ in costs)
+        close = LONG_CLOSE_SHARE if is_long else CLOSE_SHARE
+        limit = min(costs) + close
         chosen = rng.choice(
-            [target for cost, target in costs if cost < lowest + CLOSE_SHARE]
+            [
+                target
+                for cost, target in zip(costs, candidates, strict=True)
+                if cost < limit
+            ]
         )
         chosen.placed += 1
         return chosen.member
 
-    def _cost(self, target: _Target, usual_odd: float) -> float:
-        share = target.busy_share()
-        excess = target.load.odd_share - usual_odd
-        if excess > ODD_MARGIN:
-            share += ODD_COST * excess
+    def _surcharge(self, target: _Target, usual_odd: float) -> float:
+        """Return what a target costs beside its load."""
         is_near = target.member.failure_domain == self._domain
-        return share if is_near else share + DOMAIN_SHARE
+        excess = target.load.odd_share - usual_odd
+        failing = ODD_COST * excess if excess > ODD_MARGIN else 0.0
+        return failing if is_near else failing + DOMAIN_SHARE
+
+
+def _long_shares(targets: Sequence[_Target]) -> list[float]:
+    """Return the connections of targets as shares of their mean."""
+    connections = [target.connections() for target in targets]
+    mean = max(1.0, sum(connections) / len(connections))
+    return [
+        each / mean + LONG_BUSY_WEIGHT * target.busy_share()
+        for each, target in zip(connections, targets, strict=True)
+    ]
 
 
 def _usual_odd_share(targets: Sequence[_Target]) -> float:
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -119,9 +119,12 @@
         return held
 
     def clear(self) -> None:
-        """Remove all connections of a target that has ended."""
+        """Remove all connections of a target that has ended.
+
+        The form of its answers stays: a target that fails may also restart
+        again and again.
+        """
         self._held.clear()
-        self._form = AnswerForm()
         self._open = 0
         self._waiting = 0
 
