--- a/packages/core/src/trefoilhaven_core/connections/holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/holders.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Iterable
-from typing import Final, NamedTuple
+from typing import Final
 
 from trefoilhaven_core.connections.effects import (
     DeliverToTarget,
@@ -36,30 +36,16 @@
     SegmentReturn,
     Verdict,
 )
+from trefoilhaven_core.connections.offers import Offer, OfferTable
 from trefoilhaven_core.connections.tables import Held, HeldTable
 from trefoilhaven_core.membership.messages import Address
 
-# The target refuses a segment within a few milliseconds; one that was not
-# refused for this time, in seconds, belongs to it.
-REFUSAL_S: Final = 0.03
-
-# What the target refused is not offered to it again for this time, seconds.
-ABSENT_S: Final = 5.0
-
 # A target answers an opening segment within milliseconds. One that has not
 # answered for this time, in seconds, gets no further ones but for trials.
 SILENT_S: Final = 0.12
 TRIAL_S: Final = 0.4
 
 
-class _Probe(NamedTuple):
-    """A segment of an unknown connection that was offered to the target."""
-
-    balancer: Address
-    asked: Identity
-    offered_at: float
-
-
 class HeldConnections:
     """Decides about segments to and from one target.
 
@@ -77,8 +63,7 @@
         self._unanswered_at: float | None = None
         self._tried_at = -math.inf
         self._table = HeldTable(idle_timeout_s)
-        self._probes: dict[ConnectionKey, _Probe] = {}
-        self._absent: dict[ConnectionKey, float] = {}
+        self._offers = OfferTable()
 
     def __len__(self) -> int:
         """Return the number of known connections, closed ones included."""
@@ -122,7 +107,7 @@
             for key, held in self._table.open_items()
         ]
         self._table.clear()
-        self._probes.clear()
+        self._offers.clear()
         self._opening_at = None
         self._unanswered_at = None
         self.accepts = False
@@ -181,7 +166,7 @@
         if held is None:
             held = self._table.add(now, segment.key, None)
             held.is_open = True
-            effects.extend(self._settle_probe(segment.key))
+            effects.extend(self._offers.accept(segment.key))
         if segment.is_accepting:
             effects.extend(self._on_accepting(now, segment, held))
         self._table.on_target(now, held, segment)
@@ -190,23 +175,16 @@
     def tick(self, now: float) -> list[Effect]:
         """Take what was offered and not refused as the target's."""
         effects: list[Effect] = []
-        due = [
-            key
-            for key, probe in self._probes.items()
-            if now - probe.offered_at >= REFUSAL_S
-        ]
-        for key in due:
+        for key in self._offers.due(now):
             held = self._table.get(key) or self._table.add(now, key, None)
             held.is_open = True
-            effects.extend(self._settle_probe(key))
+            effects.extend(self._offers.accept(key))
         return effects
 
     def forget(self, now: float) -> None:
         """Drop old connections and verdicts; call it about every second."""
         self._table.forget(now)
-        self._absent = {
-            key: until for key, until in self._absent.items() if until > now
-        }
+        self._offers.forget(now)
 
     def _judge(
         self, now: float, query: HolderQuery, question: Question
@@ -225,7 +203,7 @@
         """Tell whether only the target knows if it holds a connection."""
         if self.saw_start:
             return False
-        return self._absent.get(key, now) <= now
+        return not self._offers.is_absent(now, key)
 
     def _open(
         self,
@@ -257,11 +235,9 @@
         segment: Segment,
         balancer: Address,
     ) -> list[Effect]:
-        if segment.key in self._probes:
-            # One segment at a time shows whether the target knows it.
+        offer = Offer(balancer, _asked(forward), now)
+        if not self._offers.add(segment.key, offer):
             return []
-        probe = _Probe(balancer, _asked(forward), now)
-        self._probes[segment.key] = probe
         return self._deliver(now, segment)
 
     def _deliver(self, now: float, segment: Segment) -> list[Effect]:
@@ -272,12 +248,12 @@
 
     def _on_refused(self, now: float, segment: Segment) -> list[Effect]:
         held = self._table.remove(segment.key)
-        probe = self._probes.pop(segment.key, None)
+        offer = self._offers.refuse(segment.key)
         if not segment.is_opening:
-            self._absent[segment.key] = now + ABSENT_S
-        if probe is not None:
+            self._offers.note_absent(now, segment.key)
+        if offer is not None:
             reason = ReturnReason.not_held
-            return [_return(probe.balancer, probe.asked, reason, segment)]
+            return [_return(offer.balancer, offer.asked, reason, segment)]
         if held is None or self.identity is None or held.balancer is None:
             return []
         if segment.is_opening:
@@ -301,14 +277,6 @@
         message = ConnectionAccepted(*identity, segment.key, self.load(now))
         return (SendMessage(held.balancer, message),)
 
-    def _settle_probe(self, key: ConnectionKey) -> list[Effect]:
-        """Tell the balancer that offered a segment of a held connection."""
-        probe = self._probes.pop(key, None)
-        if probe is None:
-            return []
-        reply = HolderReply(*probe.asked, (Answer(key, Verdict.held),))
-        return [SendMessage(probe.balancer, reply)]
-
 
 def _asked(forward: SegmentForward) -> Identity:
     return Identity(forward.service, forward.target, forward.incarnation)
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -6,9 +6,10 @@
 """
 
 import random
-from collections import OrderedDict, defaultdict
+from collections import defaultdict
 from typing import Final
 
+from trefoilhaven_core.connections.caches import CachedRoute, RouteCache
 from trefoilhaven_core.connections.effects import (
     DropCause,
     DropSegment,
@@ -35,28 +36,12 @@
 from trefoilhaven_core.connections.patterns import ConnectionPattern
 from trefoilhaven_core.connections.routes import AddressRoutes, ServiceAddress
 from trefoilhaven_core.connections.spreads import TargetSpread
-from trefoilhaven_core.membership.messages import Member, MemberState
-
-# Connections in the cache; an entry takes about 400 bytes.
-CACHED_CONNECTIONS: Final = 50_000
+from trefoilhaven_core.membership.messages import MemberState
 
 # Targets that an opening segment is tried at, before it is dropped.
 OPENING_TRIES: Final = 4
 
 
-class _Route:
-    """Where the segments of one connection go."""
-
-    __slots__ = ('incarnation', 'is_accepted', 'service', 'target', 'tried')
-
-    def __init__(self, member: Member) -> None:
-        self.incarnation = member.incarnation
-        self.is_accepted = False
-        self.service = member.service
-        self.target = member.target
-        self.tried: tuple[str, ...] = ()
-
-
 class ConnectionRouter:
     """Routes the segments that reach one balancer.
 
@@ -75,7 +60,7 @@
         self._routes = routes
         self._spread = spread
         self._rng = rng
-        self._cache: OrderedDict[ConnectionKey, _Route] = OrderedDict()
+        self._cache = RouteCache()
         self._patterns: defaultdict[ServiceAddress, ConnectionPattern] = (
             defaultdict(ConnectionPattern)
         )
@@ -97,12 +82,12 @@
         if not self._routes.holders(address):
             return self._on_no_route(segment)
         if known is not None and not self._is_current(known):
-            del self._cache[segment.key]
+            self._cache.remove(segment.key)
             known = None
         if segment.is_opening:
             return self._on_opening(now, segment, known)
         if known is not None:
-            self._cache.move_to_end(segment.key)
+            self._cache.keep(segment.key)
             if segment.length:
                 self._patterns[address].on_request()
             return [self._forward(known, segment)]
@@ -131,7 +116,7 @@
                 return []
             return self._place(now, segment, (*known.tried, known.target))
         if returned.reason is ReturnReason.not_held and is_from_known:
-            self._cache.pop(key, None)
+            self._cache.remove(key)
         elif known is not None:
             return [self._forward(known, segment)]
         return self._search(now, segment)
@@ -177,7 +162,7 @@
         if holder is None:
             return [*search.tick(now), *self._conclude(now, search)]
         del self._searches[answer.key]
-        route = self._remember(answer.key, holder)
+        route = self._cache.add(answer.key, holder)
         route.is_accepted = True
         found = HolderFound(
             answer.key,
@@ -199,7 +184,7 @@
         return [DropSegment(segment, DropCause.no_route)]
 
     def _on_opening(
-        self, now: float, segment: Segment, known: _Route | None
+        self, now: float, segment: Segment, known: CachedRoute | None
     ) -> list[Effect]:
         if known is None:
             return self._place(now, segment, ())
@@ -233,7 +218,7 @@
                 break
         if member is None:
             return [DropSegment(segment, DropCause.no_target)]
-        route = self._remember(segment.key, member)
+        route = self._cache.add(segment.key, member)
         route.tried = tried
         placed = Placed(
             segment.key,
@@ -273,15 +258,7 @@
             for segment in search.segments
         ]
 
-    def _remember(self, key: ConnectionKey, member: Member) -> _Route:
-        route = _Route(member)
-        self._cache[key] = route
-        self._cache.move_to_end(key)
-        if len(self._cache) > CACHED_CONNECTIONS:
-            self._cache.popitem(last=False)
-        return route
-
-    def _is_current(self, route: _Route) -> bool:
+    def _is_current(self, route: CachedRoute) -> bool:
         member = self._spread.member(route.service, route.target)
         return (
             member is not None
@@ -289,7 +266,7 @@
             and member.state < MemberState.left
         )
 
-    def _forward(self, route: _Route, segment: Segment) -> SendMessage:
+    def _forward(self, route: CachedRoute, segment: Segment) -> SendMessage:
         member = self._spread.member(route.service, route.target)
         forward = SegmentForward(
             route.service,
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
@@ -9,7 +9,6 @@
     SendToClient,
 )
 from trefoilhaven_core.connections.holders import (
-    REFUSAL_S,
     SILENT_S,
     TRIAL_S,
     HeldConnections,
@@ -26,6 +25,7 @@
     SegmentReturn,
     Verdict,
 )
+from trefoilhaven_core.connections.offers import REFUSAL_S
 from trefoilhaven_core.connections.tables import CLOSED_S
 from trefoilhaven_core.connections.tests.support import (
     BALANCER,
