--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections import defaultdict
 from typing import Final
 
 from trefoilhaven_core.connections.caches import CachedRoute, RouteCache
@@ -33,8 +32,7 @@
     TargetReport,
     Verdict,
 )
-from trefoilhaven_core.connections.patterns import ConnectionPattern
-from trefoilhaven_core.connections.routes import AddressRoutes, ServiceAddress
+from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.spreads import TargetSpread
 from trefoilhaven_core.membership.messages import MemberState
 
@@ -61,9 +59,6 @@
         self._spread = spread
         self._rng = rng
         self._cache = RouteCache()
-        self._patterns: defaultdict[ServiceAddress, ConnectionPattern] = (
-            defaultdict(ConnectionPattern)
-        )
         self._searches: dict[ConnectionKey, Search] = {}
 
     def __len__(self) -> int:
@@ -88,8 +83,6 @@
             return self._on_opening(now, segment, known)
         if known is not None:
             self._cache.keep(segment.key)
-            if segment.length:
-                self._patterns[address].on_request()
             return [self._forward(known, segment)]
         search = self._searches.get(segment.key)
         if search is not None:
@@ -206,14 +199,9 @@
         service = self._routes.choose(address, self._rng)
         if service is None:
             return self._on_no_route(segment)
-        pattern = self._patterns[address]
-        if not tried:
-            pattern.on_opening()
         member = None
         for each in (service, *self._routes.alternatives(address, service)):
-            member = self._spread.choose(
-                now, self._rng, each, tried, is_long=pattern.is_long
-            )
+            member = self._spread.choose(now, self._rng, each, tried)
             if member is not None:
                 break
         if member is None:
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -34,12 +34,6 @@
 ODD_COST: Final = 4.0
 ODD_MARGIN: Final = 0.2
 
-# A connection that stays is placed by the connections of the targets, as a
-# share of their mean. The slots that are busy at the moment count less, and
-# those whose cost differs by less than the last share are taken as equal.
-LONG_BUSY_WEIGHT: Final = 0.25
-LONG_CLOSE_SHARE: Final = 0.1
-
 # An open connection without a request counts as this part of a busy one.
 IDLE_WEIGHT: Final = 0.05
 
@@ -71,11 +65,6 @@
         listed_at = now if self.listed_at is None else self.listed_at
         return now - max(self.seen_at, listed_at)
 
-    def connections(self) -> float:
-        """Return the connections for each slot."""
-        open_ones = self.load.connections + self.placed
-        return open_ones / max(1, self.member.slots)
-
     def busy_share(self) -> float:
         """Return the busy share of the slots, also above 1."""
         idle = self.load.connections - self.load.waiting
@@ -163,10 +152,16 @@
         return [
             member
             for member in self.members(services)
-            if not self.absences.is_gone(
-                now,
-                self._targets[member.service][member.target].silent_s(now),
-            )
+            if not self._is_gone(now, member)
+        ]
+
+    def lost(self, now: float, silent_s: float) -> list[Member]:
+        """Return the members that are gone and were silent for so long."""
+        return [
+            member
+            for member in self.members(self.services)
+            if self._is_gone(now, member)
+            and self._find(member).silent_s(now) >= silent_s
         ]
 
     def heard_share(self) -> float:
@@ -203,13 +198,10 @@
         rng: random.Random,
         service: str,
         excluded: Collection[str] = (),
-        *,
-        is_long: bool = False,
     ) -> Member | None:
         """Return the target of a new connection and count it there.
 
-        Silent targets are taken when there are no others. ``is_long`` tells
-        that the connection will carry many requests.
+        Silent targets are taken when there are no others.
         """
         usable = [
             target
@@ -226,17 +218,8 @@
         if not candidates:
             return None
         usual_odd = _usual_odd_share(candidates)
-        shares = (
-            _long_shares(candidates)
-            if is_long
-            else [target.busy_share() for target in candidates]
-        )
-        costs = [
-            share + self._surcharge(target, usual_odd)
-            for share, target in zip(shares, candidates, strict=True)
-        ]
-        close = LONG_CLOSE_SHARE if is_long else CLOSE_SHARE
-        limit = min(costs) + close
+        costs = [self._cost(target, usual_odd) for target in candidates]
+        limit = min(costs) + CLOSE_SHARE
         chosen = rng.choice(
             [
                 target
@@ -247,22 +230,19 @@
         chosen.placed += 1
         return chosen.member
 
-    def _surcharge(self, target: _Target, usual_odd: float) -> float:
-        """Return what a target costs beside its load."""
-        is_near = target.member.failure_domain == self._domain
+    def _find(self, member: Member) -> _Target:
+        return self._targets[member.service][member.target]
+
+    def _is_gone(self, now: float, member: Member) -> bool:
+        return self.absences.is_gone(now, self._find(member).silent_s(now))
+
+    def _cost(self, target: _Target, usual_odd: float) -> float:
+        cost = target.busy_share()
         excess = target.load.odd_share - usual_odd
-        failing = ODD_COST * excess if excess > ODD_MARGIN else 0.0
-        return failing if is_near else failing + DOMAIN_SHARE
-
-
-def _long_shares(targets: Sequence[_Target]) -> list[float]:
-    """Return the connections of targets as shares of their mean."""
-    connections = [target.connections() for target in targets]
-    mean = max(1.0, sum(connections) / len(connections))
-    return [
-        each / mean + LONG_BUSY_WEIGHT * target.busy_share()
-        for each, target in zip(connections, targets, strict=True)
-    ]
+        if excess > ODD_MARGIN:
+            cost += ODD_COST * excess
+        is_near = target.member.failure_domain == self._domain
+        return cost if is_near else cost + DOMAIN_SHARE
 
 
 def _usual_odd_share(targets: Sequence[_Target]) -> float:
