Remove the objects of hosts that are gone for good

Cause: nothing deleted the object of a target whose host is lost with its agent, so that the store kept it for ever (docs/CAPACITY.md named it).

--- a/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
@@ -16,6 +16,11 @@
 HELLO_LOST_S: Final = 3.0
 
 
+# After this time without a greeting, balancers may have taken the host for
+# lost. They wait twice as long.
+CUT_OFF_S: Final = 60.0
+
+
 class _Balancer(NamedTuple):
     is_near: bool
     expires_at: float
@@ -57,6 +62,10 @@
         for address in addresses:
             self._known[address] = _Balancer(True, now + BALANCER_SILENT_S)
 
+    def was_cut_off(self, now: float) -> bool:
+        """Tell whether the last greeting was so long ago that it matters."""
+        return CUT_OFF_S < now - self._hello_at < math.inf
+
     def is_lost(self, now: float) -> bool:
         """Tell whether no balancer has greeted for a while."""
         return now - self._hello_at > HELLO_LOST_S
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
@@ -3,6 +3,7 @@
 from trefoilhaven_agent.sidecar.balancers import (
     BALANCER_SILENT_S,
     HELLO_LOST_S,
+    CUT_OFF_S,
     SILENT_INTERVALS,
     KnownBalancers,
 )
@@ -34,6 +35,14 @@
         assert known.addresses(near_only=True) == [NEAR]
         assert known.addresses() == [NEAR, FAR]
 
+    def test_cut_off(self) -> None:
+        """Guards against a host that stays without its object."""
+        known = KnownBalancers('a')
+        assert not known.was_cut_off(1000)
+        known.on_hello(1000, hello(), NEAR)
+        assert not known.was_cut_off(1000 + CUT_OFF_S / 2)
+        assert known.was_cut_off(1001 + CUT_OFF_S)
+
     def test_lost(self) -> None:
         """Guards against an agent that no balancer ever finds."""
         known = KnownBalancers('a')
--- a/packages/balancer/src/trefoilhaven/gateway/process.py
+++ b/packages/balancer/src/trefoilhaven/gateway/process.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from trefoilhaven.gateway.discovery import DiscoveryTask
+from trefoilhaven.gateway.removals import RemovalTask
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.membership.messages import MemberState
@@ -63,6 +64,7 @@
         discovery = DiscoveryTask(
             state, self._adapter, endpoint, transfers, segments, self._rng
         )
+        removals = RemovalTask(state, self._adapter.make_client())
         segments.open()
         await transfers.start(cfg.control)
         measure_endpoint(self._runtime.metrics, 'control', endpoint)
@@ -73,6 +75,7 @@
         tasks = [
             asyncio.create_task(segments.run()),
             asyncio.create_task(discovery.run()),
+            asyncio.create_task(removals.run()),
         ]
         logger.info('gateway started')
         await wait_for_stop(stop, tasks)
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/removals.py
@@ -0,0 +1,100 @@
+"""Removal of the objects of hosts that are gone for good.
+
+A target that ends deletes its object through its agent. A host that is
+lost takes both along, so that the first balancer in rank deletes the
+object after a while. An agent that was only cut off for so long writes its
+object again when it is back.
+"""
+
+import asyncio
+import logging
+from typing import Final, NamedTuple
+
+from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven_core.membership.messages import Member
+from trefoilhaven_core.membership.objects import TARGETS_PREFIX, read_member
+from trefoilhaven_core.membership.ranks import balancer_rank
+from trefoilhaven_core.platform.clients import PlatformClient
+from trefoilhaven_core.platform.errors import NotFound, describe_error
+from trefoilhaven_core.timeline.monotonic import monotonic
+
+logger = logging.getLogger(__name__)
+
+# An agent that was silent for this time is not waited for any more. Cuts
+# between failure domains take minutes, and the object does no harm.
+LOST_S: Final = 120.0
+LOOK_S: Final = 10.0
+
+
+class _Removed(NamedTuple):
+    """The record whose object was removed."""
+
+    host: str
+    target: str
+    incarnation: int
+
+
+class RemovalTask:
+    """Deletes the objects of lost targets at the platform."""
+
+    def __init__(self, state: GatewayState, client: PlatformClient) -> None:
+        """Start without having removed anything."""
+        self._state = state
+        self._client = client
+        self._removed: set[_Removed] = set()
+
+    async def run(self) -> None:
+        """Look regularly until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            await self.remove_lost(monotonic())
+
+    async def remove_lost(self, now: float) -> None:
+        """Delete the objects of lost targets, if this is the first balancer."""
+        state = self._state
+        if balancer_rank(state.cfg.name, state.store.balancers):
+            return
+        lost = state.spread.lost(now, LOST_S)
+        removed = {
+            _Removed(member.host, member.target, member.incarnation): member
+            for member in lost
+        }
+        # What is no longer lost may be lost again.
+        self._removed &= removed.keys()
+        for key, member in removed.items():
+            if key not in self._removed and await self._remove(member):
+                self._removed.add(key)
+
+    async def _remove(self, member: Member) -> bool:
+        """Delete the object of a target; tell whether that is settled."""
+        path = f'{TARGETS_PREFIX}{member.host}'
+        read = await self._client.get(path)
+        if read.is_error():
+            return isinstance(read.error, NotFound)
+        found = read_member(read.ok.content)
+        if found.is_error() or not _is_same(found.ok, member):
+            return True
+        deleted = await self._client.delete(path, read.ok.version)
+        if deleted.is_error():
+            logger.info(
+                'object of a lost host not removed',
+                extra={'path': path, 'reason': describe_error(deleted.error)},
+            )
+            return False
+        logger.info(
+            'object of a lost host removed',
+            extra={
+                'path': path,
+                'target': member.target,
+                'incarnation': member.incarnation,
+                'silent_s': LOST_S,
+            },
+        )
+        return True
+
+
+def _is_same(found: Member, member: Member) -> bool:
+    return (found.target, found.incarnation) == (
+        member.target,
+        member.incarnation,
+    )
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_removals.py
@@ -0,0 +1,102 @@
+"""Objects of hosts that are gone for good."""
+
+from trefoilhaven.gateway.removals import LOST_S, RemovalTask
+from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven.gateway.tests.test_discovery import make_member, make_state
+from trefoilhaven_core.connections.absences import LOOK_S
+from trefoilhaven_core.connections.messages import (
+    ConnectionLoad,
+    TargetReport,
+)
+from trefoilhaven_core.membership.messages import (
+    Address,
+    BalancerRecord,
+    MemberState,
+)
+from trefoilhaven_core.membership.objects import TARGETS_PREFIX, member_content
+from trefoilhaven_core.platform.tests.support import MemoryPlatform
+
+PATH = f'{TARGETS_PREFIX}host-t1'
+END_S = LOST_S + 10.0
+
+
+def report(state: GatewayState, name: str, now: float) -> None:
+    """Let a target's agent report."""
+    load = ConnectionLoad()
+    state.router.on_report(
+        now, TargetReport(make_member(name), load, False, False)
+    )
+
+
+def make_lost() -> tuple[GatewayState, MemoryPlatform]:
+    """Return a gateway that hears all targets but the first."""
+    state = make_state()
+    members = [make_member(name) for name in ('t1', 't2', 't3')]
+    state.store.merge(members)
+    state.refresh(['certify'])
+    platform = MemoryPlatform()
+    for member in members:
+        path = f'{TARGETS_PREFIX}{member.host}'
+        platform.apply(path, member_content(member), 0)
+    now = 0.0
+    while now < END_S:
+        report(state, 't2', now)
+        report(state, 't3', now)
+        state.router.tick(now)
+        now += LOOK_S
+    return state, platform
+
+
+class TestRemovalTask:
+    """Which objects are removed, and by whom."""
+
+    async def test_lost(self) -> None:
+        """Guards against objects that stay for ever."""
+        state, platform = make_lost()
+        await RemovalTask(state, platform).remove_lost(END_S)
+        assert sorted(platform.objects) == [
+            f'{TARGETS_PREFIX}host-t2',
+            f'{TARGETS_PREFIX}host-t3',
+        ]
+
+    async def test_back(self) -> None:
+        """Guards against the removal of an object that is in use."""
+        state, platform = make_lost()
+        report(state, 't1', END_S)
+        await RemovalTask(state, platform).remove_lost(END_S)
+        assert PATH in platform.objects
+
+    async def test_successor(self) -> None:
+        """Guards against the removal of the next target's object."""
+        state, platform = make_lost()
+        successor = make_member('t9')._replace(host='host-t1')
+        version = platform.objects[PATH].version
+        platform.apply(PATH, member_content(successor), version)
+        await RemovalTask(state, platform).remove_lost(END_S)
+        assert PATH in platform.objects
+
+    async def test_other_balancer(self) -> None:
+        """Guards against calls of all balancers for the same object."""
+        state, platform = make_lost()
+        address = Address('127.0.0.1', 7000)
+        alive = MemberState.alive
+        state.store.merge(
+            balancers=[
+                BalancerRecord(
+                    f'other-{number}', 'a', 1, 1, alive, address, address
+                )
+                for number in range(20)
+            ]
+        )
+        await RemovalTask(state, platform).remove_lost(END_S)
+        assert PATH in platform.objects
+
+    async def test_outage(self) -> None:
+        """Guards against an object that an outage keeps for ever."""
+        state, platform = make_lost()
+        task = RemovalTask(state, platform)
+        platform.is_down = True
+        await task.remove_lost(END_S)
+        platform.is_down = False
+        await task.remove_lost(END_S)
+        assert PATH not in platform.objects
--- a/packages/core/src/trefoilhaven_core/platform/tests/support.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/support.py
@@ -69,9 +69,19 @@
         self.objects[path] = PlatformObject(path, version, content)
         return Ok(version)
 
-    async def delete(self, path: str, expected_version: int) -> Any:
-        """Not needed by any test yet."""
-        raise NotImplementedError
+    async def delete(
+        self, path: str, expected_version: int
+    ) -> Result[None, PlatformError]:
+        """Delete an object of the expected version."""
+        if self.is_down:
+            return Error(DOWN)
+        found = self.objects.get(path)
+        if found is None:
+            return Error(errors.NotFound(path))
+        if found.version != expected_version:
+            return Error(errors.Conflict(path, found.version, found.content))
+        del self.objects[path]
+        return Ok(None)
 
     async def list(
         self, prefix: str, *, may_be_old: bool = False
