Know all connections of a target that no earlier agent has served

Change: the first write of an agent's object tells whose record it replaces. When that is not of this start of the target, and the target was less than 3 s old when it was first heard, no earlier agent has served it. Ruled out: the age of the target alone (decision 0010: a killed predecessor may have delivered connections before).

--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/registrations.py
@@ -0,0 +1,70 @@
+"""The object that an agent keeps for its target at the platform."""
+
+import logging
+import math
+import random
+import time
+from typing import Any
+
+from trefoilhaven_agent.sidecar.targets import TargetBelief
+from trefoilhaven_core.membership.messages import Member
+from trefoilhaven_core.membership.objects import (
+    TARGETS_PREFIX,
+    member_content,
+    read_member,
+)
+from trefoilhaven_core.platform.clients import PlatformClient
+from trefoilhaven_core.platform.registrar import Registrar
+from trefoilhaven_core.timeline.clocks import MS_PER_S
+
+logger = logging.getLogger(__name__)
+
+
+class TargetRegistration:
+    """Registers the target and learns whether an earlier agent did."""
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        host: str,
+        belief: TargetBelief,
+        rng: random.Random,
+    ) -> None:
+        """Prepare; nothing is written before there is a target."""
+        self._belief = belief
+        self._age_s = math.inf
+        path = f'{TARGETS_PREFIX}{host}'
+        self._registrar = Registrar(client, path, rng, self._on_first_write)
+
+    def want(self, member: Member | None) -> None:
+        """Set the record to write, None to delete the object."""
+        self._registrar.want(member_content(member) if member else None)
+
+    def on_first_heard(self, incarnation: int) -> None:
+        """Note that a target with a start in Unix milliseconds is new."""
+        self._age_s = time.time() - incarnation / MS_PER_S
+
+    async def run(self) -> None:
+        """Write what is wanted until cancelled."""
+        await self._registrar.run()
+
+    async def write(self) -> bool:
+        """Make one try; return whether the object is as wanted."""
+        return await self._registrar.write()
+
+    def _on_first_write(self, replaced: Any) -> None:
+        predecessor = None
+        if replaced is not None:
+            read = read_member(replaced)
+            if read.is_error():
+                logger.warning('malformed object', extra={'reason': read.error})
+                return
+            predecessor = read.ok
+        if self._belief.on_registered(predecessor, self._age_s):
+            logger.info(
+                'no earlier agent has served the target',
+                extra={
+                    'age_s': round(self._age_s, 2),
+                    'replaced': predecessor and predecessor.target,
+                },
+            )
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -8,6 +8,7 @@
 
 from trefoilhaven_agent.sidecar.balancers import KnownBalancers
 from trefoilhaven_agent.sidecar.checks import CheckSchedule
+from trefoilhaven_agent.sidecar.registrations import TargetRegistration
 from trefoilhaven_agent.sidecar.segments import SegmentTask
 from trefoilhaven_agent.sidecar.targets import Noted, TargetBelief
 from trefoilhaven_core.connections.holders import HeldConnections
@@ -27,8 +28,6 @@
 )
 from trefoilhaven_core.membership.objects import (
     BALANCERS_PREFIX,
-    TARGETS_PREFIX,
-    member_content,
     read_balancer,
 )
 from trefoilhaven_core.platform.adapters import (
@@ -38,7 +37,6 @@
 )
 from trefoilhaven_core.platform.backoffs import Backoff
 from trefoilhaven_core.platform.errors import describe_error
-from trefoilhaven_core.platform.registrar import Registrar
 from trefoilhaven_core.settings.types import SidecarSettings
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -80,8 +78,9 @@
         self._endpoint = endpoint
         self._client = adapter.make_client()
         self._backoff = Backoff(rng, LIST_BACKOFF_S, LIST_BACKOFF_LIMIT_S)
-        path = f'{TARGETS_PREFIX}{cfg.name}'
-        self._registrar = Registrar(self._client, path, rng)
+        self._registration = TargetRegistration(
+            self._client, cfg.name, belief, rng
+        )
         self._balancers = KnownBalancers(cfg.failure_domain)
         self._departing = False
         self._reported_waiting = 0
@@ -99,7 +98,7 @@
             self._report_regularly(),
             self._report_changes(),
             self._list_balancers(),
-            self._registrar.run(),
+            self._registration.run(),
             self._check_target(),
         )
 
@@ -131,12 +130,11 @@
     async def stop(self) -> None:
         """Tell the balancers that the agent ends, and reset if it must.
 
-        When the target has ended, its connections are reset. When it
-        lives, they stay, and the agent that starts next finds them.
+        Connections of a target that lives stay for the next agent.
         """
         if await self._is_target_gone():
             self._on_gone()
-            if not await self._registrar.write():
+            if not await self._registration.write():
                 logger.info('object of the target stays until it is replaced')
             return
         member = self._belief.member
@@ -145,6 +143,8 @@
 
     def _on_changed(self, noted: Noted, message: TargetAnnouncement) -> None:
         member = self._belief.member
+        if noted.is_first:
+            self._registration.on_first_heard(message.incarnation)
         logger.info(
             'target changed',
             extra={
@@ -163,7 +163,7 @@
             message.state is MemberState.alive
         ):
             self._departing = False
-            self._registrar.want(member_content(member))
+            self._registration.want(member)
         self._send_all(member)
 
     def _report_left(self, member: Member) -> None:
@@ -179,7 +179,7 @@
             logger.info('balancer found', extra={'balancer': hello.name})
         if was_cut_off and member and member.state is MemberState.alive:
             # Balancers remove the object of a host that seems to be lost.
-            self._registrar.want(member_content(member))
+            self._registration.want(member)
 
     async def _report_regularly(self) -> None:
         turn = 0
@@ -281,7 +281,7 @@
         self._segments.apply(noted.effects)
         if noted.departed is not None:
             self._report_left(noted.departed)
-        self._registrar.want(None)
+        self._registration.want(None)
 
     async def _is_target_gone(self) -> bool:
         """Tell whether nothing listens at the target's address.
--- a/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -20,6 +20,10 @@
 # was heard within this time, in seconds.
 LATE_COPY_S: Final = 3.0
 
+# A target that was older than this, in seconds, when its agent first heard it
+# may have been served by an agent that could not register it.
+YOUNG_TARGET_S: Final = 3.0
+
 # The first heartbeat of a target that no agent has heard before.
 FIRST_SEQUENCE: Final = 1
 
@@ -36,11 +40,13 @@
     """What a heartbeat changed.
 
     ``is_current`` is false for a late copy and for one of another service.
+    ``is_first`` tells that the agent has not heard the target before, and
     ``departed`` is the record of the target that was here before.
     """
 
     is_current: bool
     is_changed: bool = False
+    is_first: bool = False
     departed: Member | None = None
     effects: tuple[Effect, ...] = ()
 
@@ -96,6 +102,26 @@
         self._connections.accepts = announcement.state is MemberState.alive
         return Noted(is_current=True, is_changed=True)
 
+    def on_registered(self, replaced: Member | None, age_s: float) -> bool:
+        """Note the record that the first write at the platform replaced.
+
+        Each agent registers its target at once. Where the record is of
+        another target or start, no earlier agent has served this one, so
+        that the agent knows all connections. ``age_s`` is the age of the
+        target, in seconds, when the agent first heard it. Returns whether
+        this was found.
+        """
+        member = self.member
+        if member is None or self._connections.saw_start:
+            return False
+        if not 0 <= age_s <= YOUNG_TARGET_S:
+            return False
+        is_same = replaced is not None and replaced.target == member.target
+        if is_same and replaced and replaced.incarnation >= member.incarnation:
+            return False
+        self._connections.saw_start = True
+        return True
+
     def on_departure(self, target: str) -> bool:
         """Stop new connections of a target that ends; tell if it is ours."""
         member = self.member
@@ -151,7 +177,7 @@
         self._connections.set_target(identity, saw_start)
         self._connections.accepts = announcement.state is MemberState.alive
         self._born = announcement.incarnation
-        return noted._replace(is_current=True, is_changed=True)
+        return noted._replace(is_current=True, is_changed=True, is_first=True)
 
     def _is_other(
         self, member: Member, announcement: TargetAnnouncement
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_targets.py
@@ -2,6 +2,7 @@
 
 from trefoilhaven_agent.sidecar.targets import (
     LATE_COPY_S,
+    YOUNG_TARGET_S,
     Place,
     TargetBelief,
 )
@@ -145,3 +146,49 @@
         assert noted.departed is not None
         assert belief.member is None
         assert belief.silent_s(100) == 0
+
+
+class TestRegistered:
+    """What the object of an earlier agent tells."""
+
+    def make_heard(self) -> tuple[TargetBelief, HeldConnections]:
+        """Return an agent that has missed the first heartbeats."""
+        belief, connections = make_belief()
+        belief.on_announcement(0, heartbeat(sequence=5))
+        assert not connections.saw_start
+        return belief, connections
+
+    def test_nobody_before(self) -> None:
+        """Guards against offers of lost connections after a power loss."""
+        belief, connections = self.make_heard()
+        assert belief.on_registered(None, 0.5)
+        assert connections.saw_start
+
+    def test_earlier_start(self) -> None:
+        """Guards against doubt about a target that has restarted."""
+        belief, connections = self.make_heard()
+        assert belief.member is not None
+        earlier = belief.member._replace(incarnation=BORN - 1)
+        assert belief.on_registered(earlier, 0.5)
+        assert connections.saw_start
+
+    def test_same_start(self) -> None:
+        """Guards against resets of what the killed agent had delivered."""
+        belief, connections = self.make_heard()
+        assert not belief.on_registered(belief.member, 0.5)
+        assert not connections.saw_start
+
+    def test_clock_set_back(self) -> None:
+        """Guards against a start that only seems to be a later one."""
+        belief, connections = self.make_heard()
+        assert belief.member is not None
+        adjusted = belief.member._replace(incarnation=BORN + 1)
+        assert not belief.on_registered(adjusted, 0.5)
+        assert not connections.saw_start
+
+    def test_old_target(self) -> None:
+        """Guards against an earlier agent that could not register."""
+        belief, connections = self.make_heard()
+        assert not belief.on_registered(None, YOUNG_TARGET_S + 0.1)
+        assert not belief.on_registered(None, -1.0)
+        assert not connections.saw_start
--- a/packages/core/src/trefoilhaven_core/platform/registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/registrar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from random import Random
 from typing import Any, Final
 
@@ -25,8 +26,19 @@
     carried out late can't undo a later one.
     """
 
-    def __init__(self, client: PlatformClient, path: str, rng: Random) -> None:
-        """Prepare; nothing is written before ``want``."""
+    def __init__(
+        self,
+        client: PlatformClient,
+        path: str,
+        rng: Random,
+        on_first_write: Callable[[Any], None] | None = None,
+    ) -> None:
+        """Prepare; nothing is written before ``want``.
+
+        ``on_first_write`` gets the content that the first write replaced,
+        None when there was no object.
+        """
+        self._on_first_write = on_first_write
         self._client = client
         self._path = path
         self._backoff = Backoff(rng, limit_s=BACKOFF_LIMIT_S)
@@ -65,13 +77,17 @@
 
     async def _put(self, content: Any) -> bool:
         known = self._version or 0
+        replaced = None
         written = await self._client.put(self._path, content, known)
         if written.is_error() and isinstance(written.error, Conflict):
             # The object of an earlier process is there; its version is known
             # now, so that waiting would not help.
             known = written.error.version
+            replaced = written.error.content
             written = await self._client.put(self._path, content, known)
         if written.is_ok():
+            if self._version is None and self._on_first_write:
+                self._on_first_write(replaced)
             self._version = written.ok
             return True
         self._note(written.error)
--- a/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
@@ -99,6 +99,24 @@
         assert await registrar.write()
         assert platform.content == 'x'
 
+    async def test_replaced(self, platform: OneObject) -> None:
+        """Guards against a predecessor that goes unnoticed.
+
+        A write whose answer was lost finds its own content.
+        """
+        replaced: list[Any] = []
+        first = Registrar(platform, PATH, Random(1), replaced.append)
+        first.want('x')
+        await first.write()
+        first.want('y')
+        await first.write()
+        second = Registrar(platform, PATH, Random(1), replaced.append)
+        second.want('z')
+        platform.errors = [errors.Unavailable(True, 'no answer')]
+        await second.write()
+        await second.write()
+        assert replaced == [None, 'y']
+
     async def test_outage(self, platform: OneObject) -> None:
         """Guards against an object that an outage loses."""
         platform.errors = [errors.Unavailable(True, 'no answer')]
