--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -1,31 +1,19 @@
-"""The target's heartbeats in, reports about it to the balancers out."""
+"""The target's heartbeats, its balancers and whether it lives."""
 
 import asyncio
 import logging
 import random
-from collections.abc import Iterable
 from typing import Final
 
 from trefoilhaven_agent.sidecar.balancers import KnownBalancers
 from trefoilhaven_agent.sidecar.checks import CheckSchedule
 from trefoilhaven_agent.sidecar.registrations import TargetRegistration
+from trefoilhaven_agent.sidecar.reports import ReportTask
 from trefoilhaven_agent.sidecar.segments import SegmentTask
 from trefoilhaven_agent.sidecar.targets import Noted, TargetBelief
 from trefoilhaven_core.connections.holders import HeldConnections
-from trefoilhaven_core.connections.messages import (
-    BalancerHello,
-    TargetReport,
-)
-from trefoilhaven_core.connections.pacing import (
-    FAR_TURNS,
-    changed_report_interval_s,
-    report_interval_s,
-)
-from trefoilhaven_core.membership.messages import (
-    Address,
-    Member,
-    MemberState,
-)
+from trefoilhaven_core.connections.messages import BalancerHello
+from trefoilhaven_core.membership.messages import Address, MemberState
 from trefoilhaven_core.membership.objects import (
     BALANCERS_PREFIX,
     read_balancer,
@@ -51,10 +39,6 @@
 LIST_BACKOFF_S: Final = 0.6
 LIST_BACKOFF_LIMIT_S: Final = 1.2
 
-# The record of a target that left is reported so often, since datagrams
-# may be lost.
-LEFT_REPORTS: Final = 3
-
 
 class ReportingTask:
     """Takes heartbeats and keeps the balancers informed."""
@@ -75,17 +59,16 @@
         self._connections = connections
         self._belief = belief
         self._segments = segments
-        self._endpoint = endpoint
         self._client = adapter.make_client()
         self._backoff = Backoff(rng, LIST_BACKOFF_S, LIST_BACKOFF_LIMIT_S)
         self._registration = TargetRegistration(
             self._client, cfg.name, belief, rng
         )
         self._balancers = KnownBalancers(cfg.failure_domain)
+        self._reports = ReportTask(
+            connections, belief, self._balancers, endpoint
+        )
         self._departing = False
-        self._reported_waiting = 0
-        self._left: tuple[Member, ...] = ()
-        self._left_reports = 0
         endpoint.on(BalancerHello, self._on_hello)
         self._balancers.on_seeds(
             monotonic(),
@@ -95,8 +78,7 @@
     async def run(self) -> None:
         """Report, register and watch the target until cancelled."""
         await asyncio.gather(
-            self._report_regularly(),
-            self._report_changes(),
+            self._reports.run(),
             self._list_balancers(),
             self._registration.run(),
             self._check_target(),
@@ -139,7 +121,7 @@
             return
         member = self._belief.member
         if member is not None:
-            self._send_all(member._replace(state=MemberState.suspect))
+            self._reports.send_all(member._replace(state=MemberState.suspect))
 
     def _on_changed(self, noted: Noted, message: TargetAnnouncement) -> None:
         member = self._belief.member
@@ -156,7 +138,7 @@
             },
         )
         if noted.departed is not None:
-            self._report_left(noted.departed)
+            self._reports.report_left(noted.departed)
         if member is None:
             return
         if member.sequence == message.sequence and (
@@ -164,12 +146,7 @@
         ):
             self._departing = False
             self._registration.want(member)
-        self._send_all(member)
-
-    def _report_left(self, member: Member) -> None:
-        self._left = (*self._left, member)
-        self._left_reports = LEFT_REPORTS
-        self._send_all(member)
+        self._reports.send_all(member)
 
     def _on_hello(self, hello: BalancerHello, sender: Address) -> None:
         now = monotonic()
@@ -181,53 +158,6 @@
             # Balancers remove the object of a host that seems to be lost.
             self._registration.want(member)
 
-    async def _report_regularly(self) -> None:
-        turn = 0
-        while True:
-            await asyncio.sleep(report_interval_s(len(self._balancers)))
-            turn += 1
-            self._balancers.forget(monotonic())
-            member = self._belief.member
-            if member is not None:
-                is_far_due = turn % FAR_TURNS == 0
-                near_only = not is_far_due
-                addresses = self._balancers.addresses(near_only=near_only)
-                self._send(member, addresses)
-            self._repeat_left()
-
-    async def _report_changes(self) -> None:
-        """Tell the near balancers soon when the load has changed."""
-        while True:
-            near = self._balancers.addresses(near_only=True)
-            await asyncio.sleep(changed_report_interval_s(len(near)))
-            member = self._belief.member
-            load = self._connections.load(monotonic())
-            if member is not None and load.waiting != self._reported_waiting:
-                self._send(member, near)
-
-    def _repeat_left(self) -> None:
-        if self._left_reports:
-            self._left_reports -= 1
-            for member in self._left:
-                self._send_all(member)
-        else:
-            self._left = ()
-
-    def _send_all(self, member: Member) -> None:
-        self._send(member, self._balancers.addresses())
-
-    def _send(self, member: Member, addresses: Iterable[Address]) -> None:
-        now = monotonic()
-        load = self._connections.load(now)
-        self._reported_waiting = load.waiting
-        report = TargetReport(
-            member,
-            load,
-            self._belief.is_cold(now),
-            self._connections.is_silent(now),
-        )
-        self._endpoint.send(report, *addresses)
-
     async def _list_balancers(self) -> None:
         """Read the balancers from the store while none is heard.
 
@@ -255,7 +185,7 @@
         records = [each.ok for each in read if each.is_ok()]
         self._balancers.on_listed(monotonic(), records)
         if self._belief.member is not None:
-            self._send_all(self._belief.member)
+            self._reports.send_all(self._belief.member)
 
     async def _check_target(self) -> None:
         """Ask a target that departs or says nothing whether it lives."""
@@ -276,11 +206,17 @@
             await asyncio.sleep(CHECK_S)
 
     def _on_gone(self) -> None:
+        now = monotonic()
+        signs = {
+            'silent_s': round(self._belief.silent_s(now), 2),
+            'mute_s': round(self._connections.mute_s(now), 2),
+        }
         noted = self._belief.on_gone()
-        logger.info('target has ended', extra={'resets': len(noted.effects)})
+        signs['resets'] = len(noted.effects)
+        logger.info('target has ended', extra=signs)
         self._segments.apply(noted.effects)
         if noted.departed is not None:
-            self._report_left(noted.departed)
+            self._reports.report_left(noted.departed)
         self._registration.want(None)
 
     async def _is_target_gone(self) -> bool:
--- a/packages/core/src/trefoilhaven_core/connections/answers.py
+++ b/packages/core/src/trefoilhaven_core/connections/answers.py
@@ -24,6 +24,9 @@
 USUAL_WEIGHT: Final = 0.05
 ODD_WEIGHT: Final = 0.005
 
+# Shares of odd answers that differ by less than this are chance.
+ODD_MARGIN: Final = 0.2
+
 # Without answers, the share halves in about this time, in seconds: a target
 # that gets no requests can't show that it is well again.
 FADE_S: Final = 2.0
--- a/packages/core/src/trefoilhaven_core/connections/lookups.py
+++ b/packages/core/src/trefoilhaven_core/connections/lookups.py
@@ -64,6 +64,7 @@
         members: Iterable[Member],
         others: Iterable[Member],
         knows_all: bool,
+        gone: int = 0,
     ) -> None:
         """Start with the first segment.
 
@@ -72,9 +73,13 @@
         ``members`` are asked first. ``others`` are of services that the
         route does not name now; connections stay where they are when the
         route changes, so that they are asked when the first are not it.
+
+        ``gone`` is the number of members that are left out since they are
+        gone for good.
         """
         self.key: ConnectionKey = segment.key
         self.knows_all = knows_all
+        self._gone = gone
         self.started_at = now
         self._members = {
             (member.service, member.target): member for member in members
@@ -161,7 +166,7 @@
     def reset(self) -> ResetClient:
         """Return the reset of a connection that no target holds."""
         latest = self._segments[-1]
-        detail = f'{len(self._members)} targets asked'
+        detail = f'{len(self._members)} targets asked, {self._gone} gone'
         return ResetClient(
             self.key, latest.acknowledged, ResetCause.not_held, detail
         )
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -225,7 +225,9 @@
         )
         if not members:
             return [DropSegment(segment, DropCause.no_target)]
-        search = Search(now, segment, members, others, self.knows_all)
+        listed = self._spread.members(self._spread.services)
+        gone = len(listed) - len(members) - len(others)
+        search = Search(now, segment, members, others, self.knows_all, gone)
         self._searches[segment.key] = search
         return search.ask()
 
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from trefoilhaven_core.connections.absences import AbsenceJudge
+from trefoilhaven_core.connections.answers import ODD_MARGIN
 from trefoilhaven_core.connections.messages import (
     ConnectionLoad,
     TargetReport,
@@ -31,10 +32,8 @@
 CLOSE_SHARE: Final = 0.3
 
 # A target whose latest answers look like failures counts as busy by this
-# many times its share of them above the usual one of its service. Shares
-# that differ by less than the margin are chance.
+# many times its share of them above the usual one of its service.
 ODD_COST: Final = 4.0
-ODD_MARGIN: Final = 0.2
 
 # An open connection without a request counts as this part of a busy one.
 IDLE_WEIGHT: Final = 0.05
