--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -174,6 +174,7 @@
                 self.gossip.take_changes(Changes(name, (), found.balancers))
             self.gossip.tick(now, found.probes)
             self._state.store.forget(now)
+            self._state.refresh_peers()
             balancers = len(self._state.store.balancers)
             absences = self._state.spread.absences
             absences.report_s = far_report_interval_s(balancers)
--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
-from typing import Final
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Final, TypeVar
 
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.effects import (
     AskMember,
+    AskPeer,
     DropCause,
     DropSegment,
     Effect,
@@ -18,9 +19,12 @@
 )
 from trefoilhaven_core.connections.messages import (
     ConnectionAccepted,
+    ConnectionKey,
     HolderQuery,
     HolderReply,
     Question,
+    RouteQuery,
+    RouteReply,
     SegmentForward,
     SegmentReturn,
     TargetReport,
@@ -35,6 +39,8 @@
 
 logger = logging.getLogger(__name__)
 
+_Asked = TypeVar('_Asked')
+
 # Searches go on in these steps; the answers themselves are taken at once.
 TICK_S: Final = 0.02
 IDLE_TICK_S: Final = 0.1
@@ -46,6 +52,9 @@
 # Questions in one datagram, which then stays below 1,400 bytes.
 QUERY_QUESTIONS: Final = 40
 
+# Connections in one question to a balancer, whose answer is longer.
+ROUTE_QUESTIONS: Final = 18
+
 
 class SegmentTask:
     """Feeds the router and carries out its effects."""
@@ -62,6 +71,7 @@
         self._endpoint = endpoint
         self._fabric: RawEndpoint | None = None
         self._questions: dict[Member, list[Question]] = {}
+        self._peer_questions: dict[Address, list[ConnectionKey]] = {}
         self._log = RateLimitedLog(logger)
         metrics = state.runtime.metrics
         self._drops = {
@@ -77,6 +87,8 @@
         endpoint.on(SegmentReturn, self._on_return)
         endpoint.on(HolderReply, self._on_reply)
         endpoint.on(ConnectionAccepted, self._on_accepted)
+        endpoint.on(RouteQuery, self._on_route_query)
+        endpoint.on(RouteReply, self._on_route_reply)
 
     def open(self) -> None:
         """Open the socket of the fabric; raises ``OSError``."""
@@ -141,6 +153,8 @@
                     self._forwards.add()
             elif isinstance(effect, AskMember):
                 self._ask(effect)
+            elif isinstance(effect, AskPeer):
+                self._ask_peer(effect)
             elif isinstance(effect, ResetClient):
                 self._reset(effect)
             elif isinstance(effect, Placed):
@@ -180,19 +194,39 @@
         )
 
     def _ask(self, effect: AskMember) -> None:
-        if not self._questions:
+        self._send_questions_soon()
+        self._questions.setdefault(effect.member, []).append(effect.question)
+
+    def _ask_peer(self, effect: AskPeer) -> None:
+        self._send_questions_soon()
+        keys = self._peer_questions.setdefault(effect.address, [])
+        keys.append(effect.key)
+
+    def _send_questions_soon(self) -> None:
+        if not self._questions and not self._peer_questions:
             loop = asyncio.get_running_loop()
             loop.call_later(COLLECT_S, self._send_questions)
-        self._questions.setdefault(effect.member, []).append(effect.question)
 
     def _send_questions(self) -> None:
-        collected = self._questions
+        asked = self._questions
         self._questions = {}
-        for member, questions in collected.items():
-            for start in range(0, len(questions), QUERY_QUESTIONS):
-                batch = tuple(questions[start:][:QUERY_QUESTIONS])
+        for member, questions in asked.items():
+            for batch in _batches(questions, QUERY_QUESTIONS):
                 query = HolderQuery(member.service, member.target, batch)
                 self._endpoint.send(query, member.control)
+        peers_asked = self._peer_questions
+        self._peer_questions = {}
+        for address, keys in peers_asked.items():
+            for keys_batch in _batches(keys, ROUTE_QUESTIONS):
+                self._endpoint.send(RouteQuery(keys_batch), address)
+
+    def _on_route_query(self, query: RouteQuery, sender: Address) -> None:
+        reply = self._state.router.on_route_query(query)
+        self._endpoint.send(reply, sender)
+
+    def _on_route_reply(self, reply: RouteReply, sender: Address) -> None:
+        router = self._state.router
+        self._apply(router.on_route_reply(monotonic(), reply, sender))
 
     def _drop(self, effect: DropSegment) -> None:
         self._drops[effect.cause].add()
@@ -221,3 +255,11 @@
                 'version': self._state.routes.version,
             },
         )
+
+
+def _batches(
+    asked: Sequence[_Asked], size: int
+) -> Iterator[tuple[_Asked, ...]]:
+    """Return questions in parts that fit into a datagram each."""
+    for start in range(0, len(asked), size):
+        yield tuple(asked[start : start + size])
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -14,7 +14,7 @@
 from trefoilhaven_core.connections.routers import ConnectionRouter
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.spreads import TargetSpread
-from trefoilhaven_core.membership.messages import Member
+from trefoilhaven_core.membership.messages import Member, MemberState
 from trefoilhaven_core.membership.views import ViewStore
 from trefoilhaven_core.settings.types import GatewaySettings
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
@@ -68,6 +68,16 @@
         """Return the members of all services that may be reached."""
         return self.spread.members(self.spread.services)
 
+    def refresh_peers(self) -> None:
+        """Tell the router the other balancers of the failure domain."""
+        self.router.peers = tuple(
+            record.control
+            for record in self.store.balancers
+            if record.failure_domain == self.cfg.failure_domain
+            and record.name != self.cfg.name
+            and record.state < MemberState.suspect
+        )
+
     def note_complete(self, now: float) -> None:
         """Note that the list of targets is known, at a monotonic time."""
         self.router.knows_all = True
--- a/packages/core/src/trefoilhaven_core/connections/caches.py
+++ b/packages/core/src/trefoilhaven_core/connections/caches.py
@@ -3,13 +3,27 @@
 from collections import OrderedDict
 from typing import Final
 
-from trefoilhaven_core.connections.messages import ConnectionKey
-from trefoilhaven_core.membership.messages import Member
+from trefoilhaven_core.connections.messages import (
+    ConnectionKey,
+    KnownRoute,
+    RouteQuery,
+    RouteReply,
+)
+from trefoilhaven_core.membership.messages import Member, MemberState
 
 # Connections in the cache; an entry takes about 400 bytes.
 CACHED_CONNECTIONS: Final = 50_000
 
 
+def is_current(member: Member | None, incarnation: int) -> bool:
+    """Tell whether a target still runs since the start that a route names."""
+    return (
+        member is not None
+        and member.incarnation == incarnation
+        and member.state < MemberState.left
+    )
+
+
 class CachedRoute:
     """Where the segments of one connection go.
 
@@ -55,6 +69,21 @@
             self._routes.popitem(last=False)
         return route
 
+    def answer(self, query: RouteQuery) -> RouteReply:
+        """Return the accepted connections of another balancer's query."""
+        routes = []
+        unknown = []
+        for key in query.keys:
+            route = self._routes.get(key)
+            if route is None or not route.is_accepted:
+                unknown.append(key)
+                continue
+            known = KnownRoute(
+                key, route.service, route.target, route.incarnation
+            )
+            routes.append(known)
+        return RouteReply(tuple(routes), tuple(unknown))
+
     def remove(self, key: ConnectionKey) -> None:
         """Forget a connection, if it is known."""
         self._routes.pop(key, None)
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -44,6 +44,13 @@
     question: Question
 
 
+class AskPeer(NamedTuple):
+    """Ask another balancer; questions to one balancer travel together."""
+
+    address: Address
+    key: ConnectionKey
+
+
 class DeliverToTarget(NamedTuple):
     """Hand a client's segment to the target beside the agent."""
 
@@ -103,6 +110,7 @@
 Effect = (
     SendMessage
     | AskMember
+    | AskPeer
     | DeliverToTarget
     | SendToClient
     | ResetClient
--- a/packages/core/src/trefoilhaven_core/connections/lookups.py
+++ b/packages/core/src/trefoilhaven_core/connections/lookups.py
@@ -1,17 +1,20 @@
 """Search for the target that holds a connection.
 
-A balancer that does not know a connection asks the agents of all targets
-that may hold it. Agents that started after their targets are unsure; the
+After a change of the fabric, another balancer of the failure domain has
+sent most connections on before, and is asked first. Otherwise a balancer
+that does not know a connection asks the agents of all targets that may
+hold it. Agents that started after their targets are unsure; the
 first waiting segment is offered to their targets, and a target that does
 not hold the connection refuses it.
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final, NamedTuple
 
 from trefoilhaven_core.connections.effects import (
     AskMember,
+    AskPeer,
     DropCause,
     DropSegment,
     Effect,
@@ -26,13 +29,17 @@
     SegmentForward,
     Verdict,
 )
-from trefoilhaven_core.membership.messages import Member
+from trefoilhaven_core.membership.messages import Address, Member
 
 # Agents that have not answered are asked again after this time, in seconds,
 # which doubles each time. The way to another failure domain and back takes
 # 8 ms; after a restart of everything, questions must not crowd out answers.
 ASK_INTERVAL_S: Final = 0.1
 
+# Other balancers answer within 1 ms; the agents are asked after this time,
+# in seconds, when one of them has ended.
+PEERS_S: Final = 0.02
+
 # An offer that was neither taken nor refused was lost; it is repeated after
 # this time, in seconds.
 OFFER_S: Final = 0.2
@@ -44,6 +51,9 @@
 # Segments that wait for one search: a client has 16 in flight.
 WAITING_SEGMENTS: Final = 16
 
+# Other balancers are asked where the agents are so many times as many.
+PEERS_SHARE: Final = 2
+
 TargetKey = tuple[str, str]
 
 
@@ -95,6 +105,7 @@
         self._ask_interval_s = ASK_INTERVAL_S
         self._is_asked_again = False
         self._offered: dict[TargetKey, float] = {}
+        self._peers: set[Address] = set()
 
     @property
     def segments(self) -> tuple[Segment, ...]:
@@ -108,6 +119,20 @@
         self._segments.append(segment)
         return []
 
+    def start(self, peers: Collection[Address]) -> list[Effect]:
+        """Ask the other balancers, or the agents where that is less."""
+        if not peers or PEERS_SHARE * len(peers) > len(self._members):
+            return self.ask()
+        self._peers = set(peers)
+        return [AskPeer(peer, self.key) for peer in peers]
+
+    def on_peer(self, peer: Address) -> list[Effect]:
+        """Note that another balancer does not know the connection."""
+        if peer not in self._peers:
+            return []
+        self._peers.discard(peer)
+        return [] if self._peers else self.ask()
+
     def ask(self) -> list[Effect]:
         """Return questions to the members that have not answered."""
         question = Question(self.key, self._segments[0].acknowledged)
@@ -131,6 +156,11 @@
     def tick(self, now: float) -> list[Effect]:
         """Repeat questions and offer a segment to an unsure target."""
         effects: list[Effect] = []
+        if self._peers:
+            if now - self.started_at < PEERS_S:
+                return []
+            self._peers.clear()
+            return self.ask()
         if now >= self._ask_due:
             self._ask_interval_s *= 2
             self._ask_due = now + self._ask_interval_s
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -182,6 +182,28 @@
     answers: tuple[Answer, ...]
 
 
+class RouteQuery(NamedTuple):
+    """Asks another balancer where it sent some connections."""
+
+    keys: tuple[ConnectionKey, ...]
+
+
+class KnownRoute(NamedTuple):
+    """The target to which a balancer has sent an accepted connection."""
+
+    key: ConnectionKey
+    service: str
+    target: str
+    incarnation: int
+
+
+class RouteReply(NamedTuple):
+    """A balancer's answer; ``unknown`` are the connections it never had."""
+
+    routes: tuple[KnownRoute, ...]
+    unknown: tuple[ConnectionKey, ...]
+
+
 class ConnectionAccepted(NamedTuple):
     """Tells the balancer that a target accepted a connection."""
 
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -8,7 +8,11 @@
 import random
 from typing import Final
 
-from trefoilhaven_core.connections.caches import CachedRoute, RouteCache
+from trefoilhaven_core.connections.caches import (
+    CachedRoute,
+    RouteCache,
+    is_current,
+)
 from trefoilhaven_core.connections.effects import (
     DropCause,
     DropSegment,
@@ -26,6 +30,8 @@
     ConnectionKey,
     HolderReply,
     ReturnReason,
+    RouteQuery,
+    RouteReply,
     Segment,
     SegmentForward,
     SegmentReturn,
@@ -34,7 +40,7 @@
 )
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.spreads import TargetSpread
-from trefoilhaven_core.membership.messages import MemberState
+from trefoilhaven_core.membership.messages import Address, Member
 
 # Targets that an opening segment is tried at, before it is dropped.
 OPENING_TRIES: Final = 4
@@ -44,7 +50,8 @@
     """Routes the segments that reach one balancer.
 
     ``knows_all`` tells that the list of targets is complete, so that a
-    connection which none of them holds may be reset.
+    connection which none of them holds may be reset. ``peers`` are the
+    other balancers of the failure domain.
     """
 
     def __init__(
@@ -55,6 +62,7 @@
     ) -> None:
         """Start with an empty cache."""
         self.knows_all = False
+        self.peers: tuple[Address, ...] = ()
         self._routes = routes
         self._spread = spread
         self._rng = rng
@@ -76,7 +84,10 @@
         known = self._cache.get(segment.key)
         if not self._routes.holders(address):
             return self._on_no_route(segment)
-        if known is not None and not self._is_current(known):
+        if known is not None and not is_current(
+            self._spread.member(known.service, known.target),
+            known.incarnation,
+        ):
             self._cache.remove(segment.key)
             known = None
         if segment.is_opening:
@@ -87,7 +98,7 @@
         search = self._searches.get(segment.key)
         if search is not None:
             return search.add(segment)
-        return self._search(now, segment)
+        return self._search(now, segment, self.peers)
 
     def on_return(
         self, now: float, returned: SegmentReturn, segment: Segment
@@ -121,6 +132,30 @@
             effects.extend(self._on_answer(now, reply, answer))
         return effects
 
+    def on_route_query(self, query: RouteQuery) -> RouteReply:
+        """Return the accepted connections of a query."""
+        return self._cache.answer(query)
+
+    def on_route_reply(
+        self, now: float, reply: RouteReply, peer: Address
+    ) -> list[Effect]:
+        """Take the route of a peer; the agent checks it as any other."""
+        effects: list[Effect] = []
+        for known in reply.routes:
+            search = self._searches.get(known.key)
+            member = self._spread.member(known.service, known.target)
+            if search is None:
+                continue
+            if member is None or not is_current(member, known.incarnation):
+                effects.extend(search.on_peer(peer))
+                continue
+            effects.extend(self._settle(now, search, member))
+        for key in reply.unknown:
+            search = self._searches.get(key)
+            if search is not None:
+                effects.extend(search.on_peer(peer))
+        return effects
+
     def on_accepted(self, now: float, accepted: ConnectionAccepted) -> None:
         """Note that a target accepted a connection."""
         self._spread.on_accepted(
@@ -154,11 +189,17 @@
         )
         if holder is None:
             return [*search.tick(now), *self._conclude(now, search)]
-        del self._searches[answer.key]
-        route = self._cache.add(answer.key, holder)
+        return self._settle(now, search, holder)
+
+    def _settle(
+        self, now: float, search: Search, holder: Member
+    ) -> list[Effect]:
+        """Send on what waits for a search whose holder is known."""
+        del self._searches[search.key]
+        route = self._cache.add(search.key, holder)
         route.is_accepted = True
         found = HolderFound(
-            answer.key,
+            search.key,
             holder,
             now - search.started_at,
             len(search.segments),
@@ -196,14 +237,14 @@
         if len(tried) >= OPENING_TRIES:
             return [DropSegment(segment, DropCause.no_target)]
         address = segment.key[2:]
-        service = self._routes.choose(address, self._rng)
-        if service is None:
+        services = self._routes.order(address, self._rng)
+        if not services:
             return self._on_no_route(segment)
-        member = None
-        for each in (service, *self._routes.alternatives(address, service)):
-            member = self._spread.choose(now, self._rng, each, tried)
-            if member is not None:
-                break
+        chosen = (
+            self._spread.choose(now, self._rng, service, tried)
+            for service in services
+        )
+        member = next(filter(None, chosen), None)
         if member is None:
             return [DropSegment(segment, DropCause.no_target)]
         route = self._cache.add(segment.key, member)
@@ -217,7 +258,12 @@
         )
         return [placed, self._forward(route, segment)]
 
-    def _search(self, now: float, segment: Segment) -> list[Effect]:
+    def _search(
+        self,
+        now: float,
+        segment: Segment,
+        peers: tuple[Address, ...] = (),
+    ) -> list[Effect]:
         services = self._routes.holders(segment.key[2:])
         members = self._spread.possible_holders(now, services)
         others = self._spread.possible_holders(
@@ -229,7 +275,7 @@
         gone = len(listed) - len(members) - len(others)
         search = Search(now, segment, members, others, self.knows_all, gone)
         self._searches[segment.key] = search
-        return search.ask()
+        return search.start(peers)
 
     def _conclude(self, now: float, search: Search) -> list[Effect]:
         effects = search.ask_others(now)
@@ -248,14 +294,6 @@
             for segment in search.segments
         ]
 
-    def _is_current(self, route: CachedRoute) -> bool:
-        member = self._spread.member(route.service, route.target)
-        return (
-            member is not None
-            and member.incarnation == route.incarnation
-            and member.state < MemberState.left
-        )
-
     def _forward(self, route: CachedRoute, segment: Segment) -> SendMessage:
         member = self._spread.member(route.service, route.target)
         forward = SegmentForward(
--- a/packages/core/src/trefoilhaven_core/connections/routes.py
+++ b/packages/core/src/trefoilhaven_core/connections/routes.py
@@ -84,6 +84,16 @@
             if weighted.service != chosen and weighted.weight > 0
         )
 
+    def order(self, address: ServiceAddress, rng: random.Random) -> list[str]:
+        """Return the services of a new connection, the chosen one first.
+
+        Empty without a route.
+        """
+        chosen = self.choose(address, rng)
+        if chosen is None:
+            return []
+        return [chosen, *self.alternatives(address, chosen)]
+
     def holders(self, address: ServiceAddress) -> frozenset[str]:
         """Return all services that may hold connections of an address."""
         return self._former.get(address, frozenset())
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -4,6 +4,7 @@
 
 from trefoilhaven_core.connections.effects import (
     AskMember,
+    AskPeer,
     DropSegment,
     Effect,
     Placed,
@@ -16,7 +17,11 @@
     ConnectionAccepted,
     ConnectionLoad,
     HolderReply,
+    KnownRoute,
     ReturnReason,
+    RouteQuery,
+    RouteReply,
+    Segment,
     SegmentForward,
     SegmentReturn,
     Verdict,
@@ -36,7 +41,11 @@
     only,
     opening,
 )
-from trefoilhaven_core.membership.messages import Member, MemberState
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Member,
+    MemberState,
+)
 
 KEY = key_of(1)
 
@@ -345,6 +354,78 @@
         assert asked(effects) == {'t1', 't2'}
 
 
+class TestPeers:
+    """Other balancers of the failure domain, which are asked first."""
+
+    PEER = Address('b2', 7000)
+
+    def start(self) -> tuple[Bench, Segment]:
+        """Return a balancer that asks its peer for a connection."""
+        bench = Bench()
+        bench.router.peers = (self.PEER,)
+        segment = make_segment(KEY, acknowledged=9)
+        effect = only(bench.router.on_segment(1, segment))
+        assert effect == AskPeer(self.PEER, KEY)
+        return bench, segment
+
+    def test_known(self) -> None:
+        """Guards against questions to all agents after a change of hash."""
+        bench, segment = self.start()
+        other = Bench()
+        target = other.open()
+        accepted = ConnectionAccepted(
+            'certify', target, 1, KEY, ConnectionLoad(1)
+        )
+        other.router.on_accepted(0.2, accepted)
+        reply = other.router.on_route_query(RouteQuery((KEY,)))
+        effects = bench.router.on_route_reply(1, reply, self.PEER)
+        assert forwarded(effects) == target
+        assert forwarded(bench.router.on_segment(2, segment)) == target
+
+    def test_not_accepted(self) -> None:
+        """Guards against the place of an opening that was refused."""
+        other = Bench()
+        other.open()
+        reply = other.router.on_route_query(RouteQuery((KEY,)))
+        assert reply == RouteReply((), (KEY,))
+
+    def test_unknown(self) -> None:
+        """Guards against a wait for peers that never had it."""
+        bench, _ = self.start()
+        reply = RouteReply((), (KEY,))
+        effects = bench.router.on_route_reply(1, reply, self.PEER)
+        assert asked(effects) == {'t1', 't2', 't3'}
+
+    def test_peer_has_ended(self) -> None:
+        """Guards against a wait for a peer that does not answer."""
+        bench, _ = self.start()
+        assert not bench.router.tick(1.01)
+        assert asked(bench.router.tick(1.03)) == {'t1', 't2', 't3'}
+
+    def test_wrong_place(self) -> None:
+        """Guards against segments that go round with an old route.
+
+        The agent hands the segment back, and its peers are not asked again.
+        """
+        bench, segment = self.start()
+        routes = (KnownRoute(KEY, 'certify', 't1', 1),)
+        reply = RouteReply(routes, ())
+        bench.router.on_route_reply(1, reply, self.PEER)
+        returned = SegmentReturn(
+            'certify', 't1', 1, ReturnReason.not_held, segment.raw
+        )
+        effects = bench.router.on_return(1.1, returned, segment)
+        assert asked(effects) == {'t1', 't2', 't3'}
+
+    def test_gone_target(self) -> None:
+        """Guards against a route to a target that has been replaced."""
+        bench, _ = self.start()
+        routes = (KnownRoute(KEY, 'certify', 't1', 7),)
+        reply = RouteReply(routes, ())
+        effects = bench.router.on_route_reply(1, reply, self.PEER)
+        assert asked(effects) == {'t1', 't2', 't3'}
+
+
 class TestRoutes:
     """Versions of the routes."""
 
--- a/packages/core/src/trefoilhaven_core/connections/tests/world.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/world.py
@@ -13,6 +13,7 @@
 
 from trefoilhaven_core.connections.effects import (
     AskMember,
+    AskPeer,
     DeliverToTarget,
     Effect,
     ResetClient,
@@ -25,6 +26,8 @@
     ConnectionKey,
     HolderQuery,
     HolderReply,
+    RouteQuery,
+    RouteReply,
     Segment,
     SegmentForward,
     SegmentReturn,
@@ -45,6 +48,9 @@
 TICK_S = 0.02
 REPORT_S = 0.25
 
+# Time until the others have noticed that a balancer has ended.
+PEER_LOST_S = 1.5
+
 
 class World:
     """Everything, with an agenda of what happens next."""
@@ -97,12 +103,14 @@
         router.knows_all = True
         self.balancers[address] = router
         self._tell_members()
+        self._tell_peers()
         self._tick_balancer(address)
         return address
 
     def remove_balancer(self, address: Address) -> None:
         """End a balancer with all that it remembers."""
         self.balancers.pop(address)
+        self.after(PEER_LOST_S, self._tell_peers)
 
     def restart_agent(self, target: Target, down_s: float) -> None:
         """Kill an agent; its successor knows nothing."""
@@ -177,6 +185,9 @@
                     (effect.question,),
                 )
                 self._message(sender, effect.member.control, query)
+            elif isinstance(effect, AskPeer):
+                asked = RouteQuery((effect.key,))
+                self._message(sender, effect.address, asked)
             elif isinstance(effect, DeliverToTarget):
                 target = self.targets[sender]
                 self.after(0.0005, partial(target.take, effect.raw))
@@ -214,13 +225,15 @@
     def _message(self, sender: Address, address: Address, message: Any) -> None:
         def deliver() -> None:
             if address in self.balancers:
-                self._at_balancer(address, message)
+                self._at_balancer(sender, address, message)
             elif address in self.targets:
                 self._at_agent(sender, self.targets[address], message)
 
         self._send(deliver)
 
-    def _at_balancer(self, address: Address, message: Any) -> None:
+    def _at_balancer(
+        self, sender: Address, address: Address, message: Any
+    ) -> None:
         router = self.balancers[address]
         effects: list[Effect] = []
         if isinstance(message, SegmentReturn):
@@ -228,6 +241,11 @@
             effects = router.on_return(self.now, message, segment)
         elif isinstance(message, HolderReply):
             effects = router.on_reply(self.now, message)
+        elif isinstance(message, RouteQuery):
+            reply = router.on_route_query(message)
+            self._message(address, sender, reply)
+        elif isinstance(message, RouteReply):
+            effects = router.on_route_reply(self.now, message, sender)
         elif isinstance(message, ConnectionAccepted):
             router.on_accepted(self.now, message)
         self.apply(address, effects)
@@ -254,6 +272,12 @@
             for service, known in members.items():
                 router._spread.set_members(service, known)  # noqa: SLF001
 
+    def _tell_peers(self) -> None:
+        for address, router in self.balancers.items():
+            router.peers = tuple(
+                other for other in self.balancers if other != address
+            )
+
     def _report(self, target: Target) -> None:
         if target.is_agent_up and target.is_alive:
             load = target.agent.load(self.now)
--- a/packages/core/src/trefoilhaven_core/wire/kinds.py
+++ b/packages/core/src/trefoilhaven_core/wire/kinds.py
@@ -45,4 +45,6 @@
     34: connections.ConnectionAccepted,
     35: connections.TargetReport,
     36: connections.BalancerHello,
+    37: connections.RouteQuery,
+    38: connections.RouteReply,
 }
