Send questions about connections in batches that the host can bear

Cause: a search asks every agent, and on a small host the datagrams for one search take 50 ms (61 targets, 0.15 ms each, a sixth of a core; derived). Change: questions wait for the next batch, which may leave 2 ms for each datagram of the last one after it. A search that is alone waits 3 ms as before. A question that waits is not added twice.

--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Iterator, Sequence
-from typing import Final, TypeVar
+from collections.abc import Iterable
+from typing import Final
 
 from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven_core.connections.batches import QuestionBatch
 from trefoilhaven_core.connections.effects import (
     AskMember,
     AskPeer,
@@ -19,10 +20,7 @@
 )
 from trefoilhaven_core.connections.messages import (
     ConnectionAccepted,
-    ConnectionKey,
-    HolderQuery,
     HolderReply,
-    Question,
     RouteQuery,
     RouteReply,
     SegmentForward,
@@ -30,7 +28,7 @@
     TargetReport,
 )
 from trefoilhaven_core.connections.texts import connection_text
-from trefoilhaven_core.membership.messages import Address, Member
+from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.platform.adapters import PlatformAdapter
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -39,22 +37,10 @@
 
 logger = logging.getLogger(__name__)
 
-_Asked = TypeVar('_Asked')
-
 # Searches go on in these steps; the answers themselves are taken at once.
 TICK_S: Final = 0.02
 IDLE_TICK_S: Final = 0.1
 
-# Questions to one agent are collected for this time, in seconds: after a
-# change of the fabric, hundreds of connections are looked for at once.
-COLLECT_S: Final = 0.003
-
-# Questions in one datagram, which then stays below 1,400 bytes.
-QUERY_QUESTIONS: Final = 40
-
-# Connections in one question to a balancer, whose answer is longer.
-ROUTE_QUESTIONS: Final = 18
-
 
 class SegmentTask:
     """Feeds the router and carries out its effects."""
@@ -70,8 +56,7 @@
         self._adapter = adapter
         self._endpoint = endpoint
         self._fabric: RawEndpoint | None = None
-        self._questions: dict[Member, list[Question]] = {}
-        self._peer_questions: dict[Address, list[ConnectionKey]] = {}
+        self._questions = QuestionBatch()
         self._log = RateLimitedLog(logger)
         metrics = state.runtime.metrics
         self._drops = {
@@ -151,10 +136,8 @@
                 self._endpoint.send(effect.message, effect.address)
                 if isinstance(effect.message, SegmentForward):
                     self._forwards.add()
-            elif isinstance(effect, AskMember):
+            elif isinstance(effect, AskMember | AskPeer):
                 self._ask(effect)
-            elif isinstance(effect, AskPeer):
-                self._ask_peer(effect)
             elif isinstance(effect, ResetClient):
                 self._reset(effect)
             elif isinstance(effect, Placed):
@@ -193,32 +176,16 @@
             },
         )
 
-    def _ask(self, effect: AskMember) -> None:
-        self._send_questions_soon()
-        self._questions.setdefault(effect.member, []).append(effect.question)
-
-    def _ask_peer(self, effect: AskPeer) -> None:
-        self._send_questions_soon()
-        keys = self._peer_questions.setdefault(effect.address, [])
-        keys.append(effect.key)
-
-    def _send_questions_soon(self) -> None:
-        if not self._questions and not self._peer_questions:
+    def _ask(self, effect: AskMember | AskPeer) -> None:
+        if self._questions.is_empty:
+            delay_s = self._questions.delay_s(monotonic())
             loop = asyncio.get_running_loop()
-            loop.call_later(COLLECT_S, self._send_questions)
+            loop.call_later(delay_s, self._send_questions)
+        self._questions.add(effect)
 
     def _send_questions(self) -> None:
-        asked = self._questions
-        self._questions = {}
-        for member, questions in asked.items():
-            for batch in _batches(questions, QUERY_QUESTIONS):
-                query = HolderQuery(member.service, member.target, batch)
-                self._endpoint.send(query, member.control)
-        peers_asked = self._peer_questions
-        self._peer_questions = {}
-        for address, keys in peers_asked.items():
-            for keys_batch in _batches(keys, ROUTE_QUESTIONS):
-                self._endpoint.send(RouteQuery(keys_batch), address)
+        for outgoing in self._questions.take(monotonic()):
+            self._endpoint.send(outgoing.message, outgoing.address)
 
     def _on_route_query(self, query: RouteQuery, sender: Address) -> None:
         reply = self._state.router.on_route_query(query)
@@ -255,11 +222,3 @@
                 'version': self._state.routes.version,
             },
         )
-
-
-def _batches(
-    asked: Sequence[_Asked], size: int
-) -> Iterator[tuple[_Asked, ...]]:
-    """Return questions in parts that fit into a datagram each."""
-    for start in range(0, len(asked), size):
-        yield tuple(asked[start : start + size])
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/batches.py
@@ -0,0 +1,90 @@
+"""Questions about connections that travel together.
+
+After a change of the fabric, or a power loss of everything, hundreds of
+connections are looked for at once, each at dozens of agents. One datagram
+for each question would take more processor time than a small host has, so
+that the answers come too late and every client repeats.
+"""
+
+from collections.abc import Iterator, Sequence
+from typing import Final, NamedTuple, TypeVar
+
+from trefoilhaven_core.connections.effects import AskMember, AskPeer
+from trefoilhaven_core.connections.messages import (
+    ConnectionKey,
+    HolderQuery,
+    Question,
+    RouteQuery,
+)
+from trefoilhaven_core.membership.messages import Address, Member
+
+# Questions are collected for this time at least, in seconds.
+COLLECT_S: Final = 0.003
+
+# For each datagram of a batch, the next batch waits for this time, seconds.
+# A datagram and its answer take 0.15 ms, which is 1 ms on a host with a
+# sixth of a core.
+DATAGRAM_PAUSE_S: Final = 0.002
+
+# Questions in one datagram to an agent, and connections in one to another
+# balancer, whose answer is longer; both stay below 1,400 bytes.
+QUERY_QUESTIONS: Final = 40
+ROUTE_QUESTIONS: Final = 18
+
+_Asked = TypeVar('_Asked')
+
+
+class Outgoing(NamedTuple):
+    """A datagram to send."""
+
+    address: Address
+    message: HolderQuery | RouteQuery
+
+
+class QuestionBatch:
+    """Collects questions of all searches; times are in seconds."""
+
+    def __init__(self) -> None:
+        """Start without questions."""
+        self._members: dict[Member, dict[ConnectionKey, Question]] = {}
+        self._peers: dict[Address, dict[ConnectionKey, None]] = {}
+        self._due = 0.0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no question waits."""
+        return not self._members and not self._peers
+
+    def add(self, asked: AskMember | AskPeer) -> None:
+        """Add a question; one that waits already is not added twice."""
+        if isinstance(asked, AskPeer):
+            self._peers.setdefault(asked.address, {})[asked.key] = None
+        else:
+            questions = self._members.setdefault(asked.member, {})
+            questions[asked.question.key] = asked.question
+
+    def delay_s(self, now: float) -> float:
+        """Return the time until the questions are to be sent."""
+        return max(COLLECT_S, self._due - now)
+
+    def take(self, now: float) -> list[Outgoing]:
+        """Return all datagrams and start anew."""
+        taken = list(self._datagrams())
+        self._members = {}
+        self._peers = {}
+        self._due = now + DATAGRAM_PAUSE_S * len(taken)
+        return taken
+
+    def _datagrams(self) -> Iterator[Outgoing]:
+        for member, questions in self._members.items():
+            for part in _parts(list(questions.values()), QUERY_QUESTIONS):
+                query = HolderQuery(member.service, member.target, part)
+                yield Outgoing(member.control, query)
+        for address, keys in self._peers.items():
+            for part_keys in _parts(list(keys), ROUTE_QUESTIONS):
+                yield Outgoing(address, RouteQuery(part_keys))
+
+
+def _parts(asked: Sequence[_Asked], size: int) -> Iterator[tuple[_Asked, ...]]:
+    for start in range(0, len(asked), size):
+        yield tuple(asked[start : start + size])
