--- a/packages/core/src/trefoilhaven_core/connections/absences.py
+++ b/packages/core/src/trefoilhaven_core/connections/absences.py
@@ -10,7 +10,7 @@
 
 # An agent that is silent for this time, in seconds, is gone. The planned
 # restart of an agent takes less than 3 s.
-GONE_S: Final = 6.0
+GONE_S: Final = 4.0
 
 # A balancer is in touch while it has heard this share of the agents lately.
 TOUCH_SHARE: Final = 0.5
