Answer for the target that is here, and for none where none listens

Ruled out: the pace of questions alone (the gateways had started by 37 s), unsure agents beside young targets (61 had found no predecessor by 36.3 s). Change: an agent answers absent for another target's name and hands back what is meant for it; one that hears no heartbeat for 0.3 s asks whether anything listens, answers absent where nothing does, and removes the object.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/checks.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/checks.py
@@ -20,14 +20,30 @@
 SILENT_PAUSE_S: Final = 1.0
 
 
+# A target that lives repeats a heartbeat without an answer many times in this
+# time. An agent that has started and heard none asks for it, again and again.
+UNHEARD_S: Final = 0.3
+
+
 class CheckSchedule:
     """Decides when to ask; times are monotonic, in seconds."""
 
     def __init__(self) -> None:
         """Start before the first question."""
         self._asked_at = -math.inf
+        self._started_at: float | None = None
         self._mute_limit_s = MUTE_TARGET_S
 
+    def is_unheard_due(self, now: float) -> bool:
+        """Tell whether to ask for a target that no heartbeat has named."""
+        if self._started_at is None:
+            self._started_at = now
+        since = max(self._started_at, self._asked_at)
+        if now - since < UNHEARD_S:
+            return False
+        self._asked_at = now
+        return True
+
     def is_due(
         self, now: float, silent_s: float, mute_s: float, *, departing: bool
     ) -> bool:
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -191,20 +191,23 @@
         """Ask a target that departs or says nothing whether it lives."""
         schedule = CheckSchedule()
         while True:
-            now = monotonic()
-            has_target = self._belief.member is not None
-            mute_s = self._connections.mute_s(now) if has_target else 0.0
-            is_due = schedule.is_due(
-                now,
-                self._belief.silent_s(now),
-                mute_s,
-                departing=self._departing,
-            )
-            if is_due and await self._is_target_gone():
-                self._on_gone()
-                self._departing = False
+            if self._is_check_due(schedule, monotonic()):
+                if await self._is_target_gone():
+                    self._on_gone()
+                    self._departing = False
             await asyncio.sleep(CHECK_S)
 
+    def _is_check_due(self, schedule: CheckSchedule, now: float) -> bool:
+        if self._belief.member is None:
+            is_known = self._connections.is_vacant
+            return not is_known and schedule.is_unheard_due(now)
+        return schedule.is_due(
+            now,
+            self._belief.silent_s(now),
+            self._connections.mute_s(now),
+            departing=self._departing,
+        )
+
     def _on_gone(self) -> None:
         now = monotonic()
         signs = {
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_checks.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_checks.py
@@ -5,6 +5,7 @@
     MUTE_TARGET_S,
     SILENT_PAUSE_S,
     SILENT_TARGET_S,
+    UNHEARD_S,
     CheckSchedule,
 )
 
@@ -45,6 +46,13 @@
         assert not schedule.is_due(1.01, 0.5, 0, departing=True)
         assert schedule.is_due(1.01 + DEPARTING_PAUSE_S, 0.5, 0, departing=True)
 
+    def test_unheard(self) -> None:
+        """Guards against an agent that waits for a target that has ended."""
+        schedule = CheckSchedule()
+        assert not schedule.is_unheard_due(1)
+        assert schedule.is_unheard_due(1.01 + UNHEARD_S)
+        assert not schedule.is_unheard_due(1.02 + UNHEARD_S)
+
     def test_silent(self) -> None:
         """Guards against a host whose target crashed without connections."""
         schedule = CheckSchedule()
--- a/packages/core/src/trefoilhaven_core/connections/holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/holders.py
@@ -50,7 +50,8 @@
     """Decides about segments to and from one target.
 
     ``saw_start`` tells that the agent has seen the target from its start,
-    so that connections which it does not know are not the target's.
+    so that connections which it does not know are not the target's, and
+    ``is_vacant`` that no target listens on the host.
     """
 
     def __init__(self, service: str, idle_timeout_s: float) -> None:
@@ -59,6 +60,7 @@
         self.identity: Identity | None = None
         self.saw_start = False
         self.accepts = False
+        self.is_vacant = False
         self._opening_at: float | None = None
         self._unanswered_at: float | None = None
         self._tried_at = -math.inf
@@ -103,10 +105,16 @@
         if identity != self.identity:
             self.saw_start = saw_start
         self.identity = identity
+        self.is_vacant = False
         return effects
 
     def on_target_gone(self) -> list[Effect]:
-        """Reset all connections, since the target has ended."""
+        """Reset all connections, since nothing listens for the target.
+
+        An agent that has started beside no target learns it in this way
+        too: nobody else holds what its predecessor's target held.
+        """
+        self.is_vacant = True
         effects: list[Effect] = [
             ResetClient(key, held.acknowledged, ResetCause.target_gone)
             for key, held in self._table.open_items()
@@ -141,7 +149,8 @@
             return self._deliver(now, segment)
         if segment.is_opening:
             return self._open(now, forward, segment, balancer)
-        if held is None and self._may_hold(now, segment.key):
+        is_meant = self._is_meant(forward.target)
+        if held is None and is_meant and self._may_hold(now, segment.key):
             return self._offer(now, forward, segment, balancer)
         reason = ReturnReason.not_held
         return [_return(balancer, _asked(forward), reason, segment)]
@@ -194,7 +203,7 @@
     def _judge(
         self, now: float, query: HolderQuery, question: Question
     ) -> Verdict:
-        if query.service != self.service:
+        if query.service != self.service or not self._is_meant(query.target):
             return Verdict.absent
         held = self._table.get(question.key)
         if held is not None:
@@ -204,9 +213,16 @@
             return Verdict.unsure
         return Verdict.absent
 
+    def _is_meant(self, target: str) -> bool:
+        """Tell whether a name may be that of the target beside the agent.
+
+        The host of a target that left may have passed to another one.
+        """
+        return self.identity is None or self.identity.target == target
+
     def _may_hold(self, now: float, key: ConnectionKey) -> bool:
         """Tell whether only the target knows if it holds a connection."""
-        if self.saw_start:
+        if self.saw_start or self.is_vacant:
             return False
         return not self._offers.is_absent(now, key)
 
