--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -5,8 +5,11 @@
 
 from trefoilhaven_core.connections.messages import (
     ConnectionKey,
+    Identity,
     Question,
+    ReturnReason,
     Segment,
+    SegmentReturn,
 )
 from trefoilhaven_core.membership.messages import Address, Member
 
@@ -118,3 +121,11 @@
     | HolderFound
     | DropSegment
 )
+
+
+def return_segment(
+    balancer: Address, asked: Identity, reason: ReturnReason, segment: Segment
+) -> SendMessage:
+    """Hand a segment back to the balancer that sent it on."""
+    message = SegmentReturn(*asked, reason, segment.raw)
+    return SendMessage(balancer, message)
--- a/packages/core/src/trefoilhaven_core/connections/holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/holders.py
@@ -6,9 +6,7 @@
 what the target refuses.
 """
 
-import math
 from collections.abc import Iterable
-from typing import Final
 
 from trefoilhaven_core.connections.effects import (
     DeliverToTarget,
@@ -19,6 +17,7 @@
     ResetClient,
     SendMessage,
     SendToClient,
+    return_segment,
 )
 from trefoilhaven_core.connections.messages import (
     Answer,
@@ -33,18 +32,13 @@
     Segment,
     SegmentFlag,
     SegmentForward,
-    SegmentReturn,
     Verdict,
 )
 from trefoilhaven_core.connections.offers import Offer, OfferTable
+from trefoilhaven_core.connections.silences import TargetSilence
 from trefoilhaven_core.connections.tables import Held, HeldTable
 from trefoilhaven_core.membership.messages import Address
 
-# A target answers an opening segment within milliseconds. One that has not
-# answered for this time, in seconds, gets no further ones but for trials.
-SILENT_S: Final = 0.12
-TRIAL_S: Final = 0.4
-
 
 class HeldConnections:
     """Decides about segments to and from one target.
@@ -61,9 +55,7 @@
         self.saw_start = False
         self.accepts = False
         self.is_vacant = False
-        self._opening_at: float | None = None
-        self._unanswered_at: float | None = None
-        self._tried_at = -math.inf
+        self._silence = TargetSilence()
         self._table = HeldTable(idle_timeout_s)
         self._offers = OfferTable()
 
@@ -78,17 +70,11 @@
 
     def is_silent(self, now: float) -> bool:
         """Tell whether the target has left an opening unanswered."""
-        asked_at = self._opening_at
-        return asked_at is not None and now - asked_at >= SILENT_S
+        return self._silence.is_silent(now)
 
     def mute_s(self, now: float) -> float:
-        """Return how long the target has sent nothing, in seconds.
-
-        The time counts from the first segment that it was handed and that
-        calls for an answer; without one it is 0.
-        """
-        started_at = self._unanswered_at
-        return 0.0 if started_at is None else now - started_at
+        """Return how long the target has left segments unanswered."""
+        return self._silence.mute_s(now)
 
     def load(self, now: float) -> ConnectionLoad:
         """Return the target's load."""
@@ -121,8 +107,7 @@
         ]
         self._table.clear()
         self._offers.clear()
-        self._opening_at = None
-        self._unanswered_at = None
+        self._silence.on_heard()
         self.accepts = False
         return effects
 
@@ -153,7 +138,7 @@
         if held is None and is_meant and self._may_hold(now, segment.key):
             return self._offer(now, forward, segment, balancer)
         reason = ReturnReason.not_held
-        return [_return(balancer, _asked(forward), reason, segment)]
+        return [return_segment(balancer, forward.meant_for, reason, segment)]
 
     def on_query(
         self,
@@ -171,8 +156,7 @@
 
     def on_target_segment(self, now: float, segment: Segment) -> list[Effect]:
         """Decide about a segment that the target sent."""
-        self._opening_at = None
-        self._unanswered_at = None
+        self._silence.on_heard()
         if segment.flags & SegmentFlag.bounced:
             return self._on_refused(now, segment)
         effects: list[Effect] = [SendToClient(segment.key, segment.raw)]
@@ -234,17 +218,17 @@
         balancer: Address,
     ) -> list[Effect]:
         identity = self.identity
-        is_trial_due = now - self._tried_at >= TRIAL_S
-        is_open = self.accepts and (is_trial_due or not self.is_silent(now))
+        is_open = self.accepts and self._silence.may_open(now)
         if identity is None or not is_open:
             reason = ReturnReason.not_accepted
-            return [_return(balancer, _asked(forward), reason, segment)]
-        if _asked(forward) != identity:
+            return [
+                return_segment(balancer, forward.meant_for, reason, segment)
+            ]
+        if forward.meant_for != identity:
             reason = ReturnReason.other_target
-            return [_return(balancer, _asked(forward), reason, segment)]
-        self._tried_at = now
-        if self._opening_at is None:
-            self._opening_at = now
+            return [
+                return_segment(balancer, forward.meant_for, reason, segment)
+            ]
         held = self._table.add(now, segment.key, balancer)
         self._table.on_client(now, held, segment)
         return self._deliver(now, segment)
@@ -256,15 +240,13 @@
         segment: Segment,
         balancer: Address,
     ) -> list[Effect]:
-        offer = Offer(balancer, _asked(forward), now)
+        offer = Offer(balancer, forward.meant_for, now)
         if not self._offers.add(segment.key, offer):
             return []
         return self._deliver(now, segment)
 
     def _deliver(self, now: float, segment: Segment) -> list[Effect]:
-        calls_for_answer = segment.is_opening or segment.length > 0
-        if calls_for_answer and self._unanswered_at is None:
-            self._unanswered_at = now
+        self._silence.on_delivered(now, segment)
         return [DeliverToTarget(segment.raw)]
 
     def _on_refused(self, now: float, segment: Segment) -> list[Effect]:
@@ -274,7 +256,9 @@
             self._offers.note_absent(now, segment.key)
         if offer is not None:
             reason = ReturnReason.not_held
-            return [_return(offer.balancer, offer.asked, reason, segment)]
+            return [
+                return_segment(offer.balancer, offer.asked, reason, segment)
+            ]
         if held is None or self.identity is None or held.balancer is None:
             return []
         if segment.is_opening:
@@ -285,7 +269,7 @@
             # The target accepted the connection itself and dropped it.
             cause = ResetCause.target_gone
             return [ResetClient(segment.key, segment.acknowledged, cause)]
-        return [_return(held.balancer, self.identity, reason, segment)]
+        return [return_segment(held.balancer, self.identity, reason, segment)]
 
     def _on_accepting(
         self, now: float, segment: Segment, held: Held
@@ -297,14 +281,3 @@
             return ()
         message = ConnectionAccepted(*identity, segment.key, self.load(now))
         return (SendMessage(held.balancer, message),)
-
-
-def _asked(forward: SegmentForward) -> Identity:
-    return Identity(forward.service, forward.target, forward.incarnation)
-
-
-def _return(
-    balancer: Address, asked: Identity, reason: ReturnReason, segment: Segment
-) -> SendMessage:
-    message = SegmentReturn(*asked, reason, segment.raw)
-    return SendMessage(balancer, message)
--- a/packages/core/src/trefoilhaven_core/connections/lookups.py
+++ b/packages/core/src/trefoilhaven_core/connections/lookups.py
@@ -193,6 +193,13 @@
             if (verdict := self._verdicts.get(key)) is not Verdict.absent
         )
 
+    def drops(self) -> list[Effect]:
+        """Return the drops of all segments of a search without a result."""
+        return [
+            DropSegment(segment, DropCause.not_found, self.pending())
+            for segment in self._segments
+        ]
+
     def reset(self) -> ResetClient:
         """Return the reset of a connection that no target holds."""
         latest = self._segments[-1]
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -136,6 +136,11 @@
     is_probe: bool
     raw: bytes
 
+    @property
+    def meant_for(self) -> Identity:
+        """The target that the segment is meant for."""
+        return Identity(self.service, self.target, self.incarnation)
+
 
 class SegmentReturn(NamedTuple):
     """A segment that an agent could not deliver."""
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -18,7 +18,6 @@
     DropSegment,
     Effect,
     HolderFound,
-    Placed,
     ResetCause,
     ResetClient,
     SendMessage,
@@ -249,13 +248,7 @@
             return [DropSegment(segment, DropCause.no_target)]
         route = self._cache.add(segment.key, member)
         route.tried = tried
-        placed = Placed(
-            segment.key,
-            member,
-            self._spread.busy_share(member.service, member.target),
-            self._spread.silent_s(now, member.service, member.target),
-            tried,
-        )
+        placed = self._spread.placed(now, segment.key, member, tried)
         return [placed, self._forward(route, segment)]
 
     def _search(
@@ -289,10 +282,7 @@
             del self._searches[search.key]
         else:
             return []
-        return [
-            DropSegment(segment, DropCause.not_found, search.pending())
-            for segment in search.segments
-        ]
+        return search.drops()
 
     def _forward(self, route: CachedRoute, segment: Segment) -> SendMessage:
         member = self._spread.member(route.service, route.target)
--- a/packages/core/src/trefoilhaven_core/connections/spreads.py
+++ b/packages/core/src/trefoilhaven_core/connections/spreads.py
@@ -7,7 +7,9 @@
 
 from trefoilhaven_core.connections.absences import AbsenceJudge
 from trefoilhaven_core.connections.answers import ODD_MARGIN
+from trefoilhaven_core.connections.effects import Placed
 from trefoilhaven_core.connections.messages import (
+    ConnectionKey,
     ConnectionLoad,
     TargetReport,
 )
@@ -183,15 +185,18 @@
         target = self._targets.get(service, {}).get(name)
         return target.member if target else None
 
-    def silent_s(self, now: float, service: str, name: str) -> float:
-        """Return for how long an agent was not heard, in seconds."""
-        target = self._targets.get(service, {}).get(name)
-        return now - target.seen_at if target else math.inf
-
-    def busy_share(self, service: str, name: str) -> float:
-        """Return the busy share of a target's slots, 0 for an unknown one."""
-        target = self._targets.get(service, {}).get(name)
-        return target.busy_share() if target else 0.0
+    def placed(
+        self,
+        now: float,
+        key: ConnectionKey,
+        member: Member,
+        tried: tuple[str, ...],
+    ) -> Placed:
+        """Return what a choice was based on, for the log."""
+        target = self._find(member)
+        return Placed(
+            key, member, target.busy_share(), now - target.seen_at, tried
+        )
 
     def choose(
         self,
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_holders.py
@@ -8,11 +8,7 @@
     SendMessage,
     SendToClient,
 )
-from trefoilhaven_core.connections.holders import (
-    SILENT_S,
-    TRIAL_S,
-    HeldConnections,
-)
+from trefoilhaven_core.connections.holders import HeldConnections
 from trefoilhaven_core.connections.messages import (
     Identity,
     ConnectionAccepted,
@@ -26,6 +22,7 @@
     Verdict,
 )
 from trefoilhaven_core.connections.offers import REFUSAL_S
+from trefoilhaven_core.connections.silences import SILENT_S, TRIAL_S
 from trefoilhaven_core.connections.tables import CLOSED_S
 from trefoilhaven_core.connections.tests.support import (
     BALANCER,
