--- a/packages/bench/src/trefoilhaven_bench/measurements/connections.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/connections.py
@@ -157,7 +157,7 @@
 
 
 def _segment(
-    number: int, flags: SegmentFlag = SegmentFlag.acknowledges
+    number: int, flags: int = SegmentFlag.acknowledges
 ) -> Segment:
     return Segment(_key(number), flags, 1, 1, 0, b'')
 
