--- a/packages/bench/src/trefoilhaven_bench/measurements/connections.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/connections.py
@@ -156,9 +156,7 @@
     return ConnectionKey(number // 50_000, number % 50_000, *_ADDRESS)
 
 
-def _segment(
-    number: int, flags: int = SegmentFlag.acknowledges
-) -> Segment:
+def _segment(number: int, flags: int = SegmentFlag.acknowledges) -> Segment:
     return Segment(_key(number), flags, 1, 1, 0, b'')
 
 
