Take an earlier target of a host for gone when its agent reports the next

After a power loss gateways had read the objects of 11 targets before their successors on the same hosts were registered; 11 of 21 known targets were silent, so that a gateway never took itself for in touch and no silent agent for gone (trial: the state of connections.absences logged each second). Ruled out: the limit of 4 s, reports that come late (the 10 living targets were heard each 0.6 s). Change: a report ends the records of targets that were on its host before, with a lower incarnation.

--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -277,9 +277,10 @@
         member = report.member
         known = self._state.store.member(member.service, member.target)
         if known != member:
-            changes = Changes(self._state.cfg.name, (member,), ())
+            left = self._state.replaced_by(member)
+            changes = Changes(self._state.cfg.name, (member, *left), ())
             self.gossip.take_changes(changes)
-            self._state.refresh([member.service])
+            self._state.refresh({each.service for each in changes.members})
             logger.info(
                 'target changed',
                 extra={
@@ -288,6 +289,7 @@
                     'incarnation': member.incarnation,
                     'sequence': member.sequence,
                     'state': member.state.name,
+                    'replaces': [each.target for each in left],
                 },
             )
         self._segments.on_report(report)
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -68,6 +68,19 @@
         """Return the members of all services that may be reached."""
         return self.spread.members(self.spread.services)
 
+    def replaced_by(self, member: Member) -> tuple[Member, ...]:
+        """Return the records of earlier targets of a host, as left.
+
+        An agent stands for one target, so that nobody stands for these.
+        """
+        return tuple(
+            known._replace(state=MemberState.left, sequence=known.sequence + 1)
+            for known in self.targets()
+            if known.host == member.host
+            and known.target != member.target
+            and known.incarnation < member.incarnation
+        )
+
     def refresh_peers(self) -> None:
         """Tell the router the other balancers of the failure domain."""
         self.router.peers = tuple(
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -83,9 +83,12 @@
     )
 
 
-@pytest.fixture(name='handlers')
-def handlers_fixture() -> tuple[GatewayState, Handlers]:
-    """Return a gateway's state and its handlers of calls."""
+Pair = tuple[GatewayState, Handlers]
+Rig = tuple[GatewayState, DiscoveryTask]
+
+
+def make_rig() -> tuple[GatewayState, Handlers, DiscoveryTask]:
+    """Return a gateway's state, its handlers of calls and its discovery."""
     state = make_state()
     codec = make_codec()
     clock = state.runtime.clock
@@ -93,13 +96,24 @@
     transfers = Handlers(codec=codec, clock=clock)
     adapter = mock.Mock(spec=PlatformAdapter)
     segments = SegmentTask(state, adapter, endpoint)
-    DiscoveryTask(
+    task = DiscoveryTask(
         state, adapter, endpoint, transfers, segments, random.Random(1)
     )
+    return state, transfers, task
+
+
+@pytest.fixture(name='handlers')
+def handlers_fixture() -> Pair:
+    """Return a gateway's state and its handlers of calls."""
+    state, transfers, _ = make_rig()
     return state, transfers
 
 
-Pair = tuple[GatewayState, Handlers]
+@pytest.fixture(name='rig')
+def rig_fixture() -> Rig:
+    """Return a gateway's state and its discovery."""
+    state, _, task = make_rig()
+    return state, task
 
 
 class TestState:
@@ -123,6 +137,41 @@
         assert isinstance(answer(StateRequest('g2')), State)
 
 
+class TestReports:
+    """What a report tells about other targets."""
+
+    def test_replaced(self, handlers: Pair) -> None:
+        """Guards against searches for targets that a power loss has ended.
+
+        Their objects were read before the next targets of the same hosts
+        had been registered, and half of all known targets were silent.
+        """
+        state, _ = handlers
+        state.store.merge([make_member('t1'), make_member('t2')])
+        state.refresh(['certify'])
+        successor = make_member('t3')._replace(host='host-t1', incarnation=9)
+        assert [each.target for each in state.replaced_by(successor)] == ['t1']
+
+    def test_late_report(self, handlers: Pair) -> None:
+        """Guards against an old report that ends the present target."""
+        state, _ = handlers
+        present = make_member('t3')._replace(host='host-t1', incarnation=9)
+        state.store.merge([present])
+        state.refresh(['certify'])
+        assert not state.replaced_by(make_member('t1'))
+
+    async def test_searches(self, rig: 'Rig') -> None:
+        """Guards against a replaced target that is still looked for."""
+        state, task = rig
+        state.store.merge([make_member('t1')])
+        state.refresh(['certify'])
+        successor = make_member('t3')._replace(host='host-t1', incarnation=9)
+        load = ConnectionLoad()
+        report = TargetReport(successor, load, is_cold=False, is_silent=False)
+        task._on_report(report, CONTROL)  # noqa: SLF001
+        assert [each.target for each in state.targets()] == ['t3']
+
+
 class TestReadiness:
     """When the fabric may send segments."""
 
