--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -175,9 +175,8 @@
             self.gossip.tick(now, found.probes)
             self._state.store.forget(now)
             self._state.refresh_peers()
-            balancers = len(self._state.store.balancers)
-            absences = self._state.spread.absences
-            absences.report_s = far_report_interval_s(balancers)
+            report_s = far_report_interval_s(len(self._state.store.balancers))
+            self._state.spread.absences.report_s = report_s
             await asyncio.sleep(TICK_S)
 
     async def _greet(self) -> None:
