Remove an unused type of searches, name the lost hosts of a removal

connections.lookups.Found had no user, and a map of lost targets in gateway.removals was called removed. No change of behaviour; formatter, flake8, mypy and the unit tests of connections and gateway pass.

--- a/packages/balancer/src/trefoilhaven/gateway/removals.py
+++ b/packages/balancer/src/trefoilhaven/gateway/removals.py
@@ -55,13 +55,13 @@
         if balancer_rank(state.cfg.name, state.store.balancers):
             return
         lost = state.spread.lost(now, LOST_S)
-        removed = {
+        lost_by_key = {
             _Removed(member.host, member.target, member.incarnation): member
             for member in lost
         }
         # What is no longer lost may be lost again.
-        self._removed &= removed.keys()
-        for key, member in removed.items():
+        self._removed &= lost_by_key.keys()
+        for key, member in lost_by_key.items():
             if key not in self._removed and await self._remove(member):
                 self._removed.add(key)
 
--- a/packages/core/src/trefoilhaven_core/connections/lookups.py
+++ b/packages/core/src/trefoilhaven_core/connections/lookups.py
@@ -10,7 +10,7 @@
 
 from collections import deque
 from collections.abc import Collection, Iterable
-from typing import Final, NamedTuple
+from typing import Final
 
 from trefoilhaven_core.connections.effects import (
     AskMember,
@@ -57,13 +57,6 @@
 TargetKey = tuple[str, str]
 
 
-class Found(NamedTuple):
-    """The holder of a connection with the segments that wait for it."""
-
-    member: Member
-    segments: tuple[Segment, ...]
-
-
 class Search:
     """The search for the holder of one connection."""
 
