Log what tells the causes of a wrong reset apart

Cause: a reset's line names the number of targets asked only, a target learned by gossip writes no line, and an agent that denies a connection of its table writes none.

Change: a gateway logs each target that is new or changed, with the source (its agent or a peer), and a peer's route to an unknown target. A reset names up to 8 targets left out as failed. A sidecar logs a tracked connection that it denies, with both numbers. Decisions are unchanged.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
@@ -16,8 +16,10 @@
 )
 from trefoilhaven_core.connections.messages import (
     HolderQuery,
+    HolderReply,
     SegmentForward,
     SegmentReturn,
+    Verdict,
 )
 from trefoilhaven_core.connections.texts import connection_text
 from trefoilhaven_core.membership.messages import Address
@@ -118,7 +120,13 @@
         self.apply(effects)
 
     def _on_query(self, query: HolderQuery, sender: Address) -> None:
-        self.apply(self._connections.on_query(monotonic(), query, sender))
+        effects = self._connections.on_query(monotonic(), query, sender)
+        for effect in effects:
+            if isinstance(effect, SendMessage) and isinstance(
+                effect.message, HolderReply
+            ):
+                self._log_denials(query, effect.message)
+        self.apply(effects)
 
     def _on_raw(self, raw: bytes, _: tuple[str, int]) -> None:
         segment = self._adapter.codec.decode_from_target(raw)
@@ -146,6 +154,27 @@
             },
         )
 
+    def _log_denials(self, query: HolderQuery, reply: HolderReply) -> None:
+        """Log the tracked connections that the agent denies.
+
+        The target has a record of each, but its client chose another target.
+        """
+        for question, answer in zip(
+            query.questions, reply.answers, strict=True
+        ):
+            entry = self._connections.get(question.key)
+            if entry is None or answer.verdict is not Verdict.absent:
+                continue
+            logger.info(
+                'tracked connection denied',
+                extra={
+                    'connection': connection_text(question.key),
+                    'acknowledged': question.acknowledged,
+                    'first_sequence': entry.first_sequence,
+                    'is_closed': entry.closed_at is not None,
+                },
+            )
+
     def _drop(self, effect: DropSegment) -> None:
         self._dropped.add()
         self._log.warn(
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -0,0 +1,194 @@
+"""Knowledge of a gateway about the targets.
+
+A gateway reads all targets from the store, or takes them from a peer, when it
+starts. Afterwards agents report to every gateway that they know, and the
+gateways gossip what they learn.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Iterable
+from typing import Final
+
+from trefoilhaven.balancer.gossip import GossipTask, StateFetcher
+from trefoilhaven.gateway.segments import SegmentTask
+from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven_core.connections.messages import BalancerHello, TargetReport
+from trefoilhaven_core.connections.pacing import HELLO_S, hello_interval_s
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Changes,
+    Member,
+    State,
+    StateRequest,
+)
+from trefoilhaven_core.membership.objects import (
+    BALANCERS_PREFIX,
+    TARGETS_PREFIX,
+    read_balancer,
+    read_member,
+)
+from trefoilhaven_core.platform.backoffs import Backoff
+from trefoilhaven_core.platform.clients import PlatformClient
+from trefoilhaven_core.platform.errors import describe_error
+from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.transfers import TransferEndpoint
+
+logger = logging.getLogger(__name__)
+
+LIST_BACKOFF_LIMIT_S: Final = 1.0
+
+
+class TransferStateFetcher(StateFetcher):
+    """Fetches states by plain TCP calls."""
+
+    def __init__(self, transfers: TransferEndpoint) -> None:
+        self._transfers = transfers
+
+    async def fetch(self, address: Address, req: StateRequest) -> State | None:
+        """Return the peer's state, None when it did not answer."""
+        called = await self._transfers.call(address, req)
+        if called.is_error() or not isinstance(called.ok, State):
+            return None
+        return called.ok
+
+
+def log_changed_targets(members: Iterable[Member], source: str) -> None:
+    """Log targets that are new or whose incarnation or state changed.
+
+    ``source`` is where the change was learned.
+    """
+    for member in members:
+        logger.info(
+            'target changed',
+            extra={
+                'service': member.service,
+                'target': member.target,
+                'incarnation': member.incarnation,
+                'sequence': member.sequence,
+                'state': member.state.name,
+                'source': source,
+            },
+        )
+
+
+class MembershipTask:
+    """Finds the targets and tells their agents about this gateway."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        gossip: GossipTask,
+        client: PlatformClient,
+        endpoint: DatagramEndpoint,
+        transfers: TransferEndpoint,
+        segments: SegmentTask,
+        rng: random.Random,
+    ) -> None:
+        """Register the handlers of reports and of state requests."""
+        cfg = state.cfg
+        self._state = state
+        self._gossip = gossip
+        self._client = client
+        self._endpoint = endpoint
+        self._segments = segments
+        self._rng = rng
+        self._hello = BalancerHello(
+            cfg.name, cfg.failure_domain, state.runtime.incarnation, HELLO_S
+        )
+        endpoint.on(TargetReport, self._on_report)
+        transfers.on(StateRequest, self._on_state)
+
+    async def run(self) -> None:
+        """Find and tell targets until cancelled."""
+        await asyncio.gather(
+            self._send_hellos(),
+            self._read_members(),
+            self._fetch_from_seeds(),
+        )
+
+    async def _send_hellos(self) -> None:
+        """Announce this gateway to all agents regularly."""
+        while True:
+            await asyncio.sleep(self._send_hello())
+
+    def _send_hello(self) -> float:
+        """Send a hello to all agents; return the seconds until the next."""
+        targets = self._state.targets()
+        interval_s = hello_interval_s(len(targets))
+        hello = self._hello._replace(interval_s=interval_s)
+        addresses = [member.control for member in targets]
+        self._endpoint.send(hello, *addresses)
+        return interval_s
+
+    async def _fetch_from_seeds(self) -> None:
+        """Fetch the full state from a seed, to start without the store."""
+        backoff = Backoff(self._rng, limit_s=LIST_BACKOFF_LIMIT_S)
+        while not self._state.router.searches.is_membership_complete:
+            if await self._gossip.fetch_from_seeds():
+                self._set_membership_complete('a peer')
+                return
+            await asyncio.sleep(backoff.next_s())
+
+    async def _read_members(self) -> None:
+        """Read all members and balancers from the store, with retries."""
+        backoff = Backoff(self._rng, limit_s=LIST_BACKOFF_LIMIT_S)
+        while True:
+            targets = await self._client.list(TARGETS_PREFIX)
+            balancers = await self._client.list(BALANCERS_PREFIX)
+            if targets.is_ok() and balancers.is_ok():
+                break
+            failed = targets if targets.is_error() else balancers
+            logger.warning(
+                'could not list the members and balancers',
+                extra={'reason': describe_error(failed.error)},
+            )
+            await asyncio.sleep(backoff.next_s())
+        members = [read_member(each.content) for each in targets.ok.objects]
+        records = [read_balancer(each.content) for each in balancers.ok.objects]
+        for read in (*members, *records):
+            if read.is_error():
+                logger.warning('malformed object', extra={'reason': read.error})
+        known = tuple(read.ok for read in members if read.is_ok())
+        self._gossip.disseminate_changes(
+            Changes(
+                self._state.cfg.name,
+                known,
+                tuple(read.ok for read in records if read.is_ok()),
+            )
+        )
+        self._state.refresh({member.service for member in known})
+        self._set_membership_complete('the store')
+
+    def _set_membership_complete(self, source: str) -> None:
+        self._state.set_membership_complete(monotonic())
+        self._send_hello()
+        logger.info(
+            'list of targets is known',
+            extra={'source': source, 'targets': len(self._state.targets())},
+        )
+
+    def _on_report(self, report: TargetReport, sender: Address) -> None:
+        member = report.member
+        known = self._state.store.member(member.service, member.target)
+        if known != member:
+            left = self._state.replaced_by(member)
+            changes = Changes(self._state.cfg.name, (member, *left), ())
+            self._gossip.disseminate_changes(changes)
+            services = {each.service for each in changes.members}
+            log_changed_targets(self._state.refresh(services), 'its agent')
+        self._segments.on_report(report)
+
+    def _on_state(self, req: StateRequest) -> State | None:
+        """Return the records, None while this gateway does not know all.
+
+        A starting gateway takes a reply for all services as complete.
+        """
+        if (
+            not req.services
+            and not self._state.router.searches.is_membership_complete
+        ):
+            return None
+        return self._state.store.state(self._state.cfg.name, req.services)
--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -17,6 +17,7 @@
     QueryPeer,
     ResetClient,
     SendMessage,
+    UnknownTarget,
 )
 from trefoilhaven_core.connections.messages import (
     ConnectionAccepted,
@@ -69,7 +70,7 @@
         self._placed = metrics.counter('connections_placed')
         self._search_time = metrics.histogram('holder_search')
         metrics.gauge('cached_connections', lambda: len(state.router))
-        metrics.gauge('searches', lambda: state.router.searches)
+        metrics.gauge('searches', lambda: len(state.router.searches))
         endpoint.on(SegmentReturn, self._on_return)
         endpoint.on(HolderReply, self._on_reply)
         endpoint.on(ConnectionAccepted, self._on_accepted)
@@ -145,6 +146,8 @@
                 self._log_placed(effect)
             elif isinstance(effect, HolderFound):
                 self._log_found(effect)
+            elif isinstance(effect, UnknownTarget):
+                self._log_unknown_target(effect)
             elif isinstance(effect, DropSegment):
                 self._drop(effect)
 
@@ -177,6 +180,18 @@
             },
         )
 
+    def _log_unknown_target(self, effect: UnknownTarget) -> None:
+        logger.info(
+            'a peer names an unknown target',
+            extra={
+                'connection': connection_text(effect.route.key),
+                'service': effect.route.service,
+                'target': effect.route.target,
+                'incarnation': effect.route.incarnation,
+                'peer': effect.peer.host,
+            },
+        )
+
     def _queue_question(self, effect: QueryMember | QueryPeer) -> None:
         if self._questions.is_empty:
             delay_s = self._questions.delay_s(monotonic())
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -94,18 +94,24 @@
 
     def set_membership_complete(self, now: float) -> None:
         """Record that all targets are known since the monotonic ``now``."""
-        self.router.is_membership_complete = True
+        self.router.searches.is_membership_complete = True
         if self._complete_at is None:
             self._complete_at = now
 
-    def refresh(self, services: Iterable[str]) -> None:
-        """Update the routes and targets of services from the store."""
+    def refresh(self, services: Iterable[str]) -> list[Member]:
+        """Update the routes and targets of services from the store.
+
+        Returns the targets that are new or whose incarnation or state
+        changed, but none before the list of targets is known.
+        """
+        changed: list[Member] = []
         for service in services:
             if service == ROUTES_NAME:
                 self._apply_routes()
             else:
                 members = self.store.members(service)
-                self.target_selector.set_members(service, members)
+                changed += self.target_selector.set_members(service, members)
+        return changed if self.router.searches.is_membership_complete else []
 
     def _apply_routes(self) -> None:
         stored = self.store.configuration(ROUTES_NAME)
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -167,7 +167,7 @@
         successor = make_member('t3')._replace(host='host-t1', incarnation=9)
         load = ConnectionLoad()
         report = TargetReport(successor, load, is_cold=False, is_silent=False)
-        task._on_report(report, CONTROL)  # noqa: SLF001
+        task.membership._on_report(report, CONTROL)  # noqa: SLF001
         assert [each.target for each in state.targets()] == ['t3']
 
 
--- a/packages/bench/src/trefoilhaven_bench/measurements/connections.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/connections.py
@@ -114,7 +114,7 @@
     members = [make_member(f't{number}', number) for number in range(TARGETS)]
     selector.set_members(SERVICE, members)
     router = ConnectionRouter(routes, selector, random.Random(1))
-    router.is_membership_complete = True
+    router.searches.is_membership_complete = True
     for member in members:
         load = ConnectionLoad(10, 1, 0.03)
         router.on_report(0, TargetReport(member, load, False, False))
--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -71,6 +71,10 @@
         """Whether a probe of the target is undecided."""
         return bool(self._probes)
 
+    def get(self, key: ConnectionKey) -> TrackedConnection | None:
+        """Return a tracked connection, None if it is unknown."""
+        return self._table.get(key)
+
     def is_unresponsive(self, now: float) -> bool:
         """Return whether the target has left an opening segment unanswered."""
         return self._responsiveness.is_unresponsive(now)
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -5,6 +5,7 @@
 
 from trefoilhaven_core.connections.messages import (
     ConnectionKey,
+    KnownRoute,
     Question,
     ReturnReason,
     Segment,
@@ -107,6 +108,13 @@
     segments: int
 
 
+class UnknownTarget(NamedTuple):
+    """Log that a peer routes a connection to a target unknown here."""
+
+    route: KnownRoute
+    peer: Address
+
+
 class DropSegment(NamedTuple):
     """Log and count a dropped segment."""
 
@@ -124,6 +132,7 @@
     | ResetClient
     | Placed
     | HolderFound
+    | UnknownTarget
     | DropSegment
 )
 
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -9,7 +9,7 @@
 """
 
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from trefoilhaven_core.connections.effects import (
@@ -56,6 +56,9 @@
 # agents for each of them.
 MIN_AGENTS_PER_PEER: Final = 2
 
+# Targets named in one log line, which bounds its length.
+MAX_NAMED_TARGETS: Final = 8
+
 TargetKey = tuple[str, str]
 
 
@@ -72,7 +75,7 @@
         members: Iterable[Member],
         fallback_members: Iterable[Member],
         is_membership_complete: bool,
-        failed_count: int = 0,
+        failed_members: Sequence[Member] = (),
     ) -> None:
         """Start with the first segment.
 
@@ -82,12 +85,12 @@
         route changes.
 
         ``is_membership_complete`` means that both lists are complete.
-        ``failed_count`` is the number of members left out of them because
-        they have failed permanently.
+        ``failed_members`` are left out of them, since their agents have
+        failed permanently.
         """
         self.key: ConnectionKey = segment.key
         self.is_membership_complete = is_membership_complete
-        self._failed = failed_count
+        self._failed_members = failed_members
         self.started_at = now
         self._members = {
             (member.service, member.target): member for member in members
@@ -206,7 +209,11 @@
     def reset(self) -> ResetClient:
         """Return the reset of the client, as no target holds the connection."""
         latest = self._segments[-1]
-        detail = f'{len(self._members)} targets asked, {self._failed} gone'
+        failed = [member.target for member in self._failed_members]
+        detail = f'{len(self._members)} targets asked, {len(failed)} gone'
+        if failed:
+            named = ','.join(failed[:MAX_NAMED_TARGETS])
+            detail = f'{detail}: {named}'
         return ResetClient(
             self.key, latest.acknowledged, ResetCause.not_held, detail
         )
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -22,11 +22,9 @@
     ResetClient,
     SendMessage,
 )
-from trefoilhaven_core.connections.holder_search import SEARCH_TIMEOUT_S, Search
+from trefoilhaven_core.connections.holder_search import Search
 from trefoilhaven_core.connections.messages import (
-    Answer,
     ConnectionAccepted,
-    ConnectionKey,
     HolderReply,
     ReturnReason,
     RouteQuery,
@@ -35,9 +33,9 @@
     SegmentForward,
     SegmentReturn,
     TargetReport,
-    Verdict,
 )
 from trefoilhaven_core.connections.routes import AddressRoutes
+from trefoilhaven_core.connections.searches import SearchTable
 from trefoilhaven_core.connections.target_selection import TargetSelector
 from trefoilhaven_core.membership.messages import Address, Member
 
@@ -48,9 +46,8 @@
 class ConnectionRouter:
     """Routes the segments that reach one balancer.
 
-    ``is_membership_complete`` means that all targets are known, so that a
-    connection which none of them holds may be reset. ``peers`` are the
-    other balancers of the failure domain. Times are monotonic, in seconds.
+    ``peers`` are the other balancers of the failure domain. Times are
+    monotonic, in seconds.
     """
 
     def __init__(
@@ -59,23 +56,17 @@
         selector: TargetSelector,
         rng: random.Random,
     ) -> None:
-        self.is_membership_complete = False
         self.peers: tuple[Address, ...] = ()
+        self.searches = SearchTable(routes, selector, self._settle)
         self._routes = routes
         self._selector = selector
         self._rng = rng
         self._cache = RouteCache()
-        self._searches: dict[ConnectionKey, Search] = {}
 
     def __len__(self) -> int:
         """Return the number of cached connections."""
         return len(self._cache)
 
-    @property
-    def searches(self) -> int:
-        """Number of searches in progress."""
-        return len(self._searches)
-
     def on_segment(self, now: float, segment: Segment) -> list[Effect]:
         """Route a client's segment, or search for its target."""
         address = segment.key[2:]
@@ -93,22 +84,19 @@
         if known is not None:
             self._cache.touch(segment.key)
             return [self._forward(known, segment)]
-        search = self._searches.get(segment.key)
+        search = self.searches.get(segment.key)
         if search is not None:
             return search.add(segment)
-        return self._search(now, segment, self.peers)
+        return self.searches.start(now, segment, self.peers)
 
     def on_return(
         self, now: float, returned: SegmentReturn, segment: Segment
     ) -> list[Effect]:
         """Find another target for a segment that an agent returned."""
         key = segment.key
-        search = self._searches.get(key)
+        search = self.searches.get(key)
         if search is not None:
-            search.on_verdict(
-                now, returned.service, returned.target, Verdict.absent
-            )
-            return self._conclude(now, search)
+            return self.searches.on_return(now, search, returned)
         known = self._cache.get(key)
         is_from_known = known is not None and (
             known.target == returned.target or not returned.target
@@ -121,14 +109,11 @@
             self._cache.remove(key)
         elif known is not None:
             return [self._forward(known, segment)]
-        return self._search(now, segment)
+        return self.searches.start(now, segment)
 
     def on_reply(self, now: float, reply: HolderReply) -> list[Effect]:
         """Process an agent's answers about connections."""
-        effects: list[Effect] = []
-        for answer in reply.answers:
-            effects.extend(self._on_answer(now, reply, answer))
-        return effects
+        return self.searches.on_reply(now, reply)
 
     def on_route_query(self, query: RouteQuery) -> RouteReply:
         """Return the cached routes for another balancer's query."""
@@ -138,21 +123,7 @@
         self, now: float, reply: RouteReply, peer: Address
     ) -> list[Effect]:
         """Use the routes of a peer; the agents verify them as any others."""
-        effects: list[Effect] = []
-        for known in reply.routes:
-            search = self._searches.get(known.key)
-            member = self._selector.member(known.service, known.target)
-            if search is None:
-                continue
-            if member is None or not is_current(member, known.incarnation):
-                effects.extend(search.on_peer_miss(peer))
-                continue
-            effects.extend(self._settle(now, search, member))
-        for key in reply.unknown:
-            search = self._searches.get(key)
-            if search is not None:
-                effects.extend(search.on_peer_miss(peer))
-        return effects
+        return self.searches.on_route_reply(now, reply, peer)
 
     def on_accepted(self, now: float, accepted: ConnectionAccepted) -> None:
         """Record that a target accepted a connection."""
@@ -170,30 +141,12 @@
     def tick(self, now: float) -> list[Effect]:
         """Continue all searches; to be called about every 20 ms."""
         self._selector.tick(now)
-        effects: list[Effect] = []
-        for search in tuple(self._searches.values()):
-            effects.extend(search.tick(now))
-            effects.extend(self._conclude(now, search))
-        return effects
-
-    def _on_answer(
-        self, now: float, reply: HolderReply, answer: Answer
-    ) -> list[Effect]:
-        search = self._searches.get(answer.key)
-        if search is None:
-            return []
-        holder = search.on_verdict(
-            now, reply.service, reply.target, answer.verdict
-        )
-        if holder is None:
-            return [*search.tick(now), *self._conclude(now, search)]
-        return self._settle(now, search, holder)
+        return self.searches.tick(now)
 
     def _settle(
         self, now: float, search: Search, holder: Member
     ) -> list[Effect]:
         """Forward the queued segments of a search to the holder."""
-        del self._searches[search.key]
         route = self._cache.add(search.key, holder)
         route.is_accepted = True
         found = HolderFound(
@@ -250,41 +203,6 @@
         placed = self._selector.placement(now, segment.key, member, tried)
         return [placed, self._forward(route, segment)]
 
-    def _search(
-        self,
-        now: float,
-        segment: Segment,
-        peers: tuple[Address, ...] = (),
-    ) -> list[Effect]:
-        services = self._routes.holder_services(segment.key[2:])
-        members = self._selector.possible_holders(now, services)
-        fallback = self._selector.possible_holders(
-            now, self._selector.services - services
-        )
-        if not members:
-            return [DropSegment(segment, DropCause.no_target)]
-        listed = self._selector.members(self._selector.services)
-        failed = len(listed) - len(members) - len(fallback)
-        search = Search(
-            now, segment, members, fallback, self.is_membership_complete, failed
-        )
-        self._searches[segment.key] = search
-        return search.start(peers)
-
-    def _conclude(self, now: float, search: Search) -> list[Effect]:
-        effects = search.query_fallback_members(now)
-        if effects:
-            return effects
-        if search.is_absent():
-            del self._searches[search.key]
-            if search.is_membership_complete:
-                return [search.reset()]
-        elif now - search.started_at >= SEARCH_TIMEOUT_S:
-            del self._searches[search.key]
-        else:
-            return []
-        return search.drops()
-
     def _forward(self, route: CachedRoute, segment: Segment) -> SendMessage:
         member = self._selector.member(route.service, route.target)
         forward = SegmentForward(
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -95,19 +95,30 @@
         self._domain = failure_domain
         self._targets: dict[str, dict[str, _Target]] = {}
 
-    def set_members(self, service: str, members: Iterable[Member]) -> None:
-        """Replace the members of a service; known incarnations keep loads."""
+    def set_members(
+        self, service: str, members: Iterable[Member]
+    ) -> list[Member]:
+        """Replace the members of a service; known incarnations keep loads.
+
+        Returns the members that are new or whose incarnation or state
+        changed.
+        """
         known = self._targets.get(service, {})
         targets = {}
+        changed = []
         for member in members:
             target = known.get(member.target)
             if target is None or (
                 target.member.incarnation != member.incarnation
             ):
                 target = _Target(member)
+                changed.append(member)
+            elif target.member.state is not member.state:
+                changed.append(member)
             target.member = member
             targets[member.target] = target
         self._targets[service] = targets
+        return changed
 
     def on_report(self, now: float, report: TargetReport) -> None:
         """Record an agent's report, unless it is of another incarnation."""
--- a/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
@@ -102,7 +102,7 @@
         router = ConnectionRouter(
             routes, TargetSelector('a'), random.Random(self.rng.random())
         )
-        router.is_membership_complete = True
+        router.searches.is_membership_complete = True
         self.balancers[address] = router
         self._update_members()
         self._update_peers()
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -69,7 +69,7 @@
         self.router = ConnectionRouter(
             self.routes, self.selector, random.Random(1)
         )
-        self.router.is_membership_complete = True
+        self.router.searches.is_membership_complete = True
         self.update_members()
         self.report(0)
 
@@ -290,9 +290,9 @@
         either, since it queried only the earlier members.
         """
         fixture = RouterFixture()
-        fixture.router.is_membership_complete = False
+        fixture.router.searches.is_membership_complete = False
         fixture.router.on_segment(1, make_segment(KEY))
-        fixture.router.is_membership_complete = True
+        fixture.router.searches.is_membership_complete = True
         effects: list[Effect] = []
         for name in fixture.members:
             effects.extend(fixture.reply(1.01, name, Verdict.absent))
