Add failing tests of a gateway that does not know the holder

What callers see: a reset of an open connection by a gateway that learned of its target later than the gateway that placed it.

The simulation gave every balancer the same list of targets at the same moment, so that no schedule had a gateway behind the others; it can delay them now.

--- a/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
@@ -67,6 +67,7 @@
         self.version = 1
         self.services: tuple[str, ...] = ('certify',)
         self._loss = loss
+        self._member_delays_s: dict[Address, float] = {}
         self._queue: list[tuple[float, int, Action]] = []
         self._sequence = 0
 
@@ -94,8 +95,11 @@
         self._tick_agent(target)
         return target
 
-    def add_balancer(self, name: str) -> Address:
-        """Start a balancer that knows the members and the routes."""
+    def add_balancer(self, name: str, member_delay_s: float = 0) -> Address:
+        """Start a balancer that knows the members and the routes.
+
+        It learns of later changes of the members after ``member_delay_s``.
+        """
         address = Address(name, 7000)
         routes = AddressRoutes()
         routes.offer(support.make_routes(self.version, *self.services))
@@ -105,6 +109,7 @@
         router.searches.is_membership_complete = True
         self.balancers[address] = router
         self._update_members()
+        self._member_delays_s[address] = member_delay_s
         self._update_peers()
         self._tick_balancer(address)
         return address
@@ -266,13 +271,24 @@
         self.apply(target.member.control, effects)
 
     def _update_members(self) -> None:
-        members: dict[str, list[Member]] = {}
-        for target in self.targets.values():
-            service = target.member.service
-            members.setdefault(service, []).append(target.member)
-        for router in self.balancers.values():
-            for service, known in members.items():
-                router._selector.set_members(service, known)  # noqa: SLF001
+        members = [target.member for target in self.targets.values()]
+        for address in self.balancers:
+            delay_s = self._member_delays_s.get(address, 0)
+            update = partial(self._set_members, address, members)
+            if delay_s:
+                self.after(delay_s, update)
+            else:
+                update()
+
+    def _set_members(self, address: Address, members: list[Member]) -> None:
+        router = self.balancers.get(address)
+        if router is None:
+            return
+        by_service: dict[str, list[Member]] = {}
+        for member in members:
+            by_service.setdefault(member.service, []).append(member)
+        for service, known in by_service.items():
+            router._selector.set_members(service, known)  # noqa: SLF001
 
     def _update_peers(self) -> None:
         for address, router in self.balancers.items():
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -414,6 +414,19 @@
         assert not fixture.router.tick(1.01)
         assert queried(fixture.router.tick(1.03)) == {'t1', 't2', 't3'}
 
+    def test_unknown_target(self) -> None:
+        """Guards against a reset although a peer names the holder.
+
+        This balancer does not know the target that the peer names, and all
+        targets that it knows deny the connection.
+        """
+        fixture, _ = self.start()
+        reply = RouteReply((KnownRoute(KEY, 'certify', 't9', 1),), ())
+        effects = fixture.router.on_route_reply(1, reply, self.PEER)
+        for name in fixture.members:
+            effects += fixture.reply(1.01, name, Verdict.absent)
+        assert not any(isinstance(effect, ResetClient) for effect in effects)
+
     def test_outdated_route(self) -> None:
         """Guards against segments that loop on an outdated route of a peer.
 
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_schedules.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_schedules.py
@@ -122,6 +122,33 @@
         assert not waiting
 
 
+class TestLateMembers:
+    """Balancers that learn of a target later than the others."""
+
+    @pytest.mark.parametrize('is_router_gone', [False, True])
+    @pytest.mark.parametrize('seed', range(5))
+    def test_unknown_holder(self, seed: int, is_router_gone: bool) -> None:
+        """Guards against resets by a balancer that does not know the holder.
+
+        A balancer and then a target join, and the agent of the target does
+        not know this balancer, which gets segments of the target's
+        connections. The balancers that placed them may have ended.
+        """
+        network = build(seed)
+        network.add_balancer('late', member_delay_s=1.5)
+        network.run(2.1)
+        target = network.add_target('joined')
+        for number in range(100, 160):
+            network.connect(number)
+        network.run(2.4)
+        assert target.held
+        if is_router_gone:
+            network.remove_balancer(sorted(network.balancers)[0])
+        network.add_balancer('next')
+        network.run(5.0)
+        assert not network.resets
+
+
 class TestBrokenRules:
     """Mutations: the simulation detects a rule that is broken."""
 
