Reset a connection only if peers confirm the list of targets

Cause: a gateway's list of targets counted as complete for ever once it had been received. A target that joined later is not asked while its agent does not know the gateway and gossip has not arrived, so that all known targets deny the connection. A peer's route to the unknown target counted as a miss. The class is a negative answer drawn from a list that lags.

Change: before a reset a gateway sends its digest to peers that started before it, and resets only if two of them (or all, if fewer) answer with equal records after the search started. Different records are reconciled by the same exchange, and a search asks the members that became known since. A target that a peer names has to be asked too. Peers answer with current routes only. Without a confirmation the segments are dropped after the search timeout, and the next segment searches again.

--- a/packages/balancer/src/trefoilhaven/balancer/gossip.py
+++ b/packages/balancer/src/trefoilhaven/balancer/gossip.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
+from trefoilhaven_core.membership.confirmations import MembershipConfirmation
 from trefoilhaven_core.membership.detectors import FailureDetector
 from trefoilhaven_core.membership.dissemination import (
     Disseminator,
@@ -62,11 +63,14 @@
         fetcher: StateFetcher,
         on_change: Callable[[Iterable[str]], None],
         seeds: Mapping[str, PeerAddresses],
+        confirmation: MembershipConfirmation | None = None,
     ) -> None:
         """Register the handlers of the control socket.
 
         ``on_change`` is called with the services that a message touched.
+        ``confirmation`` is told of all digests.
         """
+        self._confirmation = confirmation
         name = disseminator.own.name
         self.disseminator = disseminator
         self.detector = FailureDetector(disseminator.own, store, monotonic())
@@ -97,6 +101,8 @@
                 continue
             if isinstance(effect.message, Digest):
                 now = monotonic()
+                if self._confirmation is not None:
+                    self._confirmation.on_digest_sent(now, effect.peer)
                 if not effect.message.is_reply:
                     self.detector.on_probe_sent(now, effect.peer)
             self._endpoint.send(effect.message, address)
@@ -128,6 +134,13 @@
                 return True
         return False
 
+    def confirm_records(self) -> None:
+        """Send digests to peers that may confirm the records, if due."""
+        if self._confirmation is None:
+            return
+        peers = self._confirmation.due_probes(monotonic())
+        self.apply([self.disseminator.probe(peer) for peer in peers])
+
     def tick(self, now: float, probes: Iterable[str]) -> None:
         """Send the gossip and digests that are due, and probe peers."""
         self.apply(self.disseminator.probe(peer) for peer in probes)
@@ -146,6 +159,9 @@
         now = monotonic()
         self.detector.on_peer_message(now, digest.sender)
         self._record_source(digest.sender, sender)
+        if self._confirmation is not None:
+            root = self._store.root_digest()
+            self._confirmation.on_digest(digest, root)
         self.apply(self.disseminator.on_digest(now, digest))
 
     def _on_configuration(
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -98,6 +98,7 @@
             TransferStateFetcher(transfers),
             self._on_gossip,
             seeds,
+            state.confirmation,
         )
         self._registrar = Registrar(
             self._client, f'{BALANCERS_PREFIX}{cfg.name}', rng
--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -100,6 +100,7 @@
         )
         endpoint.on(TargetReport, self._on_report)
         transfers.on(StateRequest, self._on_state)
+        segments.on_confirm(gossip.confirm_records)
 
     async def run(self) -> None:
         """Find and tell targets until cancelled."""
--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.batches import QuestionBatch
 from trefoilhaven_core.connections.effects import (
+    ConfirmMembership,
     DropCause,
     DropSegment,
     Effect,
@@ -59,6 +60,7 @@
         self._endpoint = endpoint
         self._raw_endpoint: RawEndpoint | None = None
         self._questions = QuestionBatch()
+        self._confirm: Callable[[], None] = lambda: None
         self._log = RateLimitedLog(logger)
         metrics = state.runtime.metrics
         self._drops = {
@@ -93,6 +95,10 @@
         if self._raw_endpoint is not None:
             self._raw_endpoint.close()
 
+    def on_confirm(self, confirm: Callable[[], None]) -> None:
+        """Register what asks peers to confirm the list of targets."""
+        self._confirm = confirm
+
     def on_report(self, report: TargetReport) -> None:
         """Pass an agent's report to the router."""
         self._state.router.on_report(monotonic(), report)
@@ -146,8 +152,8 @@
                 self._log_placed(effect)
             elif isinstance(effect, HolderFound):
                 self._log_found(effect)
-            elif isinstance(effect, UnknownTarget):
-                self._log_unknown_target(effect)
+            elif isinstance(effect, ConfirmMembership):
+                self._confirm()
             elif isinstance(effect, DropSegment):
                 self._drop(effect)
 
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -13,6 +13,10 @@
 from trefoilhaven_core.connections.routers import ConnectionRouter
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.target_selection import TargetSelector
+from trefoilhaven_core.membership.confirmations import (
+    MembershipConfirmation,
+    Origin,
+)
 from trefoilhaven_core.membership.messages import Member, MemberState
 from trefoilhaven_core.membership.views import ViewStore
 from trefoilhaven_core.settings.types import GatewaySettings
@@ -45,7 +49,12 @@
         self.store = ViewStore()
         self.routes = AddressRoutes()
         self.target_selector = TargetSelector(cfg.failure_domain)
-        self.router = ConnectionRouter(self.routes, self.target_selector, rng)
+        self.confirmation = MembershipConfirmation(
+            Origin(cfg.failure_domain, runtime.incarnation), rng
+        )
+        self.router = ConnectionRouter(
+            self.routes, self.target_selector, rng, self.confirmation
+        )
         self.is_stopping = False
         self._complete_at: float | None = None
 
@@ -83,7 +92,15 @@
         )
 
     def refresh_peers(self) -> None:
-        """Give the router the other live balancers of the failure domain."""
+        """Update the peers of the router and of the confirmation.
+
+        The router queries the live balancers of its failure domain.
+        """
+        self.confirmation.set_peers(
+            record
+            for record in self.store.balancers
+            if record.name != self.cfg.name
+        )
         self.router.peers = tuple(
             record.control
             for record in self.store.balancers
@@ -94,6 +111,7 @@
 
     def set_membership_complete(self, now: float) -> None:
         """Record that all targets are known since the monotonic ``now``."""
+        self.refresh_peers()
         self.router.searches.is_membership_complete = True
         if self._complete_at is None:
             self._complete_at = now
--- a/packages/core/src/trefoilhaven_core/connections/caches.py
+++ b/packages/core/src/trefoilhaven_core/connections/caches.py
@@ -1,6 +1,7 @@
 """Cache of the connections that a balancer routed recently."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Final
 
 from trefoilhaven_core.connections.messages import (
@@ -69,13 +70,18 @@
             self._routes.popitem(last=False)
         return route
 
-    def answer(self, query: RouteQuery) -> RouteReply:
-        """Answer another balancer's query by the routes that were accepted."""
+    def answer(
+        self, query: RouteQuery, is_usable: Callable[[CachedRoute], bool]
+    ) -> RouteReply:
+        """Answer another balancer's query by the routes that were accepted.
+
+        Routes for which ``is_usable`` is false count as unknown.
+        """
         routes = []
         unknown = []
         for key in query.keys:
             route = self._routes.get(key)
-            if route is None or not route.is_accepted:
+            if route is None or not route.is_accepted or not is_usable(route):
                 unknown.append(key)
                 continue
             known = KnownRoute(
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -115,6 +115,10 @@
     peer: Address
 
 
+class ConfirmMembership(NamedTuple):
+    """Ask peers to confirm the list of targets."""
+
+
 class DropSegment(NamedTuple):
     """Log and count a dropped segment."""
 
@@ -133,6 +137,7 @@
     | Placed
     | HolderFound
     | UnknownTarget
+    | ConfirmMembership
     | DropSegment
 )
 
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -86,11 +86,13 @@
 
         ``is_membership_complete`` means that both lists are complete.
         ``failed_members`` are left out of them, since their agents have
-        failed permanently.
+        failed permanently. ``members_revision`` is that of the members when
+        they were read.
         """
         self.key: ConnectionKey = segment.key
         self.is_membership_complete = is_membership_complete
         self._failed_members = failed_members
+        self.members_revision = 0
         self.started_at = now
         self._members = {
             (member.service, member.target): member for member in members
@@ -108,6 +110,7 @@
         self._is_repeated = False
         self._probed_at: dict[TargetKey, float] = {}
         self._peers: set[Address] = set()
+        self._named: set[TargetKey] = set()
 
     @property
     def segments(self) -> tuple[Segment, ...]:
@@ -139,6 +142,10 @@
         self._peers.discard(peer)
         return [] if self._peers else self.query()
 
+    def on_unknown_target(self, service: str, target: str) -> None:
+        """Record that a peer names a target that is not a member here."""
+        self._named.add((service, target))
+
     def query(self) -> list[Effect]:
         """Return queries to the members that have not answered."""
         question = Question(self.key, self._segments[0].acknowledged)
@@ -175,15 +182,30 @@
         effects.extend(self._probe(now))
         return effects
 
+    def add_members(
+        self,
+        now: float,
+        members: Iterable[Member],
+        fallback_members: Iterable[Member],
+    ) -> list[Effect]:
+        """Add members that became known since the start; query the first."""
+        for member in members:
+            key = (member.service, member.target)
+            self._fallback_members.pop(key, None)
+            self._members.setdefault(key, member)
+        for member in fallback_members:
+            key = (member.service, member.target)
+            if key not in self._members:
+                self._fallback_members[key] = member
+        return self._query_again(now)
+
     def query_fallback_members(self, now: float) -> list[Effect]:
         """Query the fallback members if no other member is the holder."""
         if not self._fallback_members or not self.is_absent():
             return []
         self._members |= self._fallback_members
         self._fallback_members = {}
-        self._query_due = now + QUERY_INTERVAL_S
-        self._query_interval_s = QUERY_INTERVAL_S
-        return self.query()
+        return self._query_again(now)
 
     def is_absent(self) -> bool:
         """Return whether every queried member is known not to be the holder."""
@@ -191,6 +213,10 @@
             self._verdicts.get(key) is Verdict.absent for key in self._members
         )
 
+    def is_named_target_unknown(self) -> bool:
+        """Return whether a peer named a target that was not queried."""
+        return not self._named <= self._members.keys()
+
     def pending(self) -> str:
         """Return the members without a definite answer, as log text."""
         return ','.join(
@@ -201,8 +227,9 @@
 
     def drops(self) -> list[Effect]:
         """Return a drop of each queued segment, for a failed search."""
+        detail = self.pending() or 'the list of targets was not confirmed'
         return [
-            DropSegment(segment, DropCause.not_found, self.pending())
+            DropSegment(segment, DropCause.not_found, detail)
             for segment in self._segments
         ]
 
@@ -218,6 +245,12 @@
             self.key, latest.acknowledged, ResetCause.not_held, detail
         )
 
+    def _query_again(self, now: float) -> list[Effect]:
+        """Query the members that have not answered; restart the interval."""
+        self._query_due = now + QUERY_INTERVAL_S
+        self._query_interval_s = QUERY_INTERVAL_S
+        return self.query()
+
     def _probe(self, now: float) -> list[Effect]:
         """Probe all unsure targets at once with the first segment.
 
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -37,6 +37,10 @@
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.searches import SearchTable
 from trefoilhaven_core.connections.target_selection import TargetSelector
+from trefoilhaven_core.membership.confirmations import (
+    MembershipConfirmation,
+    Origin,
+)
 from trefoilhaven_core.membership.messages import Address, Member
 
 # Targets at which an opening segment is tried before it is dropped.
@@ -55,9 +59,19 @@
         routes: AddressRoutes,
         selector: TargetSelector,
         rng: random.Random,
+        confirmation: MembershipConfirmation | None = None,
     ) -> None:
+        """Start with an empty cache.
+
+        Without ``confirmation``, the list of targets counts as confirmed.
+        """
         self.peers: tuple[Address, ...] = ()
-        self.searches = SearchTable(routes, selector, self._settle)
+        self.searches = SearchTable(
+            routes,
+            selector,
+            confirmation or MembershipConfirmation(Origin('', 0), rng),
+            self._settle,
+        )
         self._routes = routes
         self._selector = selector
         self._rng = rng
@@ -73,10 +87,7 @@
         known = self._cache.get(segment.key)
         if not self._routes.holder_services(address):
             return self._on_no_route(segment)
-        if known is not None and not is_current(
-            self._selector.member(known.service, known.target),
-            known.incarnation,
-        ):
+        if known is not None and not self._is_current(known):
             self._cache.remove(segment.key)
             known = None
         if segment.is_opening:
@@ -117,7 +128,7 @@
 
     def on_route_query(self, query: RouteQuery) -> RouteReply:
         """Return the cached routes for another balancer's query."""
-        return self._cache.answer(query)
+        return self._cache.answer(query, self._is_current)
 
     def on_route_reply(
         self, now: float, reply: RouteReply, peer: Address
@@ -143,6 +154,10 @@
         self._selector.tick(now)
         return self.searches.tick(now)
 
+    def _is_current(self, route: CachedRoute) -> bool:
+        member = self._selector.member(route.service, route.target)
+        return is_current(member, route.incarnation)
+
     def _settle(
         self, now: float, search: Search, holder: Member
     ) -> list[Effect]:
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -4,6 +4,7 @@
 
 from trefoilhaven_core.connections.caches import is_current
 from trefoilhaven_core.connections.effects import (
+    ConfirmMembership,
     DropCause,
     DropSegment,
     Effect,
@@ -22,6 +23,7 @@
 )
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.target_selection import TargetSelector
+from trefoilhaven_core.membership.confirmations import MembershipConfirmation
 from trefoilhaven_core.membership.messages import Address, Member
 
 # Is called with a search that has found the holder.
@@ -31,19 +33,22 @@
 class SearchTable:
     """Searches in progress by connection.
 
-    ``is_membership_complete`` means that all targets are known, so that a
-    connection which none of them holds may be reset. Times are monotonic,
-    in seconds.
+    ``is_membership_complete`` means that a list of all targets was received
+    once. A connection that no known target holds is reset only if the peers
+    have confirmed the list since the search started: a target may have
+    joined later than the list. Times are monotonic, in seconds.
     """
 
     def __init__(
         self,
         routes: AddressRoutes,
         selector: TargetSelector,
+        confirmation: MembershipConfirmation,
         settle: SettleFunction,
     ) -> None:
         """Start without searches; ``settle`` forwards queued segments."""
         self.is_membership_complete = False
+        self._confirmation = confirmation
         self._routes = routes
         self._selector = selector
         self._settle = settle
@@ -80,6 +85,7 @@
         search = Search(
             now, segment, members, fallback, self.is_membership_complete, failed
         )
+        search.members_revision = self._selector.revision
         self._searches[segment.key] = search
         return search.start(peers)
 
@@ -131,6 +137,7 @@
             return self._found(now, search, member)
         missed = search.on_peer_miss(peer)
         if member is None:
+            search.on_unknown_target(known.service, known.target)
             return [UnknownTarget(known, peer), *missed]
         return missed
 
@@ -154,15 +161,39 @@
         return self._settle(now, search, holder)
 
     def _conclude(self, now: float, search: Search) -> list[Effect]:
-        effects = search.query_fallback_members(now)
-        if effects:
-            return effects
-        if search.is_absent():
-            del self._searches[search.key]
-            if search.is_membership_complete:
+        """End a search that has an outcome, or continue it."""
+        is_absent = search.is_absent()
+        if is_absent:
+            effects = self._query_more(now, search)
+            if effects:
+                return effects
+        is_complete = search.is_membership_complete
+        if is_absent and is_complete:
+            if self._may_reset(search):
+                del self._searches[search.key]
                 return [search.reset()]
-        elif now - search.started_at >= SEARCH_TIMEOUT_S:
+        is_over = now - search.started_at >= SEARCH_TIMEOUT_S
+        if is_over or (is_absent and not is_complete):
             del self._searches[search.key]
-        else:
-            return []
-        return search.drops()
+            return search.drops()
+        return [ConfirmMembership()] if is_absent else []
+
+    def _may_reset(self, search: Search) -> bool:
+        is_confirmed = self._confirmation.is_confirmed(search.started_at)
+        return is_confirmed and not search.is_named_target_unknown()
+
+    def _query_more(self, now: float, search: Search) -> list[Effect]:
+        """Query the members that a search has not considered yet."""
+        if search.members_revision != self._selector.revision:
+            search.members_revision = self._selector.revision
+            services = self._routes.holder_services(search.key[2:])
+            effects = search.add_members(
+                now,
+                self._selector.possible_holders(now, services),
+                self._selector.possible_holders(
+                    now, self._selector.services - services
+                ),
+            )
+            if effects:
+                return effects
+        return search.query_fallback_members(now)
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -90,8 +90,12 @@
     """
 
     def __init__(self, failure_domain: str) -> None:
-        """Start without targets; ``failure_domain`` is the balancer's own."""
+        """Start without targets; ``failure_domain`` is the balancer's own.
+
+        ``revision`` increases with each change of the members.
+        """
         self.failure_detector = AgentFailureDetector()
+        self.revision = 0
         self._domain = failure_domain
         self._targets: dict[str, dict[str, _Target]] = {}
 
@@ -118,6 +122,7 @@
             target.member = member
             targets[member.target] = target
         self._targets[service] = targets
+        self.revision += bool(changed)
         return changed
 
     def on_report(self, now: float, report: TargetReport) -> None:
--- a/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
@@ -13,6 +13,7 @@
 
 from trefoilhaven_core.connections.connection_tracker import ConnectionTracker
 from trefoilhaven_core.connections.effects import (
+    ConfirmMembership,
     DeliverToTarget,
     Effect,
     QueryMember,
@@ -37,8 +38,14 @@
 from trefoilhaven_core.connections.target_selection import TargetSelector
 from trefoilhaven_core.connections.tests import support
 from trefoilhaven_core.connections.tests.endpoints import Client, Target
+from trefoilhaven_core.membership.confirmations import (
+    MembershipConfirmation,
+    Origin,
+)
 from trefoilhaven_core.membership.messages import (
     Address,
+    BalancerRecord,
+    Digest,
     Member,
     MemberState,
 )
@@ -67,6 +74,7 @@
         self.version = 1
         self.services: tuple[str, ...] = ('certify',)
         self._loss = loss
+        self._confirmations: dict[Address, MembershipConfirmation] = {}
         self._member_delays_s: dict[Address, float] = {}
         self._queue: list[tuple[float, int, Action]] = []
         self._sequence = 0
@@ -103,9 +111,13 @@
         address = Address(name, 7000)
         routes = AddressRoutes()
         routes.offer(support.make_routes(self.version, *self.services))
+        rng = random.Random(self.rng.random())
+        origin = Origin('a', len(self._confirmations))
+        confirmation = MembershipConfirmation(origin, rng)
         router = ConnectionRouter(
-            routes, TargetSelector('a'), random.Random(self.rng.random())
+            routes, TargetSelector('a'), rng, confirmation
         )
+        self._confirmations[address] = confirmation
         router.searches.is_membership_complete = True
         self.balancers[address] = router
         self._update_members()
@@ -195,6 +207,8 @@
             elif isinstance(effect, QueryPeer):
                 route_query = RouteQuery((effect.key,))
                 self._message(sender, effect.address, route_query)
+            elif isinstance(effect, ConfirmMembership):
+                self._confirm_members(sender)
             elif isinstance(effect, DeliverToTarget):
                 target = self.targets[sender]
                 self.after(0.0005, partial(target.receive, effect.raw))
@@ -290,12 +304,56 @@
         for service, known in by_service.items():
             router._selector.set_members(service, known)  # noqa: SLF001
 
+    def _confirm_members(self, address: Address) -> None:
+        """Compare the members with those of peers; fetch what differs."""
+        confirmation = self._confirmations[address]
+        for name in confirmation.due_probes(self.now):
+            confirmation.on_digest_sent(self.now, name)
+            ask = partial(self._answer_digest, address, Address(name, 7000))
+            self._send(ask)
+
+    def _answer_digest(self, address: Address, peer: Address) -> None:
+        if peer not in self.balancers:
+            return
+        members = self._members_of(peer)
+
+        def receive() -> None:
+            known = self._members_of(address)
+            digest = Digest(peer.host, hash(tuple(members)), is_reply=True)
+            self._confirmations[address].on_digest(digest, hash(tuple(known)))
+            if known != members:
+                fetched = {(each.service, each.target): each for each in known}
+                for member in members:
+                    fetched[member.service, member.target] = member
+                self._set_members(address, list(fetched.values()))
+
+        self._send(receive)
+
+    def _members_of(self, address: Address) -> list[Member]:
+        router = self.balancers.get(address)
+        if router is None:
+            return []
+        selector = router._selector  # noqa: SLF001
+        return sorted(selector.members(selector.services))
+
     def _update_peers(self) -> None:
+        for address, confirmation in self._confirmations.items():
+            confirmation.set_peers(
+                self._record(other)
+                for other in self.balancers
+                if other != address
+            )
         for address, router in self.balancers.items():
             router.peers = tuple(
                 other for other in self.balancers if other != address
             )
 
+    def _record(self, address: Address) -> BalancerRecord:
+        started = list(self._confirmations).index(address)
+        return BalancerRecord(
+            address.host, 'a', started, 1, MemberState.alive, address, address
+        )
+
     def _report(self, target: Target) -> None:
         if target.is_agent_up and target.is_alive:
             load = target.agent.load(self.now)
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -394,6 +394,23 @@
         assert forwarded(effects) == target
         assert forwarded(fixture.router.on_segment(2, segment)) == target
 
+    def test_ended_target(self) -> None:
+        """Guards against replies with routes to targets that have left.
+
+        A balancer that does not know the target would not reset the client.
+        """
+        other = RouterFixture()
+        target = other.open()
+        member = other.members[target]
+        other.router.on_accepted(
+            0.2, ConnectionAccepted('certify', target, 1, KEY, ConnectionLoad())
+        )
+        query = RouteQuery((KEY,))
+        assert other.router.on_route_query(query).routes
+        other.members[target] = member._replace(state=MemberState.left)
+        other.update_members()
+        assert other.router.on_route_query(query) == RouteReply((), (KEY,))
+
     def test_not_accepted(self) -> None:
         """Guards against replies with routes that no target has accepted."""
         other = RouterFixture()
