Take a returned opening segment for no verdict of a search

What callers see: a reset of an open connection. Cause: while a search for the connection is in progress, a delayed copy of its opening segment that the holder returns (it is full, or drains) counted as an answer that the target does not hold the connection.

Change: a returned opening segment is placed again or dropped, as without a search. Evidence: found by reading and with a script; the new test failed before and passes.

--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -106,7 +106,7 @@
         """Find another target for a segment that an agent returned."""
         key = segment.key
         search = self.searches.get(key)
-        if search is not None:
+        if search is not None and not segment.is_opening:
             return self.searches.on_return(now, search, returned)
         known = self._cache.get(key)
         is_from_known = known is not None and (
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -469,6 +469,24 @@
         assert queried(effects) == {'t1', 't2', 't3'}
 
 
+class TestReturnedOpenings:
+    """Opening segments that an agent returns during a search."""
+
+    def test_no_verdict(self) -> None:
+        """Guards against a reset because a target accepts no connections.
+
+        A delayed copy of the opening segment comes back from the holder,
+        which is full, while all other targets deny the connection.
+        """
+        fixture = RouterFixture()
+        fixture.router.on_segment(1, make_segment(KEY))
+        effects = fixture.reply(1.01, 't2', Verdict.absent)
+        effects += fixture.reply(1.01, 't3', Verdict.absent)
+        effects += fixture.return_opening(1.02, 't1')
+        assert not any(isinstance(effect, ResetClient) for effect in effects)
+        assert forwarded(fixture.reply(1.03, 't1', Verdict.held)) == 't1'
+
+
 class TestRoutes:
     """Versions of routes and former services."""
 
