Keep an accepted connection when a copy of its opening is refused

What callers see: a reset of an open connection. Cause: an agent forgot a connection when its target refused an opening segment of it, also if that was a delayed copy of the segment that had opened it. An agent that has seen its target's start then denies the connection.

Change: a refused opening removes only a connection that the target has not accepted. Evidence: found by reading and with a script; the new test failed before and passes. Whether the users' servers refuse such copies is open.

--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -263,7 +263,9 @@
         return [DeliverToTarget(segment.raw)]
 
     def _on_refused(self, now: float, segment: Segment) -> list[Effect]:
-        entry = self._table.remove(segment.key)
+        entry = self._table.get(segment.key)
+        if entry is None or not (segment.is_opening and entry.is_accepted):
+            self._table.remove(segment.key)
         probe = self._probes.refuse(segment.key)
         if not segment.is_opening:
             self._probes.note_absent(now, segment.key)
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -66,6 +66,11 @@
         self.sent_until: int | None = None
         self.target_closed = False
 
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the target has accepted the connection."""
+        return self.is_open or self.first_sequence is not None
+
     def is_chosen(self, acknowledged: int) -> bool:
         """Return whether the client chose this target.
 
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
@@ -143,6 +143,30 @@
         assert forward(tracker, segment) == [DeliverToTarget(segment.raw)]
 
 
+class TestRefusedOpenings:
+    """Openings that the target refuses after it has accepted them."""
+
+    def test_copy(self) -> None:
+        """Guards against an open connection that is forgotten.
+
+        A delayed copy of its opening segment reaches the target when that
+        is full, and is refused.
+        """
+        tracker = make_tracker()
+        open_connection(tracker)
+        forward(tracker, opening(KEY, 1))
+        tracker.on_target_segment(1, refused(opening(KEY, 1)))
+        assert query_verdict(tracker, CHOSEN) is Verdict.held
+
+    def test_not_accepted(self) -> None:
+        """Guards against a record of a connection that was never opened."""
+        tracker = make_tracker()
+        forward(tracker, opening(KEY))
+        back = returned(tracker.on_target_segment(1, refused(opening(KEY))))
+        assert back.reason is ReturnReason.not_accepted
+        assert query_verdict(tracker, CHOSEN) is Verdict.absent
+
+
 class TestChoice:
     """Several targets that accepted the same connection."""
 
