Send further hellos to agents that have not reported

What callers see: a reset of an open connection. Cause: an agent reports to a gateway only after it knows it, which is after a hello unless the store listed the gateway. From 44 targets on, two hellos are more than 3.5 s apart, and a target that has been silent for 4 s since it was listed counts as failed and is left out of searches. One lost hello is enough with 53 targets. The same wait kept a joined target unknown to new gateways.

Change: each second a gateway sends a hello to the agents that have not reported, within the budget of hellos.

--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -15,7 +15,11 @@
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.messages import BalancerHello, TargetReport
-from trefoilhaven_core.connections.pacing import HELLO_S, hello_interval_s
+from trefoilhaven_core.connections.pacing import (
+    HELLO_S,
+    HelloSchedule,
+    hello_interval_s,
+)
 from trefoilhaven_core.membership.messages import (
     Address,
     Changes,
@@ -111,18 +115,20 @@
         )
 
     async def _send_hellos(self) -> None:
-        """Announce this gateway to all agents regularly."""
+        """Announce this gateway to agents regularly."""
+        schedule = HelloSchedule()
         while True:
-            await asyncio.sleep(self._send_hello())
+            unheard = self._state.target_selector.unheard_members()
+            self._send_hello(
+                schedule.recipients(monotonic(), self._state.targets(), unheard)
+            )
+            await asyncio.sleep(HELLO_S)
 
-    def _send_hello(self) -> float:
-        """Send a hello to all agents; return the seconds until the next."""
-        targets = self._state.targets()
-        interval_s = hello_interval_s(len(targets))
+    def _send_hello(self, members: Iterable[Member]) -> None:
+        interval_s = hello_interval_s(len(self._state.targets()))
         hello = self._hello._replace(interval_s=interval_s)
-        addresses = [member.control for member in targets]
+        addresses = [member.control for member in members]
         self._endpoint.send(hello, *addresses)
-        return interval_s
 
     async def _fetch_from_seeds(self) -> None:
         """Fetch the full state from a seed, to start without the store."""
@@ -165,7 +171,7 @@
 
     def _set_membership_complete(self, source: str) -> None:
         self._state.set_membership_complete(monotonic())
-        self._send_hello()
+        self._send_hello(self._state.targets())
         logger.info(
             'list of targets is known',
             extra={'source': source, 'targets': len(self._state.targets())},
--- a/packages/core/src/trefoilhaven_core/connections/pacing.py
+++ b/packages/core/src/trefoilhaven_core/connections/pacing.py
@@ -4,8 +4,12 @@
 not: with many receivers, the interval grows instead of the traffic.
 """
 
+import math
+from collections.abc import Sequence
 from typing import Final
 
+from trefoilhaven_core.membership.messages import Member
+
 # Bytes of a hello and of a report, including UDP and IP headers.
 HELLO_BYTES: Final = 110
 REPORT_BYTES: Final = 260
@@ -16,6 +20,10 @@
 REPORT_BYTES_PER_S: Final = 8_000
 
 HELLO_S: Final = 1.0
+
+# Hellos that the budget allows within ``HELLO_S``.
+MAX_HELLOS: Final = int(HELLO_S * HELLO_BYTES_PER_S / HELLO_BYTES)
+
 MIN_REPORT_INTERVAL_S: Final = 0.25
 
 # Balancers of other failure domains select a target less often and get only
@@ -27,6 +35,40 @@
 MIN_CHANGED_REPORT_INTERVAL_S: Final = 0.08
 
 
+class HelloSchedule:
+    """Decides who gets a balancer's hello; to be asked each ``HELLO_S``.
+
+    Agents that have not reported may not know the balancer, and get further
+    hellos within the same budget: a target that is silent for some seconds
+    counts as failed.
+    """
+
+    def __init__(self) -> None:
+        """Start with a hello to all."""
+        self._all_due = -math.inf
+        self._next_unheard = 0
+
+    def recipients(
+        self,
+        now: float,
+        members: Sequence[Member],
+        unheard_members: Sequence[Member],
+    ) -> Sequence[Member]:
+        """Return the members to send a hello to at the monotonic ``now``."""
+        if now < self._all_due:
+            return self._take(unheard_members)
+        self._all_due = now + hello_interval_s(len(members))
+        return members
+
+    def _take(self, members: Sequence[Member]) -> Sequence[Member]:
+        """Return the next members in turn, as many as the budget allows."""
+        start = self._next_unheard
+        if start >= len(members):
+            start = 0
+        self._next_unheard = start + MAX_HELLOS
+        return members[start : self._next_unheard]
+
+
 def hello_interval_s(targets: int) -> float:
     """Return the interval in seconds between two hellos to all targets."""
     return max(HELLO_S, targets * HELLO_BYTES / HELLO_BYTES_PER_S)
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -193,18 +193,20 @@
             and self._find(member).silent_s(now) >= silent_s
         ]
 
+    def unheard_members(self) -> list[Member]:
+        """Return the members whose agents have not reported yet."""
+        return [
+            member
+            for member in self.members(self.services)
+            if self._find(member).seen_at == -math.inf
+        ]
+
     def reported_share(self) -> float:
         """Return the share of targets that have reported; 1 without targets."""
-        targets = [
-            target
-            for known in self._targets.values()
-            for target in known.values()
-            if target.member.state < MemberState.left
-        ]
-        if not targets:
+        members = self.members(self.services)
+        if not members:
             return 1.0
-        heard = sum(target.seen_at > -math.inf for target in targets)
-        return heard / len(targets)
+        return 1 - len(self.unheard_members()) / len(members)
 
     def member(self, service: str, name: str) -> Member | None:
         """Return a member of a service, None if it is unknown."""
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
@@ -162,7 +162,8 @@
         """Guards against a record of a connection that was never opened."""
         tracker = make_tracker()
         forward(tracker, opening(KEY))
-        back = returned(tracker.on_target_segment(1, refused(opening(KEY))))
+        effects = tracker.on_target_segment(1, refused(opening(KEY)))
+        back = returned(list(effects))
         assert back.reason is ReturnReason.not_accepted
         assert query_verdict(tracker, CHOSEN) is Verdict.absent
 
