List the balancers after the registration of a target

What callers saw: an open flow was reset by a gateway that had just joined. Cause, beside the reset itself: an agent lists the balancers at its start, possibly from a stale copy, and not again once a balancer has sent a hello. A gateway that joins between this list and the target's first heartbeat is not told of the target; gossip and the hello bring it 0.3 to 0.8 s later.

Change: an agent lists the balancers, not stale, after it has registered its target, with retries while the store is away, and reports to them. A gateway registers before it lists the targets, for up to 0.5 s. So one of the two lists has the other. Cost: one list for each start of an agent.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/registrations.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/registrations.py
@@ -4,6 +4,7 @@
 import math
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 from trefoilhaven_agent.sidecar.targets import TargetTracker
@@ -29,8 +30,13 @@
         host: str,
         target_tracker: TargetTracker,
         rng: random.Random,
+        on_registered: Callable[[], None],
     ) -> None:
-        """Create the registration; nothing is written without a target."""
+        """Create the registration; nothing is written without a target.
+
+        ``on_registered`` is called after the first write of the object.
+        """
+        self._on_registered = on_registered
         self._target_tracker = target_tracker
         self._age_s = math.inf
         path = f'{TARGETS_PREFIX}{host}'
@@ -56,6 +62,7 @@
         return await self._registrar.write()
 
     def _on_first_write(self, replaced: Any) -> None:
+        self._on_registered()
         predecessor = None
         if replaced is not None:
             read = read_member(replaced)
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -1,6 +1,7 @@
 """Heartbeats and liveness checks of the target, and its balancers."""
 
 import asyncio
+import contextlib
 import logging
 import random
 from typing import Final
@@ -62,8 +63,10 @@
         self._segments = segments
         self._client = adapter.make_client()
         self._backoff = Backoff(rng, LIST_BACKOFF_S, LIST_BACKOFF_LIMIT_S)
+        # Set while the balancers are to be listed after a registration.
+        self._registered = asyncio.Event()
         self._registration = TargetRegistration(
-            self._client, cfg.name, target_tracker, rng
+            self._client, cfg.name, target_tracker, rng, self._registered.set
         )
         self._balancers = KnownBalancers(cfg.failure_domain)
         self._reports = ReportSender(
@@ -166,25 +169,38 @@
             self._registration.set_desired(member)
 
     async def _list_balancers(self) -> None:
-        """List the balancers in the store while none sends a hello.
+        """List the balancers in the store after a registration.
 
-        Agents may start before all balancers. A balancer that knows this
-        agent announces it to the others.
+        A balancer registers itself before it lists the targets. Either it
+        finds the target's object, or this list has the balancer. Agents may
+        also start before all balancers, and list them while none sends a
+        hello. A balancer that knows this agent announces it to the others.
         """
         while True:
-            if self._balancers.is_hello_overdue(monotonic()):
-                await self._list_once()
-            await asyncio.sleep(self._backoff.next_s())
+            is_registered = self._registered.is_set()
+            if is_registered or self._balancers.is_hello_overdue(monotonic()):
+                # A stale list may miss a balancer that has just joined.
+                is_listed = await self._list_once(allow_stale=not is_registered)
+                if is_registered and is_listed:
+                    self._registered.clear()
+            if is_registered:
+                await asyncio.sleep(self._backoff.next_s())
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._backoff.next_s()):
+                    await self._registered.wait()
 
-    async def _list_once(self) -> None:
-        # A stale list is sufficient: a later one has the missing balancers.
-        listed = await self._client.list(BALANCERS_PREFIX, allow_stale=True)
+    async def _list_once(self, *, allow_stale: bool) -> bool:
+        """List the balancers and report to them; return whether it worked."""
+        listed = await self._client.list(
+            BALANCERS_PREFIX, allow_stale=allow_stale
+        )
         if listed.is_error():
             logger.warning(
                 'could not list the balancers',
                 extra={'reason': describe_error(listed.error)},
             )
-            return
+            return False
         read = [read_balancer(each.content) for each in listed.ok.objects]
         for each in read:
             if each.is_error():
@@ -193,6 +209,7 @@
         self._balancers.on_listed(monotonic(), records)
         if self._target_tracker.member is not None:
             self._reports.send_all(self._target_tracker.member)
+        return True
 
     async def _check_target(self) -> None:
         """Check whether the target still runs when it may have ended.
--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
@@ -0,0 +1,133 @@
+"""Tests of what an agent learns of balancers and tells them."""
+
+import asyncio
+import time
+from typing import Any
+from unittest import mock
+
+from expression import Error, Ok
+from trefoilhaven_agent.sidecar.reporting import ReportingTask
+from trefoilhaven_agent.sidecar.segments import SegmentTask
+from trefoilhaven_agent.sidecar.targets import Location, TargetTracker
+from trefoilhaven_core.connections.connection_tracker import ConnectionTracker
+from trefoilhaven_core.connections.messages import BalancerHello, TargetReport
+from trefoilhaven_core.membership.messages import (
+    Address,
+    BalancerRecord,
+    MemberState,
+)
+from trefoilhaven_core.membership.objects import balancer_content
+from trefoilhaven_core.platform.adapters import (
+    PlatformAdapter,
+    TargetAnnouncement,
+)
+from trefoilhaven_core.platform.clients import (
+    Listing,
+    PlatformClient,
+    PlatformObject,
+)
+from trefoilhaven_core.platform.errors import Unavailable
+from trefoilhaven_core.settings.types import SidecarSettings
+from trefoilhaven_core.telemetry.runtimes import make_runtime
+from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+
+CONTROL = Address('127.0.0.1', 7000)
+KNOWN = Address('10.0.0.8', 7000)
+JOINED = Address('10.0.0.9', 7000)
+TIMEOUT_S = 10
+FAILED_LISTS = 2
+
+
+class StoreFixture:
+    """A store with a balancer that a stale list misses."""
+
+    def __init__(self) -> None:
+        """Start with a store that first fails to list."""
+        self.client = mock.Mock(spec=PlatformClient)
+        self.client.put = mock.AsyncMock(return_value=Ok(1))
+        self.client.list = self._list
+        self.fresh_lists = 0
+
+    async def _list(self, prefix: str, *, allow_stale: bool = False) -> Any:
+        if allow_stale:
+            return Ok(Listing(1, ()))
+        self.fresh_lists += 1
+        if self.fresh_lists <= FAILED_LISTS:
+            return Error(Unavailable(maybe_applied=False, reason='away'))
+        record = BalancerRecord(
+            'g9', 'b', 1, 1, MemberState.alive, JOINED, JOINED
+        )
+        found = PlatformObject(f'{prefix}g9', 1, balancer_content(record))
+        return Ok(Listing(2, (found,)))
+
+
+class EndpointFixture(DatagramEndpoint):
+    """An endpoint that records to whom the target is reported."""
+
+    def __init__(self) -> None:
+        runtime = make_runtime('s1')
+        super().__init__(mock.Mock(), runtime.clock)
+        self.is_joined_told = asyncio.Event()
+
+    def send(self, message: Any, *addresses: Address) -> None:
+        """Record a report to the balancer that has joined."""
+        if isinstance(message, TargetReport) and JOINED in addresses:
+            self.is_joined_told.set()
+
+
+def make_task(store: StoreFixture, endpoint: EndpointFixture) -> ReportingTask:
+    """Return the task of an agent beside a target."""
+    cfg = SidecarSettings(
+        's1',
+        'host-1',
+        'a',
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        (),
+        'info',
+        'certify',
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        CONTROL,
+    )
+    runtime = make_runtime('s1')
+    connections = ConnectionTracker('certify', 60.0)
+    tracker = TargetTracker(
+        'certify', Location('host-1', 'a', CONTROL), connections
+    )
+    adapter = mock.Mock(spec=PlatformAdapter)
+    adapter.make_client.return_value = store.client
+    segments = SegmentTask(cfg, runtime, connections, adapter, endpoint)
+    return ReportingTask(
+        cfg, runtime, connections, tracker, segments, adapter, endpoint
+    )
+
+
+class TestRegistration:
+    """Balancers that an agent tells of its target."""
+
+    async def test_joined_balancer(self) -> None:
+        """Guards against a balancer that does not know a joined target.
+
+        The balancer has joined after the agent listed the balancers. Others
+        send hellos, and the store fails at first.
+        """
+        store = StoreFixture()
+        endpoint = EndpointFixture()
+        task = make_task(store, endpoint)
+        hello = BalancerHello('g8', 'a', 1, 1.0)
+        task._on_hello(hello, KNOWN)  # noqa: SLF001
+        running = asyncio.create_task(task.run())
+        started_at_ms = int(time.time() * 1000)
+        announcement = TargetAnnouncement(
+            'certify', 't1', 'a', started_at_ms, 1, 2, MemberState.alive, 0
+        )
+        assert await task.on_announcement(announcement)
+        async with asyncio.timeout(TIMEOUT_S):
+            await endpoint.is_joined_told.wait()
+        running.cancel()
+        assert store.fresh_lists == FAILED_LISTS + 1
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -101,7 +101,10 @@
             state.confirmation,
         )
         self._registrar = Registrar(
-            self._client, f'{BALANCERS_PREFIX}{cfg.name}', rng
+            self._client,
+            f'{BALANCERS_PREFIX}{cfg.name}',
+            rng,
+            lambda _: self.membership.registered.set(),
         )
         self._registrar.set_desired(balancer_content(own))
         self.membership = MembershipTask(
--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections.abc import Iterable
@@ -44,6 +45,9 @@
 
 LIST_BACKOFF_LIMIT_S: Final = 1.0
 
+# A store that refuses writes may still serve lists.
+REGISTRATION_TIMEOUT_S: Final = 0.5
+
 
 class TransferStateFetcher(StateFetcher):
     """Fetches states by plain TCP calls."""
@@ -91,7 +95,11 @@
         segments: SegmentTask,
         rng: random.Random,
     ) -> None:
-        """Register the handlers of reports and of state requests."""
+        """Register the handlers of reports and of state requests.
+
+        ``registered`` is to be set when this gateway's object is written.
+        """
+        self.registered = asyncio.Event()
         cfg = state.cfg
         self._state = state
         self._gossip = gossip
@@ -140,7 +148,14 @@
             await asyncio.sleep(backoff.next_s())
 
     async def _read_members(self) -> None:
-        """Read all members and balancers from the store, with retries."""
+        """Read all members and balancers from the store, with retries.
+
+        An agent lists the balancers after it has registered its target, so
+        that either finds the other if this gateway registers first too.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REGISTRATION_TIMEOUT_S):
+                await self.registered.wait()
         backoff = Backoff(self._rng, limit_s=LIST_BACKOFF_LIMIT_S)
         while True:
             targets = await self._client.list(TARGETS_PREFIX)
