--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -323,6 +323,22 @@
         effect = only(fixture.reply(9.81, 't2', Verdict.absent))
         assert isinstance(effect, ResetClient)
 
+    def test_restarted_during_search(self) -> None:
+        """Guards against the answer of an earlier incarnation of a target.
+
+        The target restarts elsewhere during the search, and the agent at
+        its former address denies the connection.
+        """
+        fixture = RouterFixture()
+        fixture.router.on_segment(1, make_segment(KEY))
+        for name in ('t1', 't2'):
+            fixture.reply(1.01, name, Verdict.absent)
+        fixture.members['t1'] = make_member('t1', incarnation=2)
+        fixture.update_members()
+        effects = fixture.reply(1.02, 't3', Verdict.absent)
+        assert queried(effects) == {'t1'}
+        assert forwarded(fixture.reply(1.03, 't1', Verdict.held)) == 't1'
+
     def test_queried_again(self) -> None:
         """Guards against a search that hangs after a lost query."""
         fixture = RouterFixture()
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_confirmations.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_confirmations.py
@@ -76,6 +76,20 @@
         answer(confirmation, 'b', ROOT + 1)
         assert not confirmation.is_confirmed(1)
 
+    def test_third_differs(self) -> None:
+        """Guards against two peers that joined together and lag alike.
+
+        The third peer that was asked has other records, so that it may know
+        a target that the others lack.
+        """
+        confirmation = make_confirmation(*map(make_record, 'bcd'))
+        for peer in 'bcd':
+            confirmation.on_digest_sent(1, peer)
+        for peer in 'bc':
+            answer(confirmation, peer)
+        answer(confirmation, 'd', ROOT + 1)
+        assert not confirmation.is_confirmed(1)
+
     def test_earlier_confirmation(self) -> None:
         """Guards against a target that joined after the confirmation."""
         confirmation = make_confirmation(make_record('b'))
