Ask every live gateway of the domain for targets before a reset

Peers that lag alike confirm each other; a target that restarted elsewhere kept the denial of its former agent; targets that count as failed were not asked; a gateway without live peers confirmed itself, also after a cut; an agent denied a connection that it held when asked under an earlier name. And while a fleet restarts, no two gateways have equal records, so lost connections waited.

Change: before a reset each live gateway of the failure domain gets hashes of the known targets and returns the missing ones, which are asked first. Such an answer is complete at once, also while targets join. A peer that has just started does not consent. A peer counts as gone after 20 unanswered queries; if none is left, the agents' reports have to show that this gateway was not cut off. Failed targets are asked last. Searches share a round of queries and are woken by the answers; they keep the set of targets without an answer in place of all verdicts. The line about a target that only a peer knows was never written and is now.

--- a/packages/balancer/src/trefoilhaven/balancer/gossip.py
+++ b/packages/balancer/src/trefoilhaven/balancer/gossip.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
-from trefoilhaven_core.membership.confirmations import MembershipConfirmation
 from trefoilhaven_core.membership.detectors import FailureDetector
 from trefoilhaven_core.membership.dissemination import (
     Disseminator,
@@ -63,14 +62,11 @@
         fetcher: StateFetcher,
         on_change: Callable[[Iterable[str]], None],
         seeds: Mapping[str, PeerAddresses],
-        confirmation: MembershipConfirmation | None = None,
     ) -> None:
         """Register the handlers of the control socket.
 
         ``on_change`` is called with the services that a message touched.
-        ``confirmation`` is told of all digests.
         """
-        self._confirmation = confirmation
         name = disseminator.own.name
         self.disseminator = disseminator
         self.detector = FailureDetector(disseminator.own, store, monotonic())
@@ -99,13 +95,10 @@
             address = self._control_address(effect.peer)
             if address is None:
                 continue
-            if isinstance(effect.message, Digest):
-                now = monotonic()
-                if self._confirmation is not None:
-                    self._confirmation.on_digest_sent(now, effect.peer)
-                if not effect.message.is_reply:
-                    self.detector.on_probe_sent(now, effect.peer)
-            self._endpoint.send(effect.message, address)
+            message = effect.message
+            if isinstance(message, Digest) and not message.is_reply:
+                self.detector.on_probe_sent(monotonic(), effect.peer)
+            self._endpoint.send(message, address)
 
     def announce(self, state: MemberState) -> None:
         """Disseminate a new state of this balancer."""
@@ -134,13 +127,6 @@
                 return True
         return False
 
-    def confirm_records(self) -> None:
-        """Send digests to peers that may confirm the records, if due."""
-        if self._confirmation is None:
-            return
-        peers = self._confirmation.due_probes(monotonic())
-        self.apply([self.disseminator.probe(peer) for peer in peers])
-
     def tick(self, now: float, probes: Iterable[str]) -> None:
         """Send the gossip and digests that are due, and probe peers."""
         self.apply(self.disseminator.probe(peer) for peer in probes)
@@ -159,9 +145,6 @@
         now = monotonic()
         self.detector.on_peer_message(now, digest.sender)
         self._record_source(digest.sender, sender)
-        if self._confirmation is not None:
-            root = self._store.root_digest()
-            self._confirmation.on_digest(digest, root)
         self.apply(self.disseminator.on_digest(now, digest))
 
     def _on_configuration(
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -98,7 +98,6 @@
             TransferStateFetcher(transfers),
             self._on_gossip,
             seeds,
-            state.confirmation,
         )
         self._registrar = Registrar(
             self._client,
--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -15,12 +15,21 @@
 from trefoilhaven.balancer.gossip import GossipTask, StateFetcher
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
-from trefoilhaven_core.connections.messages import BalancerHello, TargetReport
+from trefoilhaven_core.connections.messages import (
+    BalancerHello,
+    TargetReport,
+    TargetsQuery,
+    TargetsReply,
+)
 from trefoilhaven_core.connections.pacing import (
     HELLO_S,
     HelloSchedule,
     hello_interval_s,
 )
+from trefoilhaven_core.connections.target_lists import (
+    answer_query,
+    make_query,
+)
 from trefoilhaven_core.membership.messages import (
     Address,
     Changes,
@@ -112,7 +121,9 @@
         )
         endpoint.on(TargetReport, self._on_report)
         transfers.on(StateRequest, self._on_state)
-        segments.on_confirm(gossip.confirm_records)
+        endpoint.on(TargetsQuery, self._on_targets_query)
+        endpoint.on(TargetsReply, self._on_targets_reply)
+        segments.on_confirm(self._ask_peers)
 
     async def run(self) -> None:
         """Find and tell targets until cancelled."""
@@ -192,6 +203,38 @@
             extra={'source': source, 'targets': len(self._state.targets())},
         )
 
+    def _ask_peers(self, since: float) -> None:
+        """Ask peers to confirm the list of targets, if that is due."""
+        now = monotonic()
+        peers = self._state.confirmation.due_queries(now, since)
+        if not peers:
+            return
+        query = make_query(self._state.cfg.name, now, self._state.targets())
+        records = filter(None, map(self._state.store.balancer, peers))
+        self._endpoint.send(query, *(record.control for record in records))
+
+    def _on_targets_query(self, query: TargetsQuery, sender: Address) -> None:
+        reply = answer_query(
+            self._state.cfg.name,
+            query,
+            self._state.targets(),
+            self._rng,
+            is_complete=self._state.router.searches.is_membership_complete,
+        )
+        self._endpoint.send(reply, sender)
+
+    def _on_targets_reply(self, reply: TargetsReply, sender: Address) -> None:
+        if reply.members:
+            self._gossip.disseminate_changes(
+                Changes(self._state.cfg.name, reply.members, ())
+            )
+            services = {member.service for member in reply.members}
+            log_changed_targets(self._state.refresh(services), 'a peer')
+        self._state.confirmation.on_reply(
+            reply.sender, reply.sent_at, is_partial=reply.is_partial
+        )
+        self._segments.on_confirmation()
+
     def _on_report(self, report: TargetReport, sender: Address) -> None:
         member = report.member
         known = self._state.store.member(member.service, member.target)
--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -60,7 +60,7 @@
         self._endpoint = endpoint
         self._raw_endpoint: RawEndpoint | None = None
         self._questions = QuestionBatch()
-        self._confirm: Callable[[], None] = lambda: None
+        self._confirm: Callable[[float], None] = lambda _: None
         self._log = RateLimitedLog(logger)
         metrics = state.runtime.metrics
         self._drops = {
@@ -95,10 +95,19 @@
         if self._raw_endpoint is not None:
             self._raw_endpoint.close()
 
-    def on_confirm(self, confirm: Callable[[], None]) -> None:
-        """Register what asks peers to confirm the list of targets."""
+    def on_confirm(self, confirm: Callable[[float], None]) -> None:
+        """Register what asks peers to confirm the list of targets.
+
+        It is called with the monotonic time as of which the list is to be
+        confirmed.
+        """
         self._confirm = confirm
 
+    def on_confirmation(self) -> None:
+        """Conclude the searches that wait for a confirmation by peers."""
+        searches = self._state.router.searches
+        self._apply(searches.on_confirmation(monotonic()))
+
     def on_report(self, report: TargetReport) -> None:
         """Pass an agent's report to the router."""
         self._state.router.on_report(monotonic(), report)
@@ -131,7 +140,8 @@
         )
 
     def _on_reply(self, reply: HolderReply, sender: Address) -> None:
-        self._apply(self._state.router.on_reply(monotonic(), reply))
+        router = self._state.router
+        self._apply(router.on_reply(monotonic(), reply, sender))
 
     def _on_accepted(
         self, accepted: ConnectionAccepted, sender: Address
@@ -148,14 +158,20 @@
                 self._queue_question(effect)
             elif isinstance(effect, ResetClient):
                 self._reset(effect)
-            elif isinstance(effect, Placed):
-                self._log_placed(effect)
-            elif isinstance(effect, HolderFound):
-                self._log_found(effect)
             elif isinstance(effect, ConfirmMembership):
-                self._confirm()
+                self._confirm(effect.since)
             elif isinstance(effect, DropSegment):
                 self._drop(effect)
+            else:
+                self._log_effect(effect)
+
+    def _log_effect(self, effect: Effect) -> None:
+        if isinstance(effect, Placed):
+            self._log_placed(effect)
+        elif isinstance(effect, HolderFound):
+            self._log_found(effect)
+        elif isinstance(effect, UnknownTarget):
+            self._log_unknown_target(effect)
 
     def _log_placed(self, effect: Placed) -> None:
         self._placed.add()
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -50,7 +50,7 @@
         self.routes = AddressRoutes()
         self.target_selector = TargetSelector(cfg.failure_domain)
         self.confirmation = MembershipConfirmation(
-            Origin(cfg.failure_domain, runtime.incarnation), rng
+            Origin(cfg.failure_domain, runtime.incarnation)
         )
         self.router = ConnectionRouter(
             self.routes, self.target_selector, rng, self.confirmation
--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -200,13 +200,14 @@
     def _find_verdict(
         self, now: float, query: HolderQuery, question: Question
     ) -> Verdict:
-        if query.service != self.service or not self._may_be_own(query.target):
+        if query.service != self.service:
             return Verdict.absent
         entry = self._table.get(question.key)
         if entry is not None:
             is_chosen = entry.is_chosen(question.acknowledged)
             return Verdict.held if is_chosen else Verdict.absent
-        if self._may_hold(now, question.key):
+        is_own = self._may_be_own(query.target)
+        if is_own and self._may_hold(now, question.key):
             return Verdict.unsure
         return Verdict.absent
 
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -116,7 +116,9 @@
 
 
 class ConfirmMembership(NamedTuple):
-    """Ask peers to confirm the list of targets."""
+    """Ask peers to confirm the list of targets as of a monotonic time."""
+
+    since: float
 
 
 class DropSegment(NamedTuple):
--- a/packages/core/src/trefoilhaven_core/connections/failure_detector.py
+++ b/packages/core/src/trefoilhaven_core/connections/failure_detector.py
@@ -56,11 +56,18 @@
         elif self._connected_since is None:
             self._connected_since = now
 
-    def has_failed(self, now: float, silent_s: float) -> bool:
-        """Return whether an agent silent for ``silent_s`` has failed."""
+    def is_connected(self, now: float) -> bool:
+        """Return whether agents have been heard for the whole timeout."""
         since = self._connected_since
         if since is None or self._checked_at is None:
             return False
-        limit_s = max(FAILURE_TIMEOUT_S, 3 * self.report_s)
         is_awake = now - self._checked_at <= MAX_CHECK_GAP_S
-        return is_awake and silent_s >= limit_s and now - since >= limit_s
+        return is_awake and now - since >= self._timeout_s
+
+    def has_failed(self, now: float, silent_s: float) -> bool:
+        """Return whether an agent silent for ``silent_s`` has failed."""
+        return silent_s >= self._timeout_s and self.is_connected(now)
+
+    @property
+    def _timeout_s(self) -> float:
+        return max(FAILURE_TIMEOUT_S, 3 * self.report_s)
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -8,8 +8,9 @@
 refuses unless it holds the connection.
 """
 
+import math
 from collections import deque
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from trefoilhaven_core.connections.effects import (
@@ -49,6 +50,10 @@
 # a new one. Clients retransmit after 200 ms at the earliest.
 SEARCH_TIMEOUT_S: Final = 0.8
 
+# A target whose agent has failed is asked last. If the agent does not answer
+# within this time, in seconds, the target is taken to have ended.
+FAILED_AGENT_TIMEOUT_S: Final = 0.1
+
 # Segments queued for one search; a client has up to 16 in flight.
 MAX_QUEUED_SEGMENTS: Final = 16
 
@@ -75,7 +80,7 @@
         members: Iterable[Member],
         fallback_members: Iterable[Member],
         is_membership_complete: bool,
-        failed_members: Sequence[Member] = (),
+        members_revision: int = 0,
     ) -> None:
         """Start with the first segment.
 
@@ -85,15 +90,13 @@
         route changes.
 
         ``is_membership_complete`` means that both lists are complete.
-        ``failed_members`` are left out of them, since their agents have
-        failed permanently. ``members_revision`` is that of the members when
-        they were read.
+        ``members_revision`` is that of the members when they were read.
         """
         self.key: ConnectionKey = segment.key
         self.is_membership_complete = is_membership_complete
-        self._failed_members = failed_members
-        self.members_revision = 0
+        self.members_revision = members_revision
         self.started_at = now
+        self.has_queried_failed = False
         self._members = {
             (member.service, member.target): member for member in members
         }
@@ -104,7 +107,13 @@
         self._segments: deque[Segment] = deque(
             [segment], maxlen=MAX_QUEUED_SEGMENTS
         )
-        self._verdicts: dict[TargetKey, Verdict] = {}
+        # Members whose agents have not denied the connection, and those of
+        # them whose agents are unsure.
+        self._pending = set(self._members)
+        self._unsure: set[TargetKey] = set()
+        self._failed: set[TargetKey] = set()
+        self._failed_due = math.inf
+        self._former_addresses: set[tuple[TargetKey, Address]] = set()
         self._query_due = now + QUERY_INTERVAL_S
         self._query_interval_s = QUERY_INTERVAL_S
         self._is_repeated = False
@@ -152,19 +161,29 @@
         return [
             QueryMember(member, question)
             for key, member in self._members.items()
-            if key not in self._verdicts
+            if key in self._pending and key not in self._unsure
         ]
 
     def on_verdict(
-        self, now: float, service: str, target: str, verdict: Verdict
+        self, key: TargetKey, verdict: Verdict, sender: Address | None = None
     ) -> Member | None:
-        """Record an agent's answer; return the member if it is the holder."""
-        key = (service, target)
+        """Record an agent's answer; return the member if it is the holder.
+
+        The answer is ignored if the target has restarted elsewhere and
+        ``sender`` is its former agent.
+        """
         member = self._members.get(key)
-        if member is None:
+        if member is None or (key, sender) in self._former_addresses:
             return None
-        self._verdicts[key] = verdict
-        return member if verdict is Verdict.held else None
+        if verdict is Verdict.held:
+            return member
+        if verdict is Verdict.unsure:
+            self._pending.add(key)
+            self._unsure.add(key)
+        else:
+            self._pending.discard(key)
+            self._unsure.discard(key)
+        return None
 
     def tick(self, now: float) -> list[Effect]:
         """Repeat unanswered queries and probe the unsure targets."""
@@ -174,6 +193,9 @@
                 return []
             self._peers.clear()
             return self.query()
+        if now >= self._failed_due and self._failed:
+            self._failed_due = math.inf
+            self._pending -= self._failed - self._unsure
         if now >= self._query_due:
             self._query_interval_s *= 2
             self._query_due = now + self._query_interval_s
@@ -188,14 +210,15 @@
         members: Iterable[Member],
         fallback_members: Iterable[Member],
     ) -> list[Effect]:
-        """Add members that became known since the start; query the first."""
+        """Query members that became known or have restarted meanwhile."""
         for member in members:
-            key = (member.service, member.target)
-            self._fallback_members.pop(key, None)
-            self._members.setdefault(key, member)
+            self._fallback_members.pop((member.service, member.target), None)
+            self._add(member)
         for member in fallback_members:
             key = (member.service, member.target)
-            if key not in self._members:
+            if key in self._members:
+                self._add(member)
+            else:
                 self._fallback_members[key] = member
         return self._query_again(now)
 
@@ -203,15 +226,31 @@
         """Query the fallback members if no other member is the holder."""
         if not self._fallback_members or not self.is_absent():
             return []
-        self._members |= self._fallback_members
+        for member in self._fallback_members.values():
+            self._add(member)
         self._fallback_members = {}
         return self._query_again(now)
 
+    def query_failed_members(
+        self, now: float, members: Iterable[Member]
+    ) -> list[Effect]:
+        """Query the members whose agents seem to have failed.
+
+        Those that do not answer within ``FAILED_AGENT_TIMEOUT_S`` are taken
+        to have ended.
+        """
+        self.has_queried_failed = True
+        for member in members:
+            key = (member.service, member.target)
+            if key not in self._members:
+                self._failed.add(key)
+                self._add(member)
+        self._failed_due = now + FAILED_AGENT_TIMEOUT_S
+        return self._query_again(now)
+
     def is_absent(self) -> bool:
         """Return whether every queried member is known not to be the holder."""
-        return bool(self._members) and all(
-            self._verdicts.get(key) is Verdict.absent for key in self._members
-        )
+        return bool(self._members) and not self._pending
 
     def is_named_target_unknown(self) -> bool:
         """Return whether a peer named a target that was not queried."""
@@ -220,9 +259,8 @@
     def pending(self) -> str:
         """Return the members without a definite answer, as log text."""
         return ','.join(
-            f'{key[1]}:{verdict.name if verdict else "silent"}'
-            for key in self._members
-            if (verdict := self._verdicts.get(key)) is not Verdict.absent
+            f'{key[1]}:{"unsure" if key in self._unsure else "silent"}'
+            for key in sorted(self._pending)
         )
 
     def drops(self) -> list[Effect]:
@@ -236,7 +274,7 @@
     def reset(self) -> ResetClient:
         """Return the reset of the client, as no target holds the connection."""
         latest = self._segments[-1]
-        failed = [member.target for member in self._failed_members]
+        failed = sorted(target for _, target in self._failed)
         detail = f'{len(self._members)} targets asked, {len(failed)} gone'
         if failed:
             named = ','.join(failed[:MAX_NAMED_TARGETS])
@@ -245,6 +283,20 @@
             self.key, latest.acknowledged, ResetCause.not_held, detail
         )
 
+    def _add(self, member: Member) -> None:
+        """Add a member to be queried, unless its incarnation was."""
+        key = (member.service, member.target)
+        known = self._members.get(key)
+        if known is not None:
+            if known.incarnation == member.incarnation:
+                return
+            if known.control != member.control:
+                self._former_addresses.add((key, known.control))
+        self._members[key] = member
+        self._pending.add(key)
+        self._unsure.discard(key)
+        self._probed_at.pop(key, None)
+
     def _query_again(self, now: float) -> list[Effect]:
         """Query the members that have not answered; restart the interval."""
         self._query_due = now + QUERY_INTERVAL_S
@@ -260,12 +312,9 @@
         if not self._is_rest_known():
             return []
         effects: list[Effect] = []
-        for key, verdict in self._verdicts.items():
-            is_due = (
-                now - self._probed_at.get(key, -PROBE_INTERVAL_S)
-                >= PROBE_INTERVAL_S
-            )
-            if verdict is not Verdict.unsure or not is_due:
+        for key in sorted(self._unsure):
+            probed_at = self._probed_at.get(key, -math.inf)
+            if now - probed_at < PROBE_INTERVAL_S:
                 continue
             self._probed_at[key] = now
             member = self._members[key]
@@ -281,4 +330,4 @@
 
     def _is_rest_known(self) -> bool:
         """Return whether all members have answered or were queried twice."""
-        return self._is_repeated or len(self._verdicts) == len(self._members)
+        return self._is_repeated or self._pending == self._unsure
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -217,6 +217,29 @@
     unknown: tuple[ConnectionKey, ...]
 
 
+class TargetsQuery(NamedTuple):
+    """Asks another balancer for targets that the sender does not know.
+
+    ``sent_at`` is a time of the sender's monotonic clock in seconds, which
+    the reply returns. ``digest`` covers the targets that the sender knows,
+    and ``known`` holds a hash of each, or nothing if they are too many.
+    """
+
+    sender: str
+    sent_at: float
+    digest: int
+    known: bytes
+
+
+class TargetsReply(NamedTuple):
+    """Targets that a query did not list; a partial reply may lack some."""
+
+    sender: str
+    sent_at: float
+    members: tuple[Member, ...]
+    is_partial: bool
+
+
 class ConnectionAccepted(NamedTuple):
     """Tells the balancer that a target accepted a connection."""
 
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -69,7 +69,7 @@
         self.searches = SearchTable(
             routes,
             selector,
-            confirmation or MembershipConfirmation(Origin('', 0), rng),
+            confirmation or MembershipConfirmation(Origin('', 0)),
             self._settle,
         )
         self._routes = routes
@@ -122,9 +122,11 @@
             return [self._forward(known, segment)]
         return self.searches.start(now, segment)
 
-    def on_reply(self, now: float, reply: HolderReply) -> list[Effect]:
-        """Process an agent's answers about connections."""
-        return self.searches.on_reply(now, reply)
+    def on_reply(
+        self, now: float, reply: HolderReply, agent: Address
+    ) -> list[Effect]:
+        """Process the answers of the agent at an address."""
+        return self.searches.on_reply(now, reply, agent)
 
     def on_route_query(self, query: RouteQuery) -> RouteReply:
         """Return the cached routes for another balancer's query."""
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -10,7 +10,11 @@
     Effect,
     UnknownTarget,
 )
-from trefoilhaven_core.connections.holder_search import SEARCH_TIMEOUT_S, Search
+from trefoilhaven_core.connections.holder_search import (
+    SEARCH_TIMEOUT_S,
+    Search,
+    TargetKey,
+)
 from trefoilhaven_core.connections.messages import (
     Answer,
     ConnectionKey,
@@ -36,7 +40,8 @@
     ``is_membership_complete`` means that a list of all targets was received
     once. A connection that no known target holds is reset only if the peers
     have confirmed the list since the search started: a target may have
-    joined later than the list. Times are monotonic, in seconds.
+    joined later than the list. Targets that count as failed are asked too.
+    Times are monotonic, in seconds.
     """
 
     def __init__(
@@ -76,16 +81,14 @@
         )
         if not members:
             return [DropSegment(segment, DropCause.no_target)]
-        possible = {*members, *fallback}
-        failed = [
-            member
-            for member in self._selector.members(self._selector.services)
-            if member not in possible
-        ]
         search = Search(
-            now, segment, members, fallback, self.is_membership_complete, failed
+            now,
+            segment,
+            members,
+            fallback,
+            self.is_membership_complete,
+            self._selector.revision,
         )
-        search.members_revision = self._selector.revision
         self._searches[segment.key] = search
         return search.start(peers)
 
@@ -93,16 +96,18 @@
         self, now: float, search: Search, returned: SegmentReturn
     ) -> list[Effect]:
         """Record that an agent returned a probe, as its target refused it."""
-        search.on_verdict(
-            now, returned.service, returned.target, Verdict.absent
-        )
+        key = (returned.service, returned.target)
+        search.on_verdict(key, Verdict.absent)
         return self._conclude(now, search)
 
-    def on_reply(self, now: float, reply: HolderReply) -> list[Effect]:
-        """Process an agent's answers about connections."""
+    def on_reply(
+        self, now: float, reply: HolderReply, agent: Address
+    ) -> list[Effect]:
+        """Process the answers of the agent at an address."""
         effects: list[Effect] = []
+        target = (reply.service, reply.target)
         for answer in reply.answers:
-            effects.extend(self._on_answer(now, reply, answer))
+            effects.extend(self._on_answer(now, target, answer, agent))
         return effects
 
     def on_route_reply(
@@ -126,6 +131,14 @@
             effects.extend(self._conclude(now, search))
         return effects
 
+    def on_confirmation(self, now: float) -> list[Effect]:
+        """Conclude the searches that wait for a confirmation by peers."""
+        effects: list[Effect] = []
+        for search in tuple(self._searches.values()):
+            if search.is_absent():
+                effects.extend(self._conclude(now, search))
+        return effects
+
     def _on_known_route(
         self, now: float, known: KnownRoute, peer: Address
     ) -> list[Effect]:
@@ -142,14 +155,12 @@
         return missed
 
     def _on_answer(
-        self, now: float, reply: HolderReply, answer: Answer
+        self, now: float, target: TargetKey, answer: Answer, agent: Address
     ) -> list[Effect]:
         search = self._searches.get(answer.key)
         if search is None:
             return []
-        holder = search.on_verdict(
-            now, reply.service, reply.target, answer.verdict
-        )
+        holder = search.on_verdict(target, answer.verdict, agent)
         if holder is None:
             return [*search.tick(now), *self._conclude(now, search)]
         return self._found(now, search, holder)
@@ -162,24 +173,29 @@
 
     def _conclude(self, now: float, search: Search) -> list[Effect]:
         """End a search that has an outcome, or continue it."""
-        is_absent = search.is_absent()
-        if is_absent:
-            effects = self._query_more(now, search)
-            if effects:
-                return effects
-        is_complete = search.is_membership_complete
-        if is_absent and is_complete:
-            if self._may_reset(search):
-                del self._searches[search.key]
-                return [search.reset()]
         is_over = now - search.started_at >= SEARCH_TIMEOUT_S
-        if is_over or (is_absent and not is_complete):
+        if not search.is_absent():
+            return self._drop(search) if is_over else []
+        if not search.is_membership_complete:
+            return self._query_more(now, search) or self._drop(search)
+        effects = self._query_more(now, search)
+        if not effects and self._may_reset(now, search):
             del self._searches[search.key]
-            return search.drops()
-        return [ConfirmMembership()] if is_absent else []
+            return [search.reset()]
+        if is_over:
+            return self._drop(search)
+        return [*effects, ConfirmMembership(search.started_at)]
 
-    def _may_reset(self, search: Search) -> bool:
-        is_confirmed = self._confirmation.is_confirmed(search.started_at)
+    def _drop(self, search: Search) -> list[Effect]:
+        del self._searches[search.key]
+        return search.drops()
+
+    def _may_reset(self, now: float, search: Search) -> bool:
+        confirmed_as_of = self._confirmation.confirmed_as_of(
+            now,
+            is_connected=self._selector.failure_detector.is_connected(now),
+        )
+        is_confirmed = confirmed_as_of >= search.started_at
         return is_confirmed and not search.is_named_target_unknown()
 
     def _query_more(self, now: float, search: Search) -> list[Effect]:
@@ -187,13 +203,17 @@
         if search.members_revision != self._selector.revision:
             search.members_revision = self._selector.revision
             services = self._routes.holder_services(search.key[2:])
-            effects = search.add_members(
+            added = search.add_members(
                 now,
                 self._selector.possible_holders(now, services),
                 self._selector.possible_holders(
                     now, self._selector.services - services
                 ),
             )
-            if effects:
-                return effects
-        return search.query_fallback_members(now)
+            if added:
+                return added
+        effects = search.query_fallback_members(now)
+        if effects or search.has_queried_failed:
+            return effects
+        failed = self._selector.failed_members(now, silent_s=0)
+        return search.query_failed_members(now, failed)
--- a/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/simulation.py
@@ -32,9 +32,15 @@
     Segment,
     SegmentForward,
     SegmentReturn,
+    TargetsQuery,
+    TargetsReply,
 )
 from trefoilhaven_core.connections.routers import ConnectionRouter
 from trefoilhaven_core.connections.routes import AddressRoutes
+from trefoilhaven_core.connections.target_lists import (
+    answer_query,
+    make_query,
+)
 from trefoilhaven_core.connections.target_selection import TargetSelector
 from trefoilhaven_core.connections.tests import support
 from trefoilhaven_core.connections.tests.endpoints import Client, Target
@@ -45,7 +51,6 @@
 from trefoilhaven_core.membership.messages import (
     Address,
     BalancerRecord,
-    Digest,
     Member,
     MemberState,
 )
@@ -113,7 +118,7 @@
         routes.offer(support.make_routes(self.version, *self.services))
         rng = random.Random(self.rng.random())
         origin = Origin('a', len(self._confirmations))
-        confirmation = MembershipConfirmation(origin, rng)
+        confirmation = MembershipConfirmation(origin)
         router = ConnectionRouter(
             routes, TargetSelector('a'), rng, confirmation
         )
@@ -208,7 +213,7 @@
                 route_query = RouteQuery((effect.key,))
                 self._message(sender, effect.address, route_query)
             elif isinstance(effect, ConfirmMembership):
-                self._confirm_members(sender)
+                self._ask_peers(sender, effect.since)
             elif isinstance(effect, DeliverToTarget):
                 target = self.targets[sender]
                 self.after(0.0005, partial(target.receive, effect.raw))
@@ -261,7 +266,15 @@
             segment = support.decode(message.raw)
             effects = router.on_return(self.now, message, segment)
         elif isinstance(message, HolderReply):
-            effects = router.on_reply(self.now, message)
+            effects = router.on_reply(self.now, message, sender)
+        elif isinstance(message, TargetsQuery):
+            known = self._members_of(address)
+            answered = answer_query(
+                address.host, message, known, self.rng, is_complete=True
+            )
+            self._message(address, sender, answered)
+        elif isinstance(message, TargetsReply):
+            effects = self._on_targets(address, message)
         elif isinstance(message, RouteQuery):
             reply = router.on_route_query(message)
             self._message(address, sender, reply)
@@ -304,30 +317,27 @@
         for service, known in by_service.items():
             router._selector.set_members(service, known)  # noqa: SLF001
 
-    def _confirm_members(self, address: Address) -> None:
-        """Compare the members with those of peers; fetch what differs."""
-        confirmation = self._confirmations[address]
-        for name in confirmation.due_probes(self.now):
-            confirmation.on_digest_sent(self.now, name)
-            ask = partial(self._answer_digest, address, Address(name, 7000))
-            self._send(ask)
-
-    def _answer_digest(self, address: Address, peer: Address) -> None:
-        if peer not in self.balancers:
-            return
-        members = self._members_of(peer)
-
-        def receive() -> None:
-            known = self._members_of(address)
-            digest = Digest(peer.host, hash(tuple(members)), is_reply=True)
-            self._confirmations[address].on_digest(digest, hash(tuple(known)))
-            if known != members:
-                fetched = {(each.service, each.target): each for each in known}
-                for member in members:
-                    fetched[member.service, member.target] = member
-                self._set_members(address, list(fetched.values()))
-
-        self._send(receive)
+    def _ask_peers(self, address: Address, since: float) -> None:
+        """Ask the peers of a balancer for targets that it does not know."""
+        peers = self._confirmations[address].due_queries(self.now, since)
+        query = make_query(address.host, self.now, self._members_of(address))
+        for name in peers:
+            self._message(address, Address(name, 7000), query)
+
+    def _on_targets(
+        self, address: Address, reply: TargetsReply
+    ) -> list[Effect]:
+        known = {
+            (each.service, each.target): each
+            for each in self._members_of(address)
+        }
+        for member in reply.members:
+            known.setdefault((member.service, member.target), member)
+        self._set_members(address, list(known.values()))
+        self._confirmations[address].on_reply(
+            reply.sender, reply.sent_at, is_partial=reply.is_partial
+        )
+        return self.balancers[address].searches.on_confirmation(self.now)
 
     def _members_of(self, address: Address) -> list[Member]:
         router = self.balancers.get(address)
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
@@ -333,6 +333,32 @@
         assert query_verdict(tracker, 9) is Verdict.unsure
 
 
+class TestFormerName:
+    """Queries under the name of an earlier target of the host."""
+
+    def test_held(self) -> None:
+        """Guards against the denial of a connection that the target holds.
+
+        A balancer that does not know the target yet asks for the earlier one.
+        """
+        tracker = make_tracker()
+        open_connection(tracker)
+        query = HolderQuery('certify', 't0', (Question(KEY, CHOSEN),))
+        effect = only(tracker.on_query(1, query, BALANCER))
+        assert isinstance(effect, SendMessage)
+        assert isinstance(effect.message, HolderReply)
+        assert effect.message.answers[0].verdict is Verdict.held
+
+    def test_not_probed(self) -> None:
+        """Guards against probes with segments for an earlier target."""
+        tracker = make_tracker(saw_start=False)
+        query = HolderQuery('certify', 't0', (Question(KEY, CHOSEN),))
+        effect = only(tracker.on_query(1, query, BALANCER))
+        assert isinstance(effect, SendMessage)
+        assert isinstance(effect.message, HolderReply)
+        assert effect.message.answers[0].verdict is Verdict.absent
+
+
 class TestEnd:
     """The end of targets and connections."""
 
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -11,7 +11,10 @@
     ResetClient,
     SendMessage,
 )
-from trefoilhaven_core.connections.holder_search import SEARCH_TIMEOUT_S
+from trefoilhaven_core.connections.holder_search import (
+    FAILED_AGENT_TIMEOUT_S,
+    SEARCH_TIMEOUT_S,
+)
 from trefoilhaven_core.connections.messages import (
     Answer,
     ConnectionAccepted,
@@ -93,7 +96,8 @@
         """Pass on the answer of an agent."""
         answers = (Answer(KEY, verdict),)
         reply = HolderReply('certify', target, 1, answers)
-        return self.router.on_reply(now, reply)
+        agent = self.members[target].control
+        return self.router.on_reply(now, reply, agent)
 
     def return_opening(self, now: float, target: str) -> list[Effect]:
         """Let an agent return an opening segment."""
@@ -309,7 +313,10 @@
         assert not fixture.router.searches
 
     def test_host_failed(self) -> None:
-        """Guards against searches that wait for a permanently failed host."""
+        """Guards against searches that wait for a permanently failed host.
+
+        It is asked last, since its agent may only seem to have failed.
+        """
         fixture = RouterFixture()
         for step in range(1, 40):
             now = 0.25 * step
@@ -320,9 +327,26 @@
         effects = fixture.router.on_segment(9.8, make_segment(KEY))
         assert queried(effects) == {'t1', 't2'}
         assert not fixture.reply(9.81, 't1', Verdict.absent)
-        effect = only(fixture.reply(9.81, 't2', Verdict.absent))
+        effects = fixture.reply(9.81, 't2', Verdict.absent)
+        assert queried(effects) == {'t3'}
+        assert not any(isinstance(effect, ResetClient) for effect in effects)
+        effect = only(fixture.router.tick(9.82 + FAILED_AGENT_TIMEOUT_S))
         assert isinstance(effect, ResetClient)
 
+    def test_failed_host_answers(self) -> None:
+        """Guards against a reset because reports of the holder were lost."""
+        fixture = RouterFixture()
+        for step in range(1, 40):
+            now = 0.25 * step
+            for name in ('t1', 't2'):
+                report = make_report(fixture.members[name])
+                fixture.router.on_report(now, report)
+            fixture.router.tick(now)
+        fixture.router.on_segment(9.8, make_segment(KEY))
+        fixture.reply(9.81, 't1', Verdict.absent)
+        fixture.reply(9.81, 't2', Verdict.absent)
+        assert forwarded(fixture.reply(9.82, 't3', Verdict.held)) == 't3'
+
     def test_restarted_during_search(self) -> None:
         """Guards against the answer of an earlier incarnation of a target.
 
@@ -339,6 +363,25 @@
         assert queried(effects) == {'t1'}
         assert forwarded(fixture.reply(1.03, 't1', Verdict.held)) == 't1'
 
+    def test_former_agent(self) -> None:
+        """Guards against a late denial by the agent of a former address."""
+        fixture = RouterFixture()
+        fixture.router.on_segment(1, make_segment(KEY))
+        fixture.reply(1.01, 't2', Verdict.absent)
+        former = fixture.members['t1']
+        moved = Address('elsewhere', 7000)
+        fixture.members['t1'] = make_member('t1', incarnation=2)._replace(
+            control=moved
+        )
+        fixture.update_members()
+        fixture.reply(1.02, 't3', Verdict.absent)
+        answers = (Answer(KEY, Verdict.absent),)
+        late = HolderReply('certify', 't1', 0, answers)
+        effects = fixture.router.on_reply(1.03, late, former.control)
+        effects += fixture.router.on_reply(1.04, late, former.control)
+        assert not any(isinstance(effect, ResetClient) for effect in effects)
+        assert forwarded(fixture.reply(1.05, 't1', Verdict.held)) == 't1'
+
     def test_queried_again(self) -> None:
         """Guards against a search that hangs after a lost query."""
         fixture = RouterFixture()
--- a/packages/core/src/trefoilhaven_core/membership/confirmations.py
+++ b/packages/core/src/trefoilhaven_core/membership/confirmations.py
@@ -1,36 +1,35 @@
-"""Confirmation that a balancer's records are as recent as those of its peers.
+"""Confirmation by peers that a balancer knows every target that they know.
 
 A balancer may learn of a target later than its peers: the target's agent does
 not know a balancer that has just joined, and gossip takes up to seconds. A
-conclusion from the absence of a record therefore needs a confirmation. The
-balancer sends its digest to peers, and a peer with equal records confirms
-them as of the time at which the digest was sent. Different records are
-reconciled by the same exchange, and the next digest is confirmed.
+conclusion from the absence of a record therefore needs the consent of every
+peer that may know better. The balancer sends its list of targets to the peers
+of its failure domain, which place the connections of its clients, and each
+returns the targets that the list lacks. Once these are merged, the list is as
+recent as the peer's was when it answered.
 """
 
 import math
-import random
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from trefoilhaven_core.membership.messages import (
-    BalancerRecord,
-    Digest,
-    MemberState,
-)
+from trefoilhaven_core.membership.messages import BalancerRecord, MemberState
 
-# Peers that have to confirm the records, if there are so many, and peers that
-# are asked at once, since some of them may have ended.
-CONFIRMING_PEERS: Final = 2
-PROBED_PEERS: Final = 3
-
-# Time between two rounds of digests, in seconds. Peers of the same failure
+# Time between two rounds of queries, in seconds. Peers of the same failure
 # domain answer within 1 ms.
 CONFIRMATION_INTERVAL_S: Final = 0.05
 
-# An unanswered digest counts as lost after this time, in seconds. Until then,
-# an answer may belong to it.
-CONFIRMATION_TIMEOUT_S: Final = 1.0
+# A peer that leaves this number of queries unanswered counts as gone. Queries
+# are counted, and not time, as a balancer that was paused has asked none.
+MAX_UNANSWERED_QUERIES: Final = 20
+
+# Unanswered queries are forgotten if none was sent for this time, in seconds:
+# the peer may have returned.
+UNANSWERED_TTL_S: Final = 1.0
+
+# Peers of other failure domains that are asked if all peers of the own one
+# started later than this balancer.
+MAX_FAR_PEERS: Final = 2
 
 
 class Origin(NamedTuple):
@@ -40,74 +39,106 @@
     incarnation: int
 
 
+class _Unanswered(NamedTuple):
+    queries: int
+    sent_at: float
+
+
 class MembershipConfirmation:
-    """Tells whether peers have confirmed this balancer's records.
+    """Tells as of which time the peers have confirmed the list of targets.
 
     Times are monotonic, in seconds.
     """
 
-    def __init__(self, origin: Origin, rng: random.Random) -> None:
+    def __init__(self, origin: Origin) -> None:
         """Start without peers, so that no confirmation is needed."""
         self._origin = origin
-        self._rng = rng
         self._peers: tuple[str, ...] = ()
+        self._is_alone = True
         self._due = -math.inf
-        self._sent_at: dict[str, float] = {}
+        self._wanted_since = -math.inf
+        self._unanswered: dict[str, _Unanswered] = {}
         self._confirmed_at: dict[str, float] = {}
 
     def set_peers(self, records: Iterable[BalancerRecord]) -> None:
         """Set the records of the other balancers.
 
-        Peers that started before this balancer are preferred, as those that
-        joined at the same time may lack the same targets; among them those
-        of its failure domain, which place the connections of its clients.
+        All live peers of the failure domain are asked. Peers that joined at
+        the same time as this balancer may lack the same targets; if no peer
+        of the domain started earlier, some of the other domains are asked
+        too.
         """
-        live = [each for each in records if each.state < MemberState.dead]
-        older = [
-            each for each in live if each.incarnation < self._origin.incarnation
-        ]
-        pool = older if len(older) >= CONFIRMING_PEERS else live
-        near = [
-            each
-            for each in pool
-            if each.failure_domain == self._origin.failure_domain
+        known = [each for each in records if each.state < MemberState.left]
+        live = [each for each in known if each.state < MemberState.dead]
+        domain = self._origin.failure_domain
+        near = [each for each in live if each.failure_domain == domain]
+        chosen = near
+        if not any(map(self._is_older, near)):
+            far = [each for each in live if each.failure_domain != domain]
+            older = sorted(filter(self._is_older, far))
+            chosen = [*near, *older[:MAX_FAR_PEERS]] or far
+        self._is_alone = not known
+        self._peers = tuple(each.name for each in chosen)
+
+    def confirmed_as_of(self, now: float, *, is_connected: bool) -> float:
+        """Return the time as of which all peers have confirmed the list.
+
+        Peers that do not answer any more are left out. If no peer is left,
+        this balancer may be the one that was cut off: its list counts only
+        if it ``is_connected``, which means that most agents have reported to
+        it all the time lately. A balancer that has never had peers needs no
+        confirmation.
+        """
+        if self._is_alone:
+            return now
+        times = [
+            self._confirmed_at.get(peer, -math.inf)
+            for peer in self._peers
+            if not self._is_gone(now, peer)
         ]
-        pool = near if len(near) >= CONFIRMING_PEERS else pool
-        self._peers = tuple(each.name for each in pool)
+        if times:
+            return min(times)
+        return now if is_connected else -math.inf
 
-    def is_confirmed(self, since: float) -> bool:
-        """Return whether peers confirmed the records as of ``since`` or later.
+    def due_queries(self, now: float, since: float) -> list[str]:
+        """Return the peers that have to confirm the list as of ``since``.
 
-        A balancer without peers needs no confirmation.
+        The result is empty before the next round is due.
         """
-        confirmed = sum(
-            self._confirmed_at.get(peer, -math.inf) >= since
-            for peer in self._peers
-        )
-        return confirmed >= min(CONFIRMING_PEERS, len(self._peers))
-
-    def due_probes(self, now: float) -> list[str]:
-        """Return the peers to send a digest to, none before the next round."""
+        self._wanted_since = max(self._wanted_since, since)
         if now < self._due:
             return []
-        self._due = now + CONFIRMATION_INTERVAL_S
-        count = min(PROBED_PEERS, len(self._peers))
-        return self._rng.sample(self._peers, count)
+        due = [
+            peer
+            for peer in self._peers
+            if self._confirmed_at.get(peer, -math.inf) < self._wanted_since
+        ]
+        if due:
+            self._due = now + CONFIRMATION_INTERVAL_S
+        for peer in due:
+            queries = self._unanswered_queries(now, peer)
+            self._unanswered[peer] = _Unanswered(queries + 1, now)
+        return due
+
+    def on_reply(self, peer: str, sent_at: float, *, is_partial: bool) -> None:
+        """Process a peer's reply to the query that was sent at ``sent_at``.
+
+        A partial reply shows only that the peer is alive. Replies that no
+        query is outstanding for are ignored.
+        """
+        if self._unanswered.pop(peer, None) is None or is_partial:
+            return
+        known = self._confirmed_at.get(peer, -math.inf)
+        self._confirmed_at[peer] = max(known, sent_at)
 
-    def on_digest_sent(self, now: float, peer: str) -> None:
-        """Record that any digest was sent to a peer.
+    def _is_older(self, record: BalancerRecord) -> bool:
+        return record.incarnation < self._origin.incarnation
 
-        An answer counts for the earliest digest that it may belong to.
-        """
-        sent_at = self._sent_at.get(peer)
-        if sent_at is None or now - sent_at >= CONFIRMATION_TIMEOUT_S:
-            self._sent_at[peer] = now
+    def _is_gone(self, now: float, peer: str) -> bool:
+        return self._unanswered_queries(now, peer) >= MAX_UNANSWERED_QUERIES
 
-    def on_digest(self, digest: Digest, own_root: int) -> None:
-        """Process a peer's digest; ``own_root`` is that of all own records."""
-        if not digest.is_reply:
-            return
-        sent_at = self._sent_at.pop(digest.sender, None)
-        is_plain = not (digest.groups or digest.covered or digest.versions)
-        if sent_at is not None and is_plain and digest.root == own_root:
-            self._confirmed_at[digest.sender] = sent_at
+    def _unanswered_queries(self, now: float, peer: str) -> int:
+        unanswered = self._unanswered.get(peer)
+        if unanswered is None or now - unanswered.sent_at > UNANSWERED_TTL_S:
+            return 0
+        return unanswered.queries
--- a/packages/core/src/trefoilhaven_core/wire/kinds.py
+++ b/packages/core/src/trefoilhaven_core/wire/kinds.py
@@ -47,4 +47,6 @@
     36: connections.BalancerHello,
     37: connections.RouteQuery,
     38: connections.RouteReply,
+    39: connections.TargetsQuery,
+    40: connections.TargetsReply,
 }
