Report a target that ended while its agent was not running

What callers saw: after all hosts of the large deployment had lost power, clients of lost connections waited until their deadline for ten seconds. Cause: 18 targets were leaving when the power went off and did not start again. Their restarted agents deleted the objects and stopped. A gateway that had listed the objects before took these targets for alive, passed them on by gossip, and its searches waited for agents that were gone. An agent reported only the end of a target that it had heard itself.

Change: the deletion of an object that an earlier process wrote is reported to the gateways, with the record in it; a gateway whose hello comes later is told too.

Ruled out: the confirmation of the list by peers.

Tests, seen to fail first: TestPredecessor, test_deleted_predecessor.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/registrations.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/registrations.py
@@ -31,16 +31,22 @@
         target_tracker: TargetTracker,
         rng: random.Random,
         on_registered: Callable[[], None],
+        on_predecessor_left: Callable[[Member], None],
     ) -> None:
         """Create the registration; nothing is written without a target.
 
-        ``on_registered`` is called after the first write of the object.
+        ``on_registered`` is called after the first write of the object, and
+        ``on_predecessor_left`` after the deletion of an object that an
+        earlier agent wrote, with the record in it.
         """
+        self._on_predecessor_left = on_predecessor_left
         self._on_registered = on_registered
         self._target_tracker = target_tracker
         self._age_s = math.inf
         path = f'{TARGETS_PREFIX}{host}'
-        self._registrar = Registrar(client, path, rng, self._on_first_write)
+        self._registrar = Registrar(
+            client, path, rng, self._on_first_write, self._on_deleted
+        )
 
     def set_desired(self, member: Member | None) -> None:
         """Set the record to write, or None to delete the object."""
@@ -65,11 +71,9 @@
         self._on_registered()
         predecessor = None
         if replaced is not None:
-            read = read_member(replaced)
-            if read.is_error():
-                logger.warning('malformed object', extra={'reason': read.error})
+            predecessor = _read_logged(replaced)
+            if predecessor is None:
                 return
-            predecessor = read.ok
         if self._target_tracker.on_registered(predecessor, self._age_s):
             logger.info(
                 'no earlier agent has served the target',
@@ -78,3 +82,17 @@
                     'replaced': predecessor and predecessor.target,
                 },
             )
+
+    def _on_deleted(self, content: Any) -> None:
+        predecessor = _read_logged(content)
+        if predecessor is not None:
+            self._on_predecessor_left(predecessor)
+
+
+def _read_logged(content: Any) -> Member | None:
+    """Return the member in an object; log why it cannot be decoded."""
+    read = read_member(content)
+    if read.is_error():
+        logger.warning('malformed object', extra={'reason': read.error})
+        return None
+    return read.ok
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -11,10 +11,18 @@
 from trefoilhaven_agent.sidecar.registrations import TargetRegistration
 from trefoilhaven_agent.sidecar.reports import ReportSender
 from trefoilhaven_agent.sidecar.segments import SegmentTask
-from trefoilhaven_agent.sidecar.targets import TargetTracker, TargetUpdate
+from trefoilhaven_agent.sidecar.targets import (
+    TargetTracker,
+    TargetUpdate,
+    mark_left,
+)
 from trefoilhaven_core.connections.connection_tracker import ConnectionTracker
 from trefoilhaven_core.connections.messages import BalancerHello
-from trefoilhaven_core.membership.messages import Address, MemberState
+from trefoilhaven_core.membership.messages import (
+    Address,
+    Member,
+    MemberState,
+)
 from trefoilhaven_core.membership.objects import (
     BALANCERS_PREFIX,
     read_balancer,
@@ -66,7 +74,12 @@
         # Set while the balancers are to be listed after a registration.
         self._registered = asyncio.Event()
         self._registration = TargetRegistration(
-            self._client, cfg.name, target_tracker, rng, self._registered.set
+            self._client,
+            cfg.name,
+            target_tracker,
+            rng,
+            self._registered.set,
+            self._on_predecessor_left,
         )
         self._balancers = KnownBalancers(cfg.failure_domain)
         self._reports = ReportSender(
@@ -164,10 +177,25 @@
         was_isolated = self._balancers.was_isolated(now)
         if self._balancers.on_hello(now, hello, sender):
             logger.info('balancer found', extra={'balancer': hello.name})
+        if member is None:
+            self._reports.send_left(sender)
         if was_isolated and member and member.state is MemberState.alive:
             # Balancers delete the object of a host that seems to have failed.
             self._registration.set_desired(member)
 
+    def _on_predecessor_left(self, predecessor: Member) -> None:
+        """Report that a target has ended that only its object told of.
+
+        Balancers that listed the object before it was deleted take the
+        target for alive.
+        """
+        left = mark_left(predecessor)
+        logger.info(
+            'target of an earlier agent has ended',
+            extra={'target': left.target, 'incarnation': left.incarnation},
+        )
+        self._reports.report_left(left)
+
     async def _list_balancers(self) -> None:
         """List the balancers in the store after a registration.
 
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reports.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reports.py
@@ -42,6 +42,7 @@
         self._endpoint = endpoint
         self._has_odd_responses = False
         self._reported_waiting = 0
+        self._latest_left: Member | None = None
         self._left_members: tuple[Member, ...] = ()
         self._remaining_left_reports = 0
 
@@ -55,10 +56,19 @@
 
     def report_left(self, member: Member) -> None:
         """Report that a target left, and repeat the report."""
+        self._latest_left = member
         self._left_members = (*self._left_members, member)
         self._remaining_left_reports = LEFT_REPORT_REPEATS
         self.send_all(member)
 
+    def send_left(self, balancer: Address) -> None:
+        """Report to one balancer that the latest target left, if one has.
+
+        A balancer that has just listed the targets may still know it.
+        """
+        if self._latest_left is not None:
+            self._send_to(self._latest_left, [balancer])
+
     async def _report_regularly(self) -> None:
         report_number = 0
         while True:
--- a/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -54,6 +54,11 @@
     effects: tuple[Effect, ...] = ()
 
 
+def mark_left(member: Member) -> Member:
+    """Return the record of a target that has ended."""
+    return member._replace(state=MemberState.left, sequence=member.sequence + 1)
+
+
 class TargetTracker:
     """Keeps the member record of the target beside an agent."""
 
@@ -143,10 +148,7 @@
     def on_gone(self) -> TargetUpdate:
         """Remove a target that has ended; its connections are reset."""
         effects = tuple(self._connections.on_target_gone())
-        left_member = self.member and self.member._replace(
-            state=MemberState.left,
-            sequence=self.member.sequence + 1,
-        )
+        left_member = self.member and mark_left(self.member)
         self.member = None
         self._connections.identity = None
         return TargetUpdate(
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
@@ -14,9 +14,13 @@
 from trefoilhaven_core.membership.messages import (
     Address,
     BalancerRecord,
+    Member,
     MemberState,
 )
-from trefoilhaven_core.membership.objects import balancer_content
+from trefoilhaven_core.membership.objects import (
+    balancer_content,
+    member_content,
+)
 from trefoilhaven_core.platform.adapters import (
     PlatformAdapter,
     TargetAnnouncement,
@@ -46,6 +50,7 @@
         self.client = mock.Mock(spec=PlatformClient)
         self.client.put = mock.AsyncMock(return_value=Ok(1))
         self.client.list = self._list
+        self.client.delete = mock.AsyncMock(return_value=Ok(None))
         self.fresh_lists = 0
 
     async def _list(self, prefix: str, *, allow_stale: bool = False) -> Any:
@@ -68,11 +73,14 @@
         runtime = make_runtime('s1')
         super().__init__(mock.Mock(), runtime.clock)
         self.is_joined_told = asyncio.Event()
+        self.told: list[tuple[Member, Address]] = []
 
     def send(self, message: Any, *addresses: Address) -> None:
         """Record a report to the balancer that has joined."""
-        if isinstance(message, TargetReport) and JOINED in addresses:
-            self.is_joined_told.set()
+        if isinstance(message, TargetReport):
+            self.told.extend((message.member, each) for each in addresses)
+            if JOINED in addresses:
+                self.is_joined_told.set()
 
 
 def make_task(store: StoreFixture, endpoint: EndpointFixture) -> ReportingTask:
@@ -131,3 +139,56 @@
             await endpoint.is_joined_told.wait()
         running.cancel()
         assert store.fresh_lists == FAILED_LISTS + 1
+
+
+class TestPredecessor:
+    """A target that ended while its agent was not running."""
+
+    PREDECESSOR = Member(
+        'certify',
+        't1',
+        'host-1',
+        'a',
+        5,
+        9,
+        MemberState.alive,
+        CONTROL,
+        CONTROL,
+        CONTROL,
+        2,
+    )
+
+    async def stop_without_target(self) -> tuple[ReportingTask, Any]:
+        """Let a restarted agent find that no target listens, and stop."""
+        store = StoreFixture()
+        found = PlatformObject(
+            'targets/s1', 7, member_content(self.PREDECESSOR)
+        )
+        store.client.get = mock.AsyncMock(return_value=Ok(found))
+        endpoint = EndpointFixture()
+        task = make_task(store, endpoint)
+        hello = BalancerHello('g8', 'a', 1, 1.0)
+        task._on_hello(hello, KNOWN)  # noqa: SLF001
+        with mock.patch.object(
+            task, '_is_target_gone', mock.AsyncMock(return_value=True)
+        ):
+            await task.stop()
+        return task, endpoint
+
+    async def test_reported(self) -> None:
+        """Guards against searches that wait for a target that has left.
+
+        The target was leaving when the host lost power, and a balancer has
+        listed its object before the restarted agent deleted it.
+        """
+        _, endpoint = await self.stop_without_target()
+        left = self.PREDECESSOR._replace(state=MemberState.left, sequence=10)
+        assert (left, KNOWN) in endpoint.told
+
+    async def test_late_hello(self) -> None:
+        """Guards against a balancer whose hello follows the report."""
+        task, endpoint = await self.stop_without_target()
+        hello = BalancerHello('g9', 'b', 1, 1.0)
+        task._on_hello(hello, JOINED)  # noqa: SLF001
+        assert endpoint.told[-1][0].state is MemberState.left
+        assert endpoint.told[-1][1] == JOINED
--- a/packages/core/src/trefoilhaven_core/connections/failure_detector.py
+++ b/packages/core/src/trefoilhaven_core/connections/failure_detector.py
@@ -58,16 +58,30 @@
 
     def is_connected(self, now: float) -> bool:
         """Return whether agents have been heard for the whole timeout."""
-        since = self._connected_since
-        if since is None or self._checked_at is None:
-            return False
-        is_awake = now - self._checked_at <= MAX_CHECK_GAP_S
-        return is_awake and now - since >= self._timeout_s
+        return self._connected_s(now) >= self._timeout_s
+
+    def has_failed(
+        self, now: float, silent_s: float, unanswered_s: float = 0
+    ) -> bool:
+        """Return whether an agent has failed.
 
-    def has_failed(self, now: float, silent_s: float) -> bool:
-        """Return whether an agent silent for ``silent_s`` has failed."""
-        return silent_s >= self._timeout_s and self.is_connected(now)
+        It has sent no report for ``silent_s``, or has left queries unanswered
+        for ``unanswered_s``. A balancer that has queried an agent need not
+        wait for several report intervals, which grow with the fleet.
+        """
+        if silent_s >= self._timeout_s:
+            return self.is_connected(now)
+        least_s = min(silent_s, unanswered_s, self._connected_s(now))
+        return least_s >= FAILURE_TIMEOUT_S
 
     @property
     def _timeout_s(self) -> float:
         return max(FAILURE_TIMEOUT_S, 3 * self.report_s)
+
+    def _connected_s(self, now: float) -> float:
+        """Return for how long agents have been heard, 0 after a pause."""
+        since = self._connected_since
+        if since is None or self._checked_at is None:
+            return 0.0
+        is_awake = now - self._checked_at <= MAX_CHECK_GAP_S
+        return now - since if is_awake else 0.0
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -90,7 +90,8 @@
         route changes.
 
         ``is_membership_complete`` means that both lists are complete.
-        ``members_revision`` is that of the members when they were read.
+        ``members_revision`` is that of the members when they were read, and
+        ``is_repeated`` is set after the first repetition of the queries.
         """
         self.key: ConnectionKey = segment.key
         self.is_membership_complete = is_membership_complete
@@ -116,7 +117,7 @@
         self._former_addresses: set[tuple[TargetKey, Address]] = set()
         self._query_due = now + QUERY_INTERVAL_S
         self._query_interval_s = QUERY_INTERVAL_S
-        self._is_repeated = False
+        self.is_repeated = False
         self._probed_at: dict[TargetKey, float] = {}
         self._peers: set[Address] = set()
         self._named: set[TargetKey] = set()
@@ -199,7 +200,7 @@
         if now >= self._query_due:
             self._query_interval_s *= 2
             self._query_due = now + self._query_interval_s
-            self._is_repeated = True
+            self.is_repeated = True
             effects.extend(self.query())
         effects.extend(self._probe(now))
         return effects
@@ -330,4 +331,4 @@
 
     def _is_rest_known(self) -> bool:
         """Return whether all members have answered or were queried twice."""
-        return self._is_repeated or self._pending == self._unsure
+        return self.is_repeated or self._pending == self._unsure
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -1,6 +1,6 @@
 """All searches of a balancer for the holders of connections."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from trefoilhaven_core.connections.caches import is_current
 from trefoilhaven_core.connections.effects import (
@@ -8,6 +8,7 @@
     DropCause,
     DropSegment,
     Effect,
+    QueryMember,
     UnknownTarget,
 )
 from trefoilhaven_core.connections.holder_search import (
@@ -104,6 +105,7 @@
         self, now: float, reply: HolderReply, agent: Address
     ) -> list[Effect]:
         """Process the answers of the agent at an address."""
+        self._selector.on_answer(reply.service, reply.target)
         effects: list[Effect] = []
         target = (reply.service, reply.target)
         for answer in reply.answers:
@@ -127,7 +129,10 @@
         """Continue all searches; to be called about every 20 ms."""
         effects: list[Effect] = []
         for search in tuple(self._searches.values()):
-            effects.extend(search.tick(now))
+            queries = search.tick(now)
+            if search.is_repeated:
+                self._record_queries(now, queries)
+            effects.extend(queries)
             effects.extend(self._conclude(now, search))
         return effects
 
@@ -186,6 +191,11 @@
             return self._drop(search)
         return [*effects, ConfirmMembership(search.started_at)]
 
+    def _record_queries(self, now: float, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, QueryMember):
+                self._selector.on_query(now, effect.member)
+
     def _drop(self, search: Search) -> list[Effect]:
         del self._searches[search.key]
         return search.drops()
@@ -216,4 +226,6 @@
         if effects or search.has_queried_failed:
             return effects
         failed = self._selector.failed_members(now, silent_s=0)
-        return search.query_failed_members(now, failed)
+        effects = search.query_failed_members(now, failed)
+        self._record_queries(now, effects)
+        return effects
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -14,6 +14,7 @@
 )
 from trefoilhaven_core.connections.pacing import FAR_INTERVAL_FACTOR
 from trefoilhaven_core.connections.response_outliers import ODD_MARGIN
+from trefoilhaven_core.connections.target_states import TargetState
 from trefoilhaven_core.membership.messages import Member, MemberState
 
 # A target whose agent sent nothing for this time, in seconds, and for this
@@ -25,9 +26,6 @@
 # this share: traffic between domains costs bytes and a round trip of 7 ms.
 FAR_DOMAIN_PENALTY: Final = 0.6
 
-# Share of the slots by which a target that has just started counts as busier.
-COLD_PENALTY: Final = 0.5
-
 # Targets whose cost differs by less than this share count as equal, and one
 # of them is selected at random. Reports are up to 0.25 s old and the same for
 # all balancers, which would otherwise all select the same target.
@@ -37,51 +35,6 @@
 # share of them above the median of its service, times this factor.
 ODD_PENALTY_FACTOR: Final = 4.0
 
-# Weight of an open connection without a request, relative to a busy one.
-IDLE_WEIGHT: Final = 0.05
-
-
-class _Target:
-    """State of one target as a balancer knows it; times in seconds.
-
-    ``placed`` counts the connections placed since the last report that the
-    target has not accepted yet.
-    """
-
-    __slots__ = (
-        'is_cold',
-        'is_unresponsive',
-        'listed_at',
-        'load',
-        'member',
-        'placed',
-        'seen_at',
-    )
-
-    def __init__(self, member: Member) -> None:
-        self.is_cold = False
-        self.is_unresponsive = False
-        self.listed_at: float | None = None
-        self.load = ConnectionLoad()
-        self.member = member
-        self.placed = 0
-        self.seen_at = -math.inf
-
-    def silent_s(self, now: float) -> float:
-        """Return the time since the last report, or since the listing."""
-        listed_at = now if self.listed_at is None else self.listed_at
-        return now - max(self.seen_at, listed_at)
-
-    def busy_share(self) -> float:
-        """Return the busy share of the slots; it may exceed 1.
-
-        ``COLD_PENALTY`` is added for a target that has just started.
-        """
-        idle = self.load.connections - self.load.waiting
-        busy = self.load.waiting + self.placed + IDLE_WEIGHT * max(0, idle)
-        share = busy / max(1, self.member.slots)
-        return share + COLD_PENALTY if self.is_cold else share
-
 
 class TargetSelector:
     """Targets of all services, with their load, as one balancer sees them.
@@ -97,7 +50,7 @@
         self.failure_detector = AgentFailureDetector()
         self.revision = 0
         self._domain = failure_domain
-        self._targets: dict[str, dict[str, _Target]] = {}
+        self._targets: dict[str, dict[str, TargetState]] = {}
 
     def set_members(
         self, service: str, members: Iterable[Member]
@@ -115,7 +68,7 @@
             if target is None or (
                 target.member.incarnation != member.incarnation
             ):
-                target = _Target(member)
+                target = TargetState(member)
                 changed.append(member)
             elif target.member.state is not member.state:
                 changed.append(member)
@@ -133,7 +86,7 @@
             return
         target.is_cold = report.is_cold
         target.is_unresponsive = report.is_silent
-        target.seen_at = now
+        target.on_heard(now)
         target.load = report.load
         target.placed = 0
 
@@ -143,10 +96,22 @@
         """Record the load that came with an accepted connection."""
         target = self._targets.get(service, {}).get(name)
         if target is not None:
-            target.seen_at = now
+            target.on_heard(now)
             target.load = load
             target.placed = max(0, target.placed - 1)
 
+    def on_query(self, now: float, member: Member) -> None:
+        """Record a repeated query to an agent that has not answered."""
+        target = self._targets.get(member.service, {}).get(member.target)
+        if target is not None:
+            target.on_query(now)
+
+    def on_answer(self, service: str, name: str) -> None:
+        """Record that an agent has answered a query."""
+        target = self._targets.get(service, {}).get(name)
+        if target is not None:
+            target.on_answer()
+
     @property
     def services(self) -> frozenset[str]:
         """Names of all services with members."""
@@ -266,7 +231,7 @@
         chosen.placed += 1
         return chosen.member
 
-    def _silent_limit_s(self, target: _Target) -> float:
+    def _silent_limit_s(self, target: TargetState) -> float:
         """Return the time without reports after which an agent is silent."""
         is_near = target.member.failure_domain == self._domain
         far_report_s = self.failure_detector.report_s
@@ -275,15 +240,16 @@
         )
         return max(SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_INTERVALS * report_s)
 
-    def _find(self, member: Member) -> _Target:
+    def _find(self, member: Member) -> TargetState:
         return self._targets[member.service][member.target]
 
     def _has_failed(self, now: float, member: Member) -> bool:
+        target = self._find(member)
         return self.failure_detector.has_failed(
-            now, self._find(member).silent_s(now)
+            now, target.silent_s(now), target.unanswered_s(now)
         )
 
-    def _cost(self, target: _Target, usual_odd: float) -> float:
+    def _cost(self, target: TargetState, usual_odd: float) -> float:
         cost = target.busy_share()
         excess = target.load.odd_share - usual_odd
         if excess > ODD_MARGIN:
@@ -292,7 +258,7 @@
         return cost if is_near else cost + FAR_DOMAIN_PENALTY
 
 
-def _usual_odd_share(targets: Sequence[_Target]) -> float:
+def _usual_odd_share(targets: Sequence[TargetState]) -> float:
     """Return the median share of odd responses."""
     # Importing the statistics module would delay each start by 3 ms.
     shares = sorted(target.load.odd_share for target in targets)
--- /dev/null
+++ b/packages/core/src/trefoilhaven_core/connections/target_states.py
@@ -0,0 +1,86 @@
+"""State of one target as a balancer knows it."""
+
+import math
+from typing import Final
+
+from trefoilhaven_core.connections.messages import ConnectionLoad
+from trefoilhaven_core.membership.messages import Member
+
+# Share of the slots by which a target that has just started counts as busier.
+COLD_PENALTY: Final = 0.5
+
+# Weight of an open connection without a request, relative to a busy one.
+IDLE_WEIGHT: Final = 0.05
+
+# Unanswered queries to an agent that are further apart than this, in seconds,
+# are not counted together: one of them may have been lost.
+MAX_QUERY_GAP_S: Final = 2.0
+
+
+class TargetState:
+    """Record and load of a target, and what was heard of its agent.
+
+    ``placed`` counts the connections placed since the last report that the
+    target has not accepted yet. Times are monotonic, in seconds.
+    """
+
+    __slots__ = (
+        '_queried_at',
+        '_unanswered_since',
+        'is_cold',
+        'is_unresponsive',
+        'listed_at',
+        'load',
+        'member',
+        'placed',
+        'seen_at',
+    )
+
+    def __init__(self, member: Member) -> None:
+        """Start before the first report."""
+        self.is_cold = False
+        self.is_unresponsive = False
+        self.listed_at: float | None = None
+        self.load = ConnectionLoad()
+        self.member = member
+        self.placed = 0
+        self.seen_at = -math.inf
+        self._queried_at = -math.inf
+        self._unanswered_since = math.inf
+
+    def on_heard(self, now: float) -> None:
+        """Record a report of the agent, or an accepted connection."""
+        self.seen_at = now
+        self.on_answer()
+
+    def on_query(self, now: float) -> None:
+        """Record a query to the agent while an earlier one is unanswered."""
+        if now - self._queried_at > MAX_QUERY_GAP_S:
+            self._unanswered_since = now
+        self._queried_at = now
+
+    def on_answer(self) -> None:
+        """Record that the agent has answered a query."""
+        self._queried_at = -math.inf
+        self._unanswered_since = math.inf
+
+    def silent_s(self, now: float) -> float:
+        """Return the time since the last report, or since the listing."""
+        listed_at = now if self.listed_at is None else self.listed_at
+        return now - max(self.seen_at, listed_at)
+
+    def unanswered_s(self, now: float) -> float:
+        """Return for how long the agent has left queries unanswered."""
+        if now - self._queried_at > MAX_QUERY_GAP_S:
+            return 0.0
+        return self._queried_at - self._unanswered_since
+
+    def busy_share(self) -> float:
+        """Return the busy share of the slots; it may exceed 1.
+
+        ``COLD_PENALTY`` is added for a target that has just started.
+        """
+        idle = self.load.connections - self.load.waiting
+        busy = self.load.waiting + self.placed + IDLE_WEIGHT * max(0, idle)
+        share = busy / max(1, self.member.slots)
+        return share + COLD_PENALTY if self.is_cold else share
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_failure_detector.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_failure_detector.py
@@ -64,3 +64,23 @@
         detector.report_s = 30.0
         observe_until(detector, 0, 40, (10.0, 20.0, 25.0))
         assert not detector.has_failed(40, 25.0)
+
+    def test_unanswered_queries(self) -> None:
+        """Guards against searches that wait for several report intervals.
+
+        In a large fleet, a host that is gone would keep clients of lost
+        connections waiting for 13 s.
+        """
+        detector = AgentFailureDetector()
+        detector.report_s = 4.5
+        observe_until(detector, 0, 5, (*HEARD, 5.0))
+        silent_s = FAILURE_TIMEOUT_S + 0.5
+        assert not detector.has_failed(5, silent_s)
+        assert detector.has_failed(5, silent_s, FAILURE_TIMEOUT_S)
+
+    def test_unanswered_by_all(self) -> None:
+        """Guards against resets by a partitioned balancer that queries."""
+        detector = AgentFailureDetector()
+        detector.report_s = 4.5
+        observe_until(detector, 0, 10, (10.0, 10.0, 10.0, 10.0))
+        assert not detector.has_failed(10, 10.0, 10.0)
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_searches.py
@@ -9,6 +9,7 @@
     QueryMember,
     ResetClient,
 )
+from trefoilhaven_core.connections.failure_detector import FAILURE_TIMEOUT_S
 from trefoilhaven_core.connections.messages import (
     Answer,
     ConnectionKey,
@@ -21,6 +22,7 @@
 from trefoilhaven_core.connections.tests.support import (
     key_of,
     make_member,
+    make_report,
     make_routes,
     make_segment,
     only,
@@ -149,6 +151,37 @@
         assert resets(fixture.deny(1.03, joined, keys)) == keys
 
 
+class TestHostGone:
+    """A host that has failed for good in a large fleet."""
+
+    REPORT_S = 4.5
+
+    def test_reset(self) -> None:
+        """Guards against clients that wait while reports may still come.
+
+        Clients repeat segments of lost connections, and the searches for
+        them query the agent of the failed host in vain.
+        """
+        fixture = SearchFixture(targets=4)
+        fixture.confirmation.set_peers(())
+        fixture.selector.failure_detector.report_s = self.REPORT_S
+        present, failed = fixture.members[:3], fixture.members[3]
+        reset_at = 0.0
+        for step in range(1, 1000):
+            now = step * 0.02
+            for member in present:
+                fixture.router.on_report(now, make_report(member))
+            if fixture.router.searches.get(key_of(0)) is None:
+                keys = fixture.search(now)
+                for member in present:
+                    fixture.deny(now, member, keys)
+            if resets(fixture.router.tick(now)):
+                reset_at = now
+                break
+        assert fixture.selector.member('certify', failed.target)
+        assert FAILURE_TIMEOUT_S < reset_at < FAILURE_TIMEOUT_S + 2
+
+
 class TestReturnOfAll:
     """All processes have restarted, and all connections are lost.
 
--- a/packages/core/src/trefoilhaven_core/platform/registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/registrar.py
@@ -32,6 +32,7 @@
         path: str,
         rng: Random,
         on_first_write: Callable[[Any], None] | None = None,
+        on_predecessor_deleted: Callable[[Any], None] | None = None,
     ) -> None:
         """Create a registrar; nothing is written before ``set_desired``.
 
@@ -39,8 +40,13 @@
         None when there was no object. That may be the content of this
         process, if the answer to an earlier write was lost. It is not called
         when the repeated write conflicts too.
+
+        ``on_predecessor_deleted`` gets the content of a deleted object that
+        an earlier process wrote.
         """
         self._on_first_write = on_first_write
+        self._on_predecessor_deleted = on_predecessor_deleted
+        self._predecessor: Any = None
         self._client = client
         self._path = path
         self._backoff = Backoff(rng, limit_s=BACKOFF_LIMIT_S)
@@ -104,14 +110,24 @@
                 self._record_failure(read.error)
                 return isinstance(read.error, NotFound)
             self._version = read.ok.version
+            self._predecessor = read.ok.content
         if not self._version:
+            self._report_predecessor()
             return True
         deleted = await self._client.delete(self._path, self._version)
-        if deleted.is_ok():
-            self._version = 0
-            return True
-        self._record_failure(deleted.error)
-        return isinstance(deleted.error, NotFound)
+        if deleted.is_error():
+            self._record_failure(deleted.error)
+            if not isinstance(deleted.error, NotFound):
+                return False
+        self._version = 0
+        self._report_predecessor()
+        return True
+
+    def _report_predecessor(self) -> None:
+        content = self._predecessor
+        self._predecessor = None
+        if content is not None and self._on_predecessor_deleted:
+            self._on_predecessor_deleted(content)
 
     def _record_failure(self, error: Any) -> None:
         if isinstance(error, Conflict):
--- a/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
@@ -25,6 +25,7 @@
         self.content: Any = None
         self.version = 0
         self.errors: list[PlatformError] = []
+        self.is_delete_answer_lost = False
 
     async def get(self, path: str) -> Result[PlatformObject, PlatformError]:
         """Read the object."""
@@ -53,11 +54,16 @@
         """Delete if the version matches."""
         if self.errors:
             return Error(self.errors.pop(0))
+        if not self.version:
+            return Error(errors.NotFound(path))
         if expected_version != self.version:
             found = errors.Conflict(path, self.version, self.content)
             return Error(found)
         self.version = 0
         self.content = None
+        if self.is_delete_answer_lost:
+            self.is_delete_answer_lost = False
+            return Error(errors.Unavailable(True, 'no answer'))
         return Ok(None)
 
     async def list(
@@ -148,6 +154,36 @@
             await registrar.write()
         assert platform.content is None
 
+    async def test_deleted_predecessor(self, platform: OneObject) -> None:
+        """Guards against a target that left and that nobody reports.
+
+        The answer to the deletion is lost, so that the repeated one finds no
+        object.
+        """
+        platform.version = 7
+        platform.content = 'old'
+        deleted: list[Any] = []
+        registrar = Registrar(
+            platform, PATH, Random(1), on_predecessor_deleted=deleted.append
+        )
+        registrar.set_desired(None)
+        platform.is_delete_answer_lost = True
+        for _ in range(4):
+            await registrar.write()
+        assert deleted == ['old']
+
+    async def test_own_object_deleted(self, platform: OneObject) -> None:
+        """Guards against reports about the own target as a predecessor's."""
+        deleted: list[Any] = []
+        registrar = Registrar(
+            platform, PATH, Random(1), on_predecessor_deleted=deleted.append
+        )
+        registrar.set_desired('x')
+        await registrar.write()
+        registrar.set_desired(None)
+        await registrar.write()
+        assert not deleted
+
     async def test_predecessors_object_outage(
         self, platform: OneObject
     ) -> None:
