--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -233,19 +233,14 @@
     ) -> list[Effect]:
         identity = self.identity
         is_open = self.accepts and self._responsiveness.may_open(now)
+        if identity is not None and is_open and forward.destination == identity:
+            entry = self._table.add(now, segment.key, balancer)
+            self._table.on_client(now, entry, segment)
+            return self._deliver(now, segment)
+        reason = ReturnReason.other_target
         if identity is None or not is_open:
             reason = ReturnReason.not_accepted
-            return [
-                return_segment(balancer, forward.destination, reason, segment)
-            ]
-        if forward.destination != identity:
-            reason = ReturnReason.other_target
-            return [
-                return_segment(balancer, forward.destination, reason, segment)
-            ]
-        entry = self._table.add(now, segment.key, balancer)
-        self._table.on_client(now, entry, segment)
-        return self._deliver(now, segment)
+        return [return_segment(balancer, forward.destination, reason, segment)]
 
     def _probe(
         self,
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -30,6 +30,11 @@
     SegmentForward,
     Verdict,
 )
+from trefoilhaven_core.connections.queried_members import (
+    QueriedMembers,
+    TargetKey,
+    target_key,
+)
 from trefoilhaven_core.membership.messages import Address, Member
 
 # Agents that have not answered are queried again after this time, in seconds,
@@ -64,8 +69,6 @@
 # Targets named in one log line, which bounds its length.
 MAX_NAMED_TARGETS: Final = 8
 
-TargetKey = tuple[str, str]
-
 
 class Search:
     """A search for the target that holds one connection.
@@ -98,27 +101,18 @@
         self.members_revision = members_revision
         self.started_at = now
         self.has_queried_failed = False
-        self._members = {
-            (member.service, member.target): member for member in members
-        }
+        self.is_repeated = False
+        self._members = QueriedMembers(members)
         self._fallback_members = {
-            (member.service, member.target): member
-            for member in fallback_members
+            target_key(member): member for member in fallback_members
         }
         self._segments: deque[Segment] = deque(
             [segment], maxlen=MAX_QUEUED_SEGMENTS
         )
-        # Members whose agents have not denied the connection, and those of
-        # them whose agents are unsure.
-        self._pending = set(self._members)
-        self._unsure: set[TargetKey] = set()
-        self._failed: set[TargetKey] = set()
         self._failed_due = math.inf
-        self._former_addresses: set[tuple[TargetKey, Address]] = set()
         self._query_due = now + QUERY_INTERVAL_S
         self._query_interval_s = QUERY_INTERVAL_S
-        self.is_repeated = False
-        self._probed_at: dict[TargetKey, float] = {}
+        self._probed_at: dict[Member, float] = {}
         self._peers: set[Address] = set()
         self._named: set[TargetKey] = set()
 
@@ -161,30 +155,14 @@
         question = Question(self.key, self._segments[0].acknowledged)
         return [
             QueryMember(member, question)
-            for key, member in self._members.items()
-            if key in self._pending and key not in self._unsure
+            for member in self._members.unanswered()
         ]
 
     def on_verdict(
-        self, key: TargetKey, verdict: Verdict, sender: Address | None = None
+        self, key: TargetKey, verdict: Verdict, agent: Address | None = None
     ) -> Member | None:
-        """Record an agent's answer; return the member if it is the holder.
-
-        The answer is ignored if the target has restarted elsewhere and
-        ``sender`` is its former agent.
-        """
-        member = self._members.get(key)
-        if member is None or (key, sender) in self._former_addresses:
-            return None
-        if verdict is Verdict.held:
-            return member
-        if verdict is Verdict.unsure:
-            self._pending.add(key)
-            self._unsure.add(key)
-        else:
-            self._pending.discard(key)
-            self._unsure.discard(key)
-        return None
+        """Record an agent's answer; return the member if it is the holder."""
+        return self._members.on_verdict(key, verdict, agent)
 
     def tick(self, now: float) -> list[Effect]:
         """Repeat unanswered queries and probe the unsure targets."""
@@ -194,9 +172,9 @@
                 return []
             self._peers.clear()
             return self.query()
-        if now >= self._failed_due and self._failed:
+        if now >= self._failed_due:
             self._failed_due = math.inf
-            self._pending -= self._failed - self._unsure
+            self._members.excuse_failed()
         if now >= self._query_due:
             self._query_interval_s *= 2
             self._query_due = now + self._query_interval_s
@@ -213,12 +191,12 @@
     ) -> list[Effect]:
         """Query members that became known or have restarted meanwhile."""
         for member in members:
-            self._fallback_members.pop((member.service, member.target), None)
-            self._add(member)
+            self._fallback_members.pop(target_key(member), None)
+            self._members.add(member)
         for member in fallback_members:
-            key = (member.service, member.target)
+            key = target_key(member)
             if key in self._members:
-                self._add(member)
+                self._members.add(member)
             else:
                 self._fallback_members[key] = member
         return self._query_again(now)
@@ -228,7 +206,7 @@
         if not self._fallback_members or not self.is_absent():
             return []
         for member in self._fallback_members.values():
-            self._add(member)
+            self._members.add(member)
         self._fallback_members = {}
         return self._query_again(now)
 
@@ -241,32 +219,22 @@
         to have ended.
         """
         self.has_queried_failed = True
-        for member in members:
-            key = (member.service, member.target)
-            if key not in self._members:
-                self._failed.add(key)
-                self._add(member)
+        self._members.add_failed(members)
         self._failed_due = now + FAILED_AGENT_TIMEOUT_S
         return self._query_again(now)
 
     def is_absent(self) -> bool:
         """Return whether every queried member is known not to be the holder."""
-        return bool(self._members) and not self._pending
+        return self._members.are_absent()
 
     def is_named_target_unknown(self) -> bool:
         """Return whether a peer named a target that was not queried."""
-        return not self._named <= self._members.keys()
-
-    def pending(self) -> str:
-        """Return the members without a definite answer, as log text."""
-        return ','.join(
-            f'{key[1]}:{"unsure" if key in self._unsure else "silent"}'
-            for key in sorted(self._pending)
-        )
+        return any(key not in self._members for key in self._named)
 
     def drops(self) -> list[Effect]:
         """Return a drop of each queued segment, for a failed search."""
-        detail = self.pending() or 'the list of targets was not confirmed'
+        unanswered = self._members.pending_text()
+        detail = unanswered or 'the list of targets was not confirmed'
         return [
             DropSegment(segment, DropCause.not_found, detail)
             for segment in self._segments
@@ -275,7 +243,7 @@
     def reset(self) -> ResetClient:
         """Return the reset of the client, as no target holds the connection."""
         latest = self._segments[-1]
-        failed = sorted(target for _, target in self._failed)
+        failed = self._members.failed_names()
         detail = f'{len(self._members)} targets asked, {len(failed)} gone'
         if failed:
             named = ','.join(failed[:MAX_NAMED_TARGETS])
@@ -284,20 +252,6 @@
             self.key, latest.acknowledged, ResetCause.not_held, detail
         )
 
-    def _add(self, member: Member) -> None:
-        """Add a member to be queried, unless its incarnation was."""
-        key = (member.service, member.target)
-        known = self._members.get(key)
-        if known is not None:
-            if known.incarnation == member.incarnation:
-                return
-            if known.control != member.control:
-                self._former_addresses.add((key, known.control))
-        self._members[key] = member
-        self._pending.add(key)
-        self._unsure.discard(key)
-        self._probed_at.pop(key, None)
-
     def _query_again(self, now: float) -> list[Effect]:
         """Query the members that have not answered; restart the interval."""
         self._query_due = now + QUERY_INTERVAL_S
@@ -313,12 +267,11 @@
         if not self._is_rest_known():
             return []
         effects: list[Effect] = []
-        for key in sorted(self._unsure):
-            probed_at = self._probed_at.get(key, -math.inf)
+        for member in self._members.unsure():
+            probed_at = self._probed_at.get(member, -math.inf)
             if now - probed_at < PROBE_INTERVAL_S:
                 continue
-            self._probed_at[key] = now
-            member = self._members[key]
+            self._probed_at[member] = now
             forward = SegmentForward(
                 member.service,
                 member.target,
@@ -331,4 +284,4 @@
 
     def _is_rest_known(self) -> bool:
         """Return whether all members have answered or were queried twice."""
-        return self.is_repeated or self._pending == self._unsure
+        return self.is_repeated or self._members.are_answered()
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -11,11 +11,7 @@
     QueryMember,
     UnknownTarget,
 )
-from trefoilhaven_core.connections.holder_search import (
-    SEARCH_TIMEOUT_S,
-    Search,
-    TargetKey,
-)
+from trefoilhaven_core.connections.holder_search import SEARCH_TIMEOUT_S, Search
 from trefoilhaven_core.connections.messages import (
     Answer,
     ConnectionKey,
@@ -26,6 +22,7 @@
     SegmentReturn,
     Verdict,
 )
+from trefoilhaven_core.connections.queried_members import TargetKey
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.target_selection import TargetSelector
 from trefoilhaven_core.membership.confirmations import MembershipConfirmation
