Name the agent in the measurement of searches

Cause: since a reply to a search names its agent, and the measurement was not changed with it, so that mypy failed and the measurement stopped.

--- a/packages/bench/src/trefoilhaven_bench/measurements/connections.py
+++ b/packages/bench/src/trefoilhaven_bench/measurements/connections.py
@@ -44,6 +44,7 @@
 
 _ADDRESS: Final = (1, 443)
 _BALANCER: Final = Address('127.0.0.1', 7000)
+_AGENT: Final = Address('127.0.0.2', 7000)
 _MIB: Final = 1024 * 1024
 
 # Calls of most timed operations, and connections in the filled tables.
@@ -174,7 +175,7 @@
         answers = (Answer(_key(number), Verdict.absent),)
         for target in range(TARGETS):
             reply = HolderReply(SERVICE, f't{target}', 0, answers)
-            router.on_reply(0, reply)
+            router.on_reply(0, reply, _AGENT)
 
     return search
 
