Answer the first hello of a balancer with a report

What callers saw: after a loss of power on the large deployment, clients of lost connections waited for seconds until a gateway reset them. Cause: an agent reports its restarted target to the balancers that it knows at that moment. Balancers that come up later got the next regular report, up to 4.5 s later with 69 balancers, or the news by gossip, whose budget is used up when all targets change. Until then they take the former target for alive, and their searches wait for it.

Change: the first hello of a balancer's incarnation is answered with a report. A list of the store no longer shortens the lifetime that a hello gave.

Tests, seen to fail first: TestHello.test_report, test_restarted, test_listed_after_hello.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
@@ -23,9 +23,14 @@
 ISOLATION_THRESHOLD_S: Final = 60.0
 
 
+# Incarnation of a balancer that has not sent a hello.
+NO_HELLO: Final = 0
+
+
 class _Balancer(NamedTuple):
     is_near: bool
     expires_at: float
+    incarnation: int = NO_HELLO
 
 
 class KnownBalancers:
@@ -44,14 +49,20 @@
     def on_hello(
         self, now: float, hello: BalancerHello, sender: Address
     ) -> bool:
-        """Add or renew the sender of a hello; return whether it is new."""
-        is_new = sender not in self._known
+        """Add or renew the sender of a hello.
+
+        Returns whether this is the first hello of the balancer's incarnation.
+        """
+        known = self._known.get(sender)
+        is_new = known is None or known.incarnation != hello.incarnation
         silent_s = max(
             BALANCER_TIMEOUT_S, BALANCER_TIMEOUT_INTERVALS * hello.interval_s
         )
         is_near = hello.failure_domain == self._domain
         self._hello_at = now
-        self._known[sender] = _Balancer(is_near, now + silent_s)
+        self._known[sender] = _Balancer(
+            is_near, now + silent_s, hello.incarnation
+        )
         return is_new
 
     def on_listed(self, now: float, records: Iterable[BalancerRecord]) -> None:
@@ -59,7 +70,12 @@
         expires_at = now + BALANCER_TIMEOUT_S
         for record in records:
             is_near = record.failure_domain == self._domain
-            self._known[record.control] = _Balancer(is_near, expires_at)
+            listed = _Balancer(is_near, expires_at)
+            known = self._known.get(record.control, listed)
+            self._known[record.control] = listed._replace(
+                expires_at=max(expires_at, known.expires_at),
+                incarnation=known.incarnation,
+            )
 
     def on_seeds(self, now: float, addresses: Iterable[Address]) -> None:
         """Add the seeds of the settings, which count as near."""
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -175,10 +175,13 @@
         now = monotonic()
         member = self._target_tracker.member
         was_isolated = self._balancers.was_isolated(now)
-        if self._balancers.on_hello(now, hello, sender):
+        is_new = self._balancers.on_hello(now, hello, sender)
+        if is_new:
             logger.info('balancer found', extra={'balancer': hello.name})
         if member is None:
             self._reports.send_left(sender)
+        elif is_new:
+            self._reports.send(member, sender)
         if was_isolated and member and member.state is MemberState.alive:
             # Balancers delete the object of a host that seems to have failed.
             self._registration.set_desired(member)
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reports.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reports.py
@@ -54,6 +54,10 @@
         """Report a member record to all known balancers."""
         self._send_to(member, self._balancers.addresses())
 
+    def send(self, member: Member, balancer: Address) -> None:
+        """Report a member record to one balancer."""
+        self._send_to(member, [balancer])
+
     def report_left(self, member: Member) -> None:
         """Report that a target left, and repeat the report."""
         self._latest_left = member
@@ -67,7 +71,7 @@
         A balancer that has just listed the targets may still know it.
         """
         if self._latest_left is not None:
-            self._send_to(self._latest_left, [balancer])
+            self.send(self._latest_left, balancer)
 
     async def _report_regularly(self) -> None:
         report_number = 0
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
@@ -18,9 +18,16 @@
 FAR = Address('127.0.0.2', 7000)
 
 
-def hello(domain: str = 'a', interval_s: float = 1.0) -> BalancerHello:
+def hello(
+    domain: str = 'a', interval_s: float = 1.0, incarnation: int = 1
+) -> BalancerHello:
     """Return a hello of a balancer."""
-    return BalancerHello('b1', domain, 1, interval_s)
+    return BalancerHello('b1', domain, incarnation, interval_s)
+
+
+def make_record() -> BalancerRecord:
+    """Return the record of a balancer of the same failure domain."""
+    return BalancerRecord('b1', 'a', 1, 1, MemberState.alive, NEAR, NEAR)
 
 
 class TestKnownBalancers:
@@ -50,13 +57,38 @@
         listed balancer does not count as one that has sent a hello.
         """
         known = KnownBalancers('a')
-        record = BalancerRecord('b1', 'a', 1, 1, MemberState.alive, NEAR, NEAR)
-        known.on_listed(0, [record])
+        known.on_listed(0, [make_record()])
         assert known.is_hello_overdue(0)
         known.on_hello(1, hello(), NEAR)
         assert not known.is_hello_overdue(1 + HELLO_TIMEOUT_S)
         assert known.is_hello_overdue(1.1 + HELLO_TIMEOUT_S)
 
+    def test_restarted(self) -> None:
+        """Guards against a restarted balancer without reports.
+
+        Its address is known from before, or from the store, but the restarted
+        process has not received any report.
+        """
+        known = KnownBalancers('a')
+        known.on_listed(0, [make_record()])
+        assert known.on_hello(0, hello(), NEAR)
+        assert not known.on_hello(1, hello(), NEAR)
+        assert known.on_hello(2, hello(incarnation=2), NEAR)
+        assert not known.on_hello(3, hello(incarnation=2), NEAR)
+
+    def test_listed_after_hello(self) -> None:
+        """Guards against a list that shortens the lifetime of a balancer.
+
+        In a large fleet, hellos are further apart than the lifetime of a
+        listed balancer.
+        """
+        known = KnownBalancers('a')
+        known.on_hello(0, hello(interval_s=BALANCER_TIMEOUT_S), NEAR)
+        known.on_listed(1, [make_record()])
+        known.expire(BALANCER_TIMEOUT_S + 2)
+        assert known.addresses() == [NEAR]
+        assert not known.on_hello(3, hello(), NEAR)
+
     def test_expired(self) -> None:
         """Guards against reports to balancers that have ended."""
         known = KnownBalancers('a')
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
@@ -141,6 +141,36 @@
         assert store.fresh_lists == FAILED_LISTS + 1
 
 
+class TestHello:
+    """Balancers that greet an agent."""
+
+    async def announce(self, task: ReportingTask) -> None:
+        """Let the target of the agent announce itself."""
+        announcement = TargetAnnouncement(
+            'certify', 't1', 'a', 1, 1, 2, MemberState.alive, 0
+        )
+        assert await task.on_announcement(announcement)
+
+    async def test_report(self) -> None:
+        """Guards against a restarted balancer that waits for a report.
+
+        The agent had told all balancers that it knew before this one was up.
+        The more balancers there are, the later its next regular report.
+        """
+        endpoint = EndpointFixture()
+        task = make_task(StoreFixture(), endpoint)
+        await self.announce(task)
+        assert not endpoint.told
+        hello = BalancerHello('g9', 'b', 1, 1.0)
+        task._on_hello(hello, JOINED)  # noqa: SLF001
+        assert [address for _, address in endpoint.told] == [JOINED]
+        task._on_hello(hello, JOINED)  # noqa: SLF001
+        assert len(endpoint.told) == 1
+        restarted = hello._replace(incarnation=2)
+        task._on_hello(restarted, JOINED)  # noqa: SLF001
+        assert [member.target for member, _ in endpoint.told] == ['t1', 't1']
+
+
 class TestPredecessor:
     """A target that ended while its agent was not running."""
 
