Infer from any record that the earlier target of a host has left

What callers saw: as before, clients of lost connections waited after a loss of power. Cause: only an agent's own report made a gateway mark the earlier target of the host as left. A gateway that learned of the later target from a peer asked the earlier one in its searches until the record 'left' had come by gossip as well. The other way round, a late report of a target that its host had replaced put that target in use again.

Change: a gateway compares the targets of each host when records change, wherever they come from, keeps the latest incarnation, and does not gossip its conclusion. The rule is in membership.replacements.

Tests, seen to fail first: test_replaced with a record from a peer, test_late_report with a report that arrives late.

--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -239,11 +239,10 @@
         member = report.member
         known = self._state.store.member(member.service, member.target)
         if known != member:
-            left = self._state.replaced_by(member)
-            changes = Changes(self._state.cfg.name, (member, *left), ())
+            changes = Changes(self._state.cfg.name, (member,), ())
             self._gossip.disseminate_changes(changes)
-            services = {each.service for each in changes.members}
-            log_changed_targets(self._state.refresh(services), 'its agent')
+            changed = self._state.refresh([member.service])
+            log_changed_targets(changed, 'its agent')
         self._segments.on_report(report)
 
     def _on_state(self, req: StateRequest) -> State | None:
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 import msgspec
@@ -18,6 +18,7 @@
     Origin,
 )
 from trefoilhaven_core.membership.messages import Member, MemberState
+from trefoilhaven_core.membership.replacements import replaced_members
 from trefoilhaven_core.membership.views import ViewStore
 from trefoilhaven_core.settings.types import GatewaySettings
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
@@ -78,19 +79,6 @@
         """Return the members of all services that may be reached."""
         return self.target_selector.members(self.target_selector.services)
 
-    def replaced_by(self, member: Member) -> tuple[Member, ...]:
-        """Return the earlier targets of the member's host, marked as left.
-
-        An agent represents one target only, so that these have no agent.
-        """
-        return tuple(
-            known._replace(state=MemberState.left, sequence=known.sequence + 1)
-            for known in self.targets()
-            if known.host == member.host
-            and known.target != member.target
-            and known.incarnation < member.incarnation
-        )
-
     def refresh_peers(self) -> None:
         """Update the peers of the router and of the confirmation.
 
@@ -120,17 +108,41 @@
         """Update the routes and targets of services from the store.
 
         Returns the targets that are new or whose incarnation or state
-        changed, but none before the list of targets is known.
+        changed, but none before the list of targets is known. The earlier
+        targets of their hosts are marked as left.
         """
         changed: list[Member] = []
         for service in services:
             if service == ROUTES_NAME:
                 self._apply_routes()
             else:
-                members = self.store.members(service)
-                changed += self.target_selector.set_members(service, members)
+                changed += self._refresh_members(service)
+        if changed:
+            changed += self._remove_replaced({each.host for each in changed})
         return changed if self.router.searches.is_membership_complete else []
 
+    def _refresh_members(self, service: str) -> list[Member]:
+        members = self.store.members(service)
+        return self.target_selector.set_members(service, members)
+
+    def _remove_replaced(self, hosts: Collection[str]) -> list[Member]:
+        """Mark the earlier targets of hosts as left; return the changes.
+
+        Each gateway draws this conclusion itself, so that it is not gossiped.
+        """
+        records = [
+            member
+            for service in self.store.services
+            for member in self.store.members(service)
+        ]
+        merged = self.store.merge(replaced_members(records, hosts))
+        services = {member.service for member in merged.members}
+        return [
+            member
+            for service in services
+            for member in self._refresh_members(service)
+        ]
+
     def _apply_routes(self) -> None:
         stored = self.store.configuration(ROUTES_NAME)
         if stored.version <= self.routes.version:
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -20,6 +20,7 @@
 )
 from trefoilhaven_core.membership.messages import (
     Address,
+    Changes,
     Member,
     MemberState,
     State,
@@ -139,25 +140,32 @@
 class TestReports:
     """Reports of agents and the targets that they replace."""
 
-    def test_replaced(self, handlers: StateAndHandlers) -> None:
+    def test_replaced(self, discovery: 'StateAndDiscovery') -> None:
         """Guards against searches at targets that a power loss has ended.
 
         Their objects were read before the next targets of the same hosts
-        had registered, and half of all known targets were silent.
+        had registered, and half of all known targets were silent. The record
+        of the next target may come from a peer.
         """
-        state, _ = handlers
+        state, task = discovery
+        state.set_membership_complete(0)
         state.store.merge([make_member('t1'), make_member('t2')])
         state.refresh(['certify'])
         successor = make_member('t3')._replace(host='host-t1', incarnation=9)
-        assert [each.target for each in state.replaced_by(successor)] == ['t1']
+        changes = Changes('g2', (successor,), ())
+        task.gossip._on_changes(changes, CONTROL)  # noqa: SLF001
+        assert {each.target for each in state.targets()} == {'t2', 't3'}
 
-    def test_late_report(self, handlers: StateAndHandlers) -> None:
+    def test_late_report(self, discovery: 'StateAndDiscovery') -> None:
         """Guards against a late report that marks its successor as left."""
-        state, _ = handlers
+        state, task = discovery
         present = make_member('t3')._replace(host='host-t1', incarnation=9)
         state.store.merge([present])
         state.refresh(['certify'])
-        assert not state.replaced_by(make_member('t1'))
+        load = ConnectionLoad()
+        late = TargetReport(make_member('t1'), load, False, False)
+        task.membership._on_report(late, CONTROL)  # noqa: SLF001
+        assert [each.target for each in state.targets()] == ['t3']
 
     async def test_searches(self, discovery: 'StateAndDiscovery') -> None:
         """Guards against searches that still query a replaced target."""
