Continue a search as long as the client sends

What callers saw: after a loss of power, clients of lost connections waited although the answers that were missing had come. Cause: a search ended after 0.8 s, and the next one began with the client's next segment, up to 1.6 s later. What became known in between reset nobody. While it ran, a search also kept waiting for targets that had left or failed since it had begun, or had restarted on another host.

Change: a search goes on until the client has sent nothing for 2 s. Queries are repeated each 0.4 s at most; then targets that left or failed are given up and new ones are queried. An opening segment ends the search for the former connection of the port, which would have reset the new one.

Tests, seen to fail first: the cases of TestLifetime up to test_full_queue, and test_port_reused. test_left_meanwhile and test_restarted_elsewhere guard the longer search.

--- a/packages/core/src/trefoilhaven_core/connections/queried_members.py
+++ b/packages/core/src/trefoilhaven_core/connections/queried_members.py
@@ -57,6 +57,10 @@
                 self._failed.add(key)
                 self.add(member)
 
+    def note_failed(self, members: Iterable[Member]) -> None:
+        """Record that the agents of pending members seem to have failed."""
+        self._failed.update(map(target_key, members))
+
     def excuse_failed(self) -> None:
         """Take the failed agents that have not answered for absent."""
         self._pending -= self._failed - self._unsure
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -91,13 +91,16 @@
             self._cache.remove(segment.key)
             known = None
         if segment.is_opening:
-            return self._on_opening(now, segment, known)
+            # A search for a former connection of the port would reset the
+            # new one.
+            dropped = self.searches.cancel(segment.key)
+            return [*dropped, *self._on_opening(now, segment, known)]
         if known is not None:
             self._cache.touch(segment.key)
             return [self._forward(known, segment)]
         search = self.searches.get(segment.key)
         if search is not None:
-            return search.add(segment)
+            return search.add(now, segment)
         return self.searches.start(now, segment, self.peers)
 
     def on_return(
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -11,7 +11,7 @@
     QueryMember,
     UnknownTarget,
 )
-from trefoilhaven_core.connections.holder_search import SEARCH_TIMEOUT_S, Search
+from trefoilhaven_core.connections.holder_search import Search
 from trefoilhaven_core.connections.messages import (
     Answer,
     ConnectionKey,
@@ -26,7 +26,7 @@
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.target_selection import TargetSelector
 from trefoilhaven_core.membership.confirmations import MembershipConfirmation
-from trefoilhaven_core.membership.messages import Address, Member
+from trefoilhaven_core.membership.messages import Address, Member, MemberState
 
 # Is called with a search that has found the holder.
 SettleFunction = Callable[[float, Search, Member], list[Effect]]
@@ -90,6 +90,11 @@
         self._searches[segment.key] = search
         return search.start(peers)
 
+    def cancel(self, key: ConnectionKey) -> list[Effect]:
+        """End the search for a connection that its client has replaced."""
+        search = self._searches.get(key)
+        return [] if search is None else self._drop(search)
+
     def on_return(
         self, now: float, search: Search, returned: SegmentReturn
     ) -> list[Effect]:
@@ -127,8 +132,9 @@
         effects: list[Effect] = []
         for search in tuple(self._searches.values()):
             queries = search.tick(now)
-            if search.is_repeated:
-                self._record_queries(now, queries)
+            if queries and search.is_repeated:
+                search.excuse(self._record_queries(now, queries))
+                queries += self._query_added(now, search)
             effects.extend(queries)
             effects.extend(self._conclude(now, search))
         return effects
@@ -175,7 +181,7 @@
 
     def _conclude(self, now: float, search: Search) -> list[Effect]:
         """End a search that has an outcome, or continue it."""
-        is_over = now - search.started_at >= SEARCH_TIMEOUT_S
+        is_over = search.is_over(now)
         if not search.is_absent():
             return self._drop(search) if is_over else []
         if not search.is_membership_complete:
@@ -188,10 +194,25 @@
             return self._drop(search)
         return [*effects, ConfirmMembership(search.started_at)]
 
-    def _record_queries(self, now: float, effects: Iterable[Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, QueryMember):
-                self._selector.on_query(now, effect.member)
+    def _record_queries(
+        self, now: float, effects: Iterable[Effect]
+    ) -> list[Member]:
+        """Record repeated queries; return the members that are gone."""
+        queried = [
+            effect.member
+            for effect in effects
+            if isinstance(effect, QueryMember)
+        ]
+        for member in queried:
+            self._selector.on_query(now, member)
+        return [member for member in queried if self._is_gone(now, member)]
+
+    def _is_gone(self, now: float, member: Member) -> bool:
+        """Return whether a target has left or its agent has failed."""
+        known = self._selector.member(member.service, member.target)
+        if known is None or known.state >= MemberState.left:
+            return True
+        return self._selector.has_failed(now, member)
 
     def _drop(self, search: Search) -> list[Effect]:
         del self._searches[search.key]
@@ -205,20 +226,25 @@
         is_confirmed = confirmed_as_of >= search.started_at
         return is_confirmed and not search.is_named_target_unknown()
 
+    def _query_added(self, now: float, search: Search) -> list[Effect]:
+        """Query the members that were added since the search read them."""
+        if search.members_revision == self._selector.revision:
+            return []
+        search.members_revision = self._selector.revision
+        services = self._routes.holder_services(search.key[2:])
+        return search.add_members(
+            now,
+            self._selector.possible_holders(now, services),
+            self._selector.possible_holders(
+                now, self._selector.services - services
+            ),
+        )
+
     def _query_more(self, now: float, search: Search) -> list[Effect]:
         """Query the members that a search has not considered yet."""
-        if search.members_revision != self._selector.revision:
-            search.members_revision = self._selector.revision
-            services = self._routes.holder_services(search.key[2:])
-            added = search.add_members(
-                now,
-                self._selector.possible_holders(now, services),
-                self._selector.possible_holders(
-                    now, self._selector.services - services
-                ),
-            )
-            if added:
-                return added
+        added = self._query_added(now, search)
+        if added:
+            return added
         effects = search.query_fallback_members(now)
         if effects or search.has_queried_failed:
             return effects
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -146,7 +146,7 @@
         return [
             member
             for member in self.members(services)
-            if not self._has_failed(now, member)
+            if not self.has_failed(now, member)
         ]
 
     def failed_members(self, now: float, silent_s: float) -> list[Member]:
@@ -154,10 +154,17 @@
         return [
             member
             for member in self.members(self.services)
-            if self._has_failed(now, member)
+            if self.has_failed(now, member)
             and self._find(member).silent_s(now) >= silent_s
         ]
 
+    def has_failed(self, now: float, member: Member) -> bool:
+        """Return whether the agent of a member seems to have failed."""
+        target = self._find(member)
+        return self.failure_detector.has_failed(
+            now, target.silent_s(now), target.unanswered_s(now)
+        )
+
     def unheard_members(self) -> list[Member]:
         """Return the members whose agents have not reported yet."""
         return [
@@ -243,12 +250,6 @@
     def _find(self, member: Member) -> TargetState:
         return self._targets[member.service][member.target]
 
-    def _has_failed(self, now: float, member: Member) -> bool:
-        target = self._find(member)
-        return self.failure_detector.has_failed(
-            now, target.silent_s(now), target.unanswered_s(now)
-        )
-
     def _cost(self, target: TargetState, usual_odd: float) -> float:
         cost = target.busy_share()
         excess = target.load.odd_share - usual_odd
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_searches.py
@@ -5,11 +5,16 @@
 import pytest
 from trefoilhaven_core.connections.effects import (
     ConfirmMembership,
+    DropSegment,
     Effect,
     QueryMember,
     ResetClient,
 )
 from trefoilhaven_core.connections.failure_detector import FAILURE_TIMEOUT_S
+from trefoilhaven_core.connections.holder_search import (
+    MAX_QUEUED_SEGMENTS,
+    SEARCH_TIMEOUT_S,
+)
 from trefoilhaven_core.connections.messages import (
     Answer,
     ConnectionKey,
@@ -26,6 +31,7 @@
     make_routes,
     make_segment,
     only,
+    opening,
 )
 from trefoilhaven_core.membership.confirmations import (
     MembershipConfirmation,
@@ -151,6 +157,104 @@
         assert resets(fixture.deny(1.03, joined, keys)) == keys
 
 
+class TestLifetime:
+    """How long a search goes on."""
+
+    def test_late_answer(self) -> None:
+        """Guards against a client that waits for its next segment.
+
+        A target's agent restarts and answers 1.3 s after the search started,
+        between two segments of the client. If the search had ended before,
+        the client would learn of the lost connection 1.4 s later.
+        """
+        fixture = SearchFixture()
+        fixture.confirmation.set_peers(())
+        keys = fixture.search(1)
+        fixture.deny(1.01, fixture.members[0], keys)
+        queries: list[Effect] = []
+        for step in range(1, 130):
+            now = 1 + step * 0.01
+            if step in {20, 60}:
+                fixture.search(now)
+            queries += fixture.router.tick(now)
+        assert any(isinstance(each, QueryMember) for each in queries)
+        assert resets(fixture.deny(2.3, fixture.members[1], keys)) == keys
+
+    def test_client_silent(self) -> None:
+        """Guards against searches that pile up after clients have given up."""
+        fixture = SearchFixture()
+        fixture.search(1)
+        fixture.search(2)
+        fixture.router.tick(1.9 + SEARCH_TIMEOUT_S)
+        assert len(fixture.router.searches) == 1
+        effects = fixture.router.tick(2 + SEARCH_TIMEOUT_S)
+        assert not len(fixture.router.searches)
+        drops = [each for each in effects if isinstance(each, DropSegment)]
+        assert len(drops) == 2
+
+    def test_full_queue(self) -> None:
+        """Guards against a search that ends while the client still sends."""
+        fixture = SearchFixture()
+        for _ in range(MAX_QUEUED_SEGMENTS):
+            fixture.search(1)
+        fixture.search(2)
+        fixture.router.tick(1.9 + SEARCH_TIMEOUT_S)
+        assert len(fixture.router.searches) == 1
+
+    def test_left_meanwhile(self) -> None:
+        """Guards against a search that waits for a target that has left.
+
+        Its agent has stopped and does not answer.
+        """
+        fixture = SearchFixture()
+        fixture.confirmation.set_peers(())
+        keys = fixture.search(1)
+        present, leaving = fixture.members
+        fixture.deny(1.01, present, keys)
+        fixture.router.tick(1.2)
+        left = leaving._replace(state=MemberState.left)
+        fixture.selector.set_members('certify', [present, left])
+        effects = fixture.router.tick(1.5)
+        assert resets([*effects, *fixture.router.tick(1.7)]) == keys
+
+    def test_restarted_elsewhere(self) -> None:
+        """Guards against a search that asks at a target's former host only."""
+        fixture = SearchFixture()
+        keys = fixture.search(1)
+        present, former = fixture.members
+        fixture.deny(1.01, present, keys)
+        fixture.router.tick(1.2)
+        moved = former._replace(
+            incarnation=2, control=Address('elsewhere', 7000)
+        )
+        fixture.selector.set_members('certify', [present, moved])
+        effects = fixture.router.tick(1.5)
+        asked = [
+            each.member for each in effects if isinstance(each, QueryMember)
+        ]
+        assert moved in asked
+        assert not resets(effects)
+
+    def test_port_reused(self) -> None:
+        """Guards against the reset of a new connection of the same port.
+
+        The search is for the client's former connection, which no target
+        holds. The client has given it up and opens another one.
+        """
+        fixture = SearchFixture()
+        fixture.confirmation.set_peers(())
+        key = only(fixture.search(1))
+        fixture.router.on_segment(1.5, opening(key))
+        effects = [
+            effect
+            for member in fixture.members
+            for effect in fixture.deny(1.51, member, [key])
+        ]
+        effects += fixture.router.tick(1.6)
+        assert not resets(effects)
+        assert not len(fixture.router.searches)
+
+
 class TestHostGone:
     """A host that has failed for good in a large fleet."""
 
