Reject records and heartbeats with values out of range

An object in the store, or a record in a datagram, with a port above 65535 or a host that is no address did the same to a gateway: sending raises OverflowError or UnicodeError, or looks up a name and blocks. Such an object ended every gateway that listed it, and again after each restart; gossip carried it to the others.

Change: addresses, incarnations, sequence numbers and slots have limits that msgspec checks when it decodes messages, objects and heartbeats, in the one place where the types are defined.

--- a/packages/core/src/trefoilhaven_core/membership/messages.py
+++ b/packages/core/src/trefoilhaven_core/membership/messages.py
@@ -1,14 +1,34 @@
-"""Messages and records of membership."""
+"""Messages and records of membership.
+
+The limits of the annotated fields are checked when a message or an object is
+decoded. A record that a process can't send to, or can't encode, would
+otherwise reach every process by gossip and end it.
+"""
 
 from enum import IntEnum
-from typing import NamedTuple
+from typing import Annotated, Final, NamedTuple
+
+import msgspec
+
+# Incarnations and sequence numbers stay encodable in 64 bits, also after
+# they are incremented.
+MAX_VERSION: Final = (1 << 62) - 1
+MAX_SLOTS: Final = 65_535
+
+_OCTET: Final = '(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])'
+_IPV4: Final = rf'\A{_OCTET}(\.{_OCTET}){{3}}\Z'
+
+HostAddress = Annotated[str, msgspec.Meta(pattern=_IPV4)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+VersionNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+SlotCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 
 
 class Address(NamedTuple):
-    """IP address and port of a socket."""
+    """IPv4 address and port of a socket."""
 
-    host: str
-    port: int
+    host: HostAddress
+    port: Port
 
 
 class MemberState(IntEnum):
@@ -48,13 +68,13 @@
     target: str
     host: str
     failure_domain: str
-    incarnation: int
-    sequence: int
+    incarnation: VersionNumber
+    sequence: VersionNumber
     state: MemberState
     flow: Address
     control: Address
     rpc: Address
-    slots: int
+    slots: SlotCount
 
 
 class Registration(NamedTuple):
@@ -172,8 +192,8 @@
 
     name: str
     failure_domain: str
-    incarnation: int
-    sequence: int
+    incarnation: VersionNumber
+    sequence: VersionNumber
     state: MemberState
     control: Address
     rpc: Address
