Answer 500 when the handler of an HTTP request fails

What callers saw: the sender of a heartbeat, or a readiness check, waited for its timeout when the handler raised an unexpected error, since the connection was neither answered nor closed. HEAD and CONNECT requests did the same.

Change: an error of the handler is logged and answered with 500, a response that HTTP does not allow is logged, and the connection is closed in any case.

Tests, seen to fail first: test_error, test_head, and the cases of CONNECT and of a negative length in test_unexpected.

--- a/packages/core/src/trefoilhaven_core/wire/http.py
+++ b/packages/core/src/trefoilhaven_core/wire/http.py
@@ -23,6 +23,8 @@
 # Maximum size of a request body, in bytes.
 MAX_REQUEST_BYTES: Final = 65_536
 
+INTERNAL_SERVER_ERROR: Final = 500
+
 _READ_BYTES: Final = 65_536
 
 
@@ -53,9 +55,11 @@
     ) -> None:
         # Connections that are open when the process stops are cancelled, which
         # asyncio would log as an error.
-        with contextlib.suppress(OSError, TimeoutError, asyncio.CancelledError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(OSError, TimeoutError, asyncio.CancelledError),
+        ):
             await _serve_connection(reader, writer, handler)
-        writer.close()
 
     return await asyncio.start_server(serve, address.host, address.port)
 
@@ -74,14 +78,30 @@
             return
         if request is None:
             return
-        response = await handler(request)
-        writer.write(_encode_response(conn, response))
+        response = await _handle(handler, request)
+        try:
+            writer.write(_encode_response(conn, request, response))
+        except h11.LocalProtocolError as exc:
+            logger.info('unsupported HTTP request', extra={'reason': str(exc)})
+            return
         await writer.drain()
         if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
             return
         conn.start_next_cycle()
 
 
+async def _handle(handler: HttpHandler, request: HttpRequest) -> HttpResponse:
+    """Return the handler's response, or 500 if it fails."""
+    try:
+        return await handler(request)
+    except Exception:
+        logger.exception(
+            'the handler of an HTTP request failed',
+            extra={'method': request.method, 'target': request.target},
+        )
+        return HttpResponse(INTERNAL_SERVER_ERROR)
+
+
 async def _read_request(
     conn: h11.Connection, reader: asyncio.StreamReader
 ) -> HttpRequest | None:
@@ -108,16 +128,19 @@
             return None
 
 
-def _encode_response(conn: h11.Connection, response: HttpResponse) -> bytes:
+def _encode_response(
+    conn: h11.Connection, request: HttpRequest, response: HttpResponse
+) -> bytes:
     headers = [
         ('Content-Type', response.content_type),
         ('Content-Length', str(len(response.body))),
     ]
     head = h11.Response(status_code=response.status, headers=headers)
+    body = b'' if request.method == 'HEAD' else response.body
     return b''.join(
         (
             conn.send(head) or b'',
-            conn.send(h11.Data(data=response.body)) or b'',
+            conn.send(h11.Data(data=body)) or b'',
             conn.send(h11.EndOfMessage()) or b'',
         )
     )
