Do not reuse an HTTP connection with an unread answer

A second copy of it, sent at once or while the connection was idle, was taken for the response to the next request.

Change: a connection with excess data after a response is closed, and an idle one is watched: data, its end or an error make it unusable.

--- a/packages/core/src/trefoilhaven_core/wire/http.py
+++ b/packages/core/src/trefoilhaven_core/wire/http.py
@@ -164,13 +164,29 @@
     writer: asyncio.StreamWriter
 
 
+class _IdleConnection(NamedTuple):
+    """A connection without a request; ``watch`` ends when data arrives."""
+
+    connection: _ClientConnection
+    watch: 'asyncio.Task[None]'
+
+    def close(self) -> None:
+        self.watch.cancel()
+        self.connection.writer.close()
+
+
 class HttpClient:
-    """Client of one HTTP server that keeps idle connections for reuse."""
+    """Client of one HTTP server that keeps idle connections for reuse.
+
+    A connection on which the server sent anything beyond the response is not
+    used again: a second copy of a response would be taken for that to the
+    next request.
+    """
 
     def __init__(self, address: Address) -> None:
         """Prepare a client; it connects on its first request."""
         self._address = address
-        self._idle: list[_ClientConnection] = []
+        self._idle: list[_IdleConnection] = []
 
     async def request(
         self,
@@ -185,7 +201,7 @@
         the request, and ``OSError`` or ``TimeoutError`` when it may have.
         """
         async with asyncio.timeout(timeout_s):
-            connection = await self._connect(timeout_s)
+            connection = await self._connect()
             try:
                 response = await self._exchange(
                     connection, method, target, body
@@ -198,24 +214,33 @@
                 # would be taken for that to the next one.
                 connection.writer.close()
                 raise
-        if connection.conn.their_state is h11.DONE:
-            connection.conn.start_next_cycle()
-            self._idle.append(connection)
-        else:
-            connection.writer.close()
+        self._release(connection)
         return response
 
     def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
-            self._idle.pop().writer.close()
+            self._idle.pop().close()
 
-    async def _connect(self, timeout_s: float) -> _ClientConnection:
+    def _release(self, connection: _ClientConnection) -> None:
+        """Keep a connection whose response is complete, or close it."""
+        conn = connection.conn
+        excess, is_closed = conn.trailing_data
+        if conn.their_state is not h11.DONE or excess or is_closed:
+            connection.writer.close()
+            return
+        conn.start_next_cycle()
+        watch = asyncio.create_task(_wait_for_data(connection.reader))
+        self._idle.append(_IdleConnection(connection, watch))
+
+    async def _connect(self) -> _ClientConnection:
         while self._idle:
             idle = self._idle.pop()
-            if not idle.reader.at_eof() and not idle.writer.is_closing():
-                return idle
-            idle.writer.close()
+            idle.watch.cancel()
+            await asyncio.wait([idle.watch])
+            if idle.watch.cancelled():
+                return idle.connection
+            idle.close()
         try:
             reader, writer = await asyncio.open_connection(*self._address)
         except OSError as exc:
@@ -264,3 +289,9 @@
                 return HttpClientResponse(status, retry_after, bytes(body))
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError('connection closed before the response ended')
+
+
+async def _wait_for_data(reader: asyncio.StreamReader) -> None:
+    """Return when data arrives, or at the end of the connection."""
+    with contextlib.suppress(OSError):
+        await reader.read(1)
