Replace the earlier targets of a host when its agent reports

Cause: compared incarnations of records from any source and kept its conclusion as a record 'left'. If the clock of a host is set back before its target restarts, the live target has the lower incarnation; a stale record of its predecessor from a peer would have ended it for good, and its connections could have been reset.

Only a report of the agent replaces targets of its host, the mark is kept beside the load and not as a record, and a target that reports again is present again. The query for a confirmation also lists the targets that are known to have ended, latest first.

--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -209,7 +209,12 @@
         peers = self._state.confirmation.due_queries(now, since)
         if not peers:
             return
-        query = make_query(self._state.cfg.name, now, self._state.targets())
+        query = make_query(
+            self._state.cfg.name,
+            now,
+            self._state.targets(),
+            self._state.target_selector.departed_members(),
+        )
         records = filter(None, map(self._state.store.balancer, peers))
         self._endpoint.send(query, *(record.control for record in records))
 
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
@@ -18,7 +18,6 @@
     Origin,
 )
 from trefoilhaven_core.membership.messages import Member, MemberState
-from trefoilhaven_core.membership.replacements import replaced_members
 from trefoilhaven_core.membership.views import ViewStore
 from trefoilhaven_core.settings.types import GatewaySettings
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
@@ -108,41 +107,17 @@
         """Update the routes and targets of services from the store.
 
         Returns the targets that are new or whose incarnation or state
-        changed, but none before the list of targets is known. The earlier
-        targets of their hosts are marked as left.
+        changed, but none before the list of targets is known.
         """
         changed: list[Member] = []
         for service in services:
             if service == ROUTES_NAME:
                 self._apply_routes()
             else:
-                changed += self._refresh_members(service)
-        if changed:
-            changed += self._remove_replaced({each.host for each in changed})
+                members = self.store.members(service)
+                changed += self.target_selector.set_members(service, members)
         return changed if self.router.searches.is_membership_complete else []
 
-    def _refresh_members(self, service: str) -> list[Member]:
-        members = self.store.members(service)
-        return self.target_selector.set_members(service, members)
-
-    def _remove_replaced(self, hosts: Collection[str]) -> list[Member]:
-        """Mark the earlier targets of hosts as left; return the changes.
-
-        Each gateway draws this conclusion itself, so that it is not gossiped.
-        """
-        records = [
-            member
-            for service in self.store.services
-            for member in self.store.members(service)
-        ]
-        merged = self.store.merge(replaced_members(records, hosts))
-        services = {member.service for member in merged.members}
-        return [
-            member
-            for service in services
-            for member in self._refresh_members(service)
-        ]
-
     def _apply_routes(self) -> None:
         stored = self.store.configuration(ROUTES_NAME)
         if stored.version <= self.routes.version:
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -140,31 +140,40 @@
 class TestReports:
     """Reports of agents and the targets that they replace."""
 
+    def receive(self, task: DiscoveryTask, member: Member) -> None:
+        """Let the report of an agent arrive."""
+        load = ConnectionLoad()
+        report = TargetReport(member, load, is_cold=False, is_silent=False)
+        task.membership._on_report(report, CONTROL)  # noqa: SLF001
+
     def test_replaced(self, discovery: 'StateAndDiscovery') -> None:
         """Guards against searches at targets that a power loss has ended.
 
         Their objects were read before the next targets of the same hosts
-        had registered, and half of all known targets were silent. The record
-        of the next target may come from a peer.
+        had registered, and half of all known targets were silent.
         """
         state, task = discovery
-        state.set_membership_complete(0)
         state.store.merge([make_member('t1'), make_member('t2')])
         state.refresh(['certify'])
         successor = make_member('t3')._replace(host='host-t1', incarnation=9)
-        changes = Changes('g2', (successor,), ())
-        task.gossip._on_changes(changes, CONTROL)  # noqa: SLF001
+        self.receive(task, successor)
         assert {each.target for each in state.targets()} == {'t2', 't3'}
 
     def test_late_report(self, discovery: 'StateAndDiscovery') -> None:
-        """Guards against a late report that marks its successor as left."""
+        """Guards against a late report that ends its successor."""
         state, task = discovery
         present = make_member('t3')._replace(host='host-t1', incarnation=9)
-        state.store.merge([present])
-        state.refresh(['certify'])
-        load = ConnectionLoad()
-        late = TargetReport(make_member('t1'), load, False, False)
-        task.membership._on_report(late, CONTROL)  # noqa: SLF001
+        self.receive(task, present)
+        self.receive(task, make_member('t1'))
+        assert 't3' in {each.target for each in state.targets()}
+
+    def test_late_gossip(self, discovery: 'StateAndDiscovery') -> None:
+        """Guards against a late record that puts an ended target in use."""
+        state, task = discovery
+        present = make_member('t3')._replace(host='host-t1', incarnation=9)
+        self.receive(task, present)
+        changes = Changes('g2', (make_member('t1'),), ())
+        task.gossip._on_changes(changes, CONTROL)  # noqa: SLF001
         assert [each.target for each in state.targets()] == ['t3']
 
     async def test_searches(self, discovery: 'StateAndDiscovery') -> None:
@@ -173,9 +182,7 @@
         state.store.merge([make_member('t1')])
         state.refresh(['certify'])
         successor = make_member('t3')._replace(host='host-t1', incarnation=9)
-        load = ConnectionLoad()
-        report = TargetReport(successor, load, is_cold=False, is_silent=False)
-        task.membership._on_report(report, CONTROL)  # noqa: SLF001
+        self.receive(task, successor)
         assert [each.target for each in state.targets()] == ['t3']
 
 
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -26,7 +26,7 @@
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.target_selection import TargetSelector
 from trefoilhaven_core.membership.confirmations import MembershipConfirmation
-from trefoilhaven_core.membership.messages import Address, Member, MemberState
+from trefoilhaven_core.membership.messages import Address, Member
 
 # Is called with a search that has found the holder.
 SettleFunction = Callable[[float, Search, Member], list[Effect]]
@@ -205,14 +205,9 @@
         ]
         for member in queried:
             self._selector.on_query(now, member)
-        return [member for member in queried if self._is_gone(now, member)]
-
-    def _is_gone(self, now: float, member: Member) -> bool:
-        """Return whether a target has left or its agent has failed."""
-        known = self._selector.member(member.service, member.target)
-        if known is None or known.state >= MemberState.left:
-            return True
-        return self._selector.has_failed(now, member)
+        return [
+            member for member in queried if self._selector.is_gone(now, member)
+        ]
 
     def _drop(self, search: Search) -> list[Effect]:
         del self._searches[search.key]
--- a/packages/core/src/trefoilhaven_core/connections/target_lists.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_lists.py
@@ -32,12 +32,20 @@
 
 
 def make_query(
-    sender: str, sent_at: float, members: Sequence[Member]
+    sender: str,
+    sent_at: float,
+    members: Sequence[Member],
+    departed: Sequence[Member] = (),
 ) -> TargetsQuery:
-    """Return the query about targets that are not among ``members``."""
+    """Return the query about targets that are not among ``members``.
+
+    ``departed`` are known to have ended. The first of them are listed too, as
+    many as fit, since a peer may not have heard of their end.
+    """
     known = b''
     if len(members) <= MAX_LISTED_TARGETS:
-        known = b''.join(map(_short_hash, members))
+        listed = [*members, *departed][:MAX_LISTED_TARGETS]
+        known = b''.join(map(_short_hash, listed))
     return TargetsQuery(sender, sent_at, _digest(members), known)
 
 
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Final
 
 from trefoilhaven_core.connections.effects import Placed
@@ -13,6 +13,7 @@
     TargetReport,
 )
 from trefoilhaven_core.connections.pacing import FAR_INTERVAL_FACTOR
+from trefoilhaven_core.connections.replacements import HostTable
 from trefoilhaven_core.connections.response_outliers import ODD_MARGIN
 from trefoilhaven_core.connections.target_states import TargetState
 from trefoilhaven_core.membership.messages import Member, MemberState
@@ -50,6 +51,7 @@
         self.failure_detector = AgentFailureDetector()
         self.revision = 0
         self._domain = failure_domain
+        self._hosts = HostTable()
         self._targets: dict[str, dict[str, TargetState]] = {}
 
     def set_members(
@@ -69,6 +71,7 @@
                 target.member.incarnation != member.incarnation
             ):
                 target = TargetState(member)
+                self._hosts.on_added(target)
                 changed.append(member)
             elif target.member.state is not member.state:
                 changed.append(member)
@@ -76,6 +79,8 @@
             targets[member.target] = target
         self._targets[service] = targets
         self.revision += bool(changed)
+        if not targets.keys() >= known.keys():
+            self._hosts.keep(each.member.host for each in self._all())
         return changed
 
     def on_report(self, now: float, report: TargetReport) -> None:
@@ -89,6 +94,7 @@
         target.on_heard(now)
         target.load = report.load
         target.placed = 0
+        self.revision += self._hosts.on_report(target, self._all())
 
     def on_accepted(
         self, now: float, service: str, name: str, load: ConnectionLoad
@@ -118,25 +124,36 @@
         return frozenset(self._targets)
 
     def members(self, services: Iterable[str]) -> list[Member]:
-        """Return the members of services that have not left."""
+        """Return the members of services that are present.
+
+        They have neither left nor been replaced by a target of their host.
+        """
         return [
             target.member
             for service in sorted(services)
             for target in self._targets.get(service, {}).values()
-            if target.member.state < MemberState.left
+            if target.is_present
         ]
 
+    def departed_members(self) -> list[Member]:
+        """Return the members that have left or were replaced, latest first."""
+        departed = [
+            target.member for target in self._all() if not target.is_present
+        ]
+        return sorted(
+            departed, key=lambda member: member.incarnation, reverse=True
+        )
+
     def tick(self, now: float) -> None:
         """Update the failure detector; to be called at least every 0.2 s."""
         if not self.failure_detector.is_due(now):
             return
         silences = []
-        for known in self._targets.values():
-            for target in known.values():
-                if target.listed_at is None:
-                    target.listed_at = now
-                if target.member.state < MemberState.left:
-                    silences.append(target.silent_s(now))
+        for target in self._all():
+            if target.listed_at is None:
+                target.listed_at = now
+            if target.is_present:
+                silences.append(target.silent_s(now))
         self.failure_detector.observe(now, silences)
 
     def possible_holders(
@@ -158,6 +175,13 @@
             and self._find(member).silent_s(now) >= silent_s
         ]
 
+    def is_gone(self, now: float, member: Member) -> bool:
+        """Return whether a target is not present or its agent has failed."""
+        target = self._targets.get(member.service, {}).get(member.target)
+        if target is None or not target.is_present:
+            return True
+        return self.has_failed(now, member)
+
     def has_failed(self, now: float, member: Member) -> bool:
         """Return whether the agent of a member seems to have failed."""
         target = self._find(member)
@@ -214,6 +238,7 @@
             target
             for target in self._targets.get(service, {}).values()
             if target.member.state is MemberState.alive
+            and target.is_present
             and target.member.target not in excluded
         ]
         heard = [
@@ -247,6 +272,10 @@
         )
         return max(SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_INTERVALS * report_s)
 
+    def _all(self) -> Iterator[TargetState]:
+        for known in self._targets.values():
+            yield from known.values()
+
     def _find(self, member: Member) -> TargetState:
         return self._targets[member.service][member.target]
 
--- a/packages/core/src/trefoilhaven_core/connections/target_states.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_states.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from trefoilhaven_core.connections.messages import ConnectionLoad
-from trefoilhaven_core.membership.messages import Member
+from trefoilhaven_core.membership.messages import Member, MemberState
 
 # Share of the slots by which a target that has just started counts as busier.
 COLD_PENALTY: Final = 0.5
@@ -21,13 +21,15 @@
     """Record and load of a target, and what was heard of its agent.
 
     ``placed`` counts the connections placed since the last report that the
-    target has not accepted yet. Times are monotonic, in seconds.
+    target has not accepted yet. ``is_replaced`` means that a later target of
+    its host has been heard. Times are monotonic, in seconds.
     """
 
     __slots__ = (
         '_queried_at',
         '_unanswered_since',
         'is_cold',
+        'is_replaced',
         'is_unresponsive',
         'listed_at',
         'load',
@@ -39,6 +41,7 @@
     def __init__(self, member: Member) -> None:
         """Start before the first report."""
         self.is_cold = False
+        self.is_replaced = False
         self.is_unresponsive = False
         self.listed_at: float | None = None
         self.load = ConnectionLoad()
@@ -48,6 +51,11 @@
         self._queried_at = -math.inf
         self._unanswered_since = math.inf
 
+    @property
+    def is_present(self) -> bool:
+        """Whether the target has neither left nor been replaced."""
+        return self.member.state < MemberState.left and not self.is_replaced
+
     def on_heard(self, now: float) -> None:
         """Record a report of the agent, or an accepted connection."""
         self.seen_at = now
