Close an idle HTTP connection whose request is cancelled

Cause: since a request that takes an idle connection first ends its watch, which takes a turn of the event loop. A request cancelled in that turn left a connection that nobody closed. Seen once as an error in the teardown of test_partial_list_of_targets, where targets are stopped while they send heartbeats.

Change: the connection is closed.

Test, seen to fail without the change: TestCancelled.

--- a/packages/core/src/trefoilhaven_core/platform/http.py
+++ b/packages/core/src/trefoilhaven_core/platform/http.py
@@ -25,7 +25,7 @@
 )
 from trefoilhaven_core.platform.errors import PlatformError
 from trefoilhaven_core.settings import defaults
-from trefoilhaven_core.wire.http import HttpClientResponse
+from trefoilhaven_core.wire.http_client import HttpClientResponse
 
 # Attempts of one call, including the first. Longer outages are left to the
 # caller, which knows whether the call is still needed.
--- a/packages/core/src/trefoilhaven_core/platform/replies.py
+++ b/packages/core/src/trefoilhaven_core/platform/replies.py
@@ -16,7 +16,7 @@
 )
 from trefoilhaven_core.platform.errors import PlatformError
 from trefoilhaven_core.settings import defaults
-from trefoilhaven_core.wire.http import HttpClientResponse
+from trefoilhaven_core.wire.http_client import HttpClientResponse
 
 _DEFAULT_RETRY_AFTER_S: Final = 1.0
 _FIRST_SERVER_ERROR: Final = 500
--- a/packages/core/src/trefoilhaven_core/wire/tests/test_http_client.py
+++ b/packages/core/src/trefoilhaven_core/wire/tests/test_http_client.py
@@ -6,7 +6,7 @@
 
 import pytest
 from trefoilhaven_core.membership.messages import Address
-from trefoilhaven_core.wire.http import HttpClient
+from trefoilhaven_core.wire.http_client import HttpClient
 from trefoilhaven_core.wire.tests.test_http import free_address
 
 TIMEOUT_S = 10
@@ -107,6 +107,23 @@
             client.close()
 
 
+class TestCancelled:
+    """Requests whose caller is cancelled."""
+
+    async def test_idle_connection(self) -> None:
+        """Guards against a connection that nobody closes any more."""
+        server = Server(encode)
+        async with server.run() as address:
+            client = HttpClient(address)
+            await get(client, '/a')
+            writer = client._idle[0].connection.writer  # noqa: SLF001
+            req = asyncio.create_task(get(client, '/b'))
+            await asyncio.sleep(0)
+            req.cancel()
+            await asyncio.wait([req])
+            assert writer.is_closing()
+
+
 class TestBrokenOff:
     """Answers that end early."""
 
