Pace queries by the processor time of the host

Cause: after a batch of queries the next one waits for 2 ms a datagram, the pause of a very small host. With 136 agents that is 0.27 s, and a search needs up to three batches.

Change: a gateway knows its processor time from two settings, processor_share and processor_speed, which the platform fills in, and uses half of it for queries at most. Half a core pauses 0.6 ms a datagram; without the settings the pause stays at 2 ms.

Tests: TestPacing, whose cases of the large fleet fail with the pause of before.

--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -6,7 +6,10 @@
 from typing import Final
 
 from trefoilhaven.gateway.state import GatewayState
-from trefoilhaven_core.connections.batches import QuestionBatch
+from trefoilhaven_core.connections.batches import (
+    QuestionBatch,
+    datagram_pause_s,
+)
 from trefoilhaven_core.connections.effects import (
     ConfirmMembership,
     DropCause,
@@ -59,7 +62,8 @@
         self._adapter = adapter
         self._endpoint = endpoint
         self._raw_endpoint: RawEndpoint | None = None
-        self._questions = QuestionBatch()
+        pause_s = datagram_pause_s(state.cfg.processor_cores)
+        self._questions = QuestionBatch(pause_s)
         self._confirm: Callable[[float], None] = lambda _: None
         self._log = RateLimitedLog(logger)
         metrics = state.runtime.metrics
--- a/packages/core/src/trefoilhaven_core/connections/batches.py
+++ b/packages/core/src/trefoilhaven_core/connections/batches.py
@@ -22,9 +22,14 @@
 # Questions are collected for at least this time, in seconds.
 MIN_BATCH_DELAY_S: Final = 0.003
 
+# Processor time in seconds that a datagram and its answer take on one core,
+# and the share of the processor that queries may use; the rest is left to
+# segments.
+DATAGRAM_COST_S: Final = 0.00015
+QUERY_PROCESSOR_SHARE: Final = 0.5
+
 # The next batch is delayed by this time, in seconds, for each datagram of a
-# batch. A datagram and its answer take 0.15 ms of processor time, which is
-# 1 ms on a host with a sixth of a core.
+# batch, if the processor time of the host is not known.
 DATAGRAM_PAUSE_S: Final = 0.002
 
 # Limits of the questions in a datagram to an agent and of the keys in a
@@ -46,7 +51,9 @@
 class QuestionBatch:
     """Collects the questions of all searches; times are in seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, pause_s: float = DATAGRAM_PAUSE_S) -> None:
+        """Start empty; ``pause_s`` delays the next batch for each datagram."""
+        self._pause_s = pause_s
         self._members: dict[Member, dict[ConnectionKey, Question]] = {}
         self._peers: dict[Address, dict[ConnectionKey, None]] = {}
         self._due = 0.0
@@ -73,7 +80,7 @@
         taken = list(self._datagrams())
         self._members = {}
         self._peers = {}
-        self._due = now + DATAGRAM_PAUSE_S * len(taken)
+        self._due = now + self._pause_s * len(taken)
         return taken
 
     def _datagrams(self) -> Iterator[OutgoingDatagram]:
@@ -86,6 +93,15 @@
                 yield OutgoingDatagram(address, RouteQuery(part_keys))
 
 
+def datagram_pause_s(processor_cores: float) -> float:
+    """Return the pause for each datagram on a host, in seconds.
+
+    ``processor_cores`` is the processor time of the process in cores, for
+    example 0.5 for half a core.
+    """
+    return DATAGRAM_COST_S / (QUERY_PROCESSOR_SHARE * processor_cores)
+
+
 def _parts(items: Sequence[_Item], size: int) -> Iterator[tuple[_Item, ...]]:
     for start in range(0, len(items), size):
         yield tuple(items[start : start + size])
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_batches.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_batches.py
@@ -1,10 +1,13 @@
 """Tests of the batching of questions."""
 
+import pytest
 from trefoilhaven_core.connections.batches import (
+    DATAGRAM_COST_S,
     DATAGRAM_PAUSE_S,
     MAX_QUERY_QUESTIONS,
     MIN_BATCH_DELAY_S,
     QuestionBatch,
+    datagram_pause_s,
 )
 from trefoilhaven_core.connections.effects import QueryMember, QueryPeer
 from trefoilhaven_core.connections.messages import (
@@ -80,3 +83,35 @@
         assert not batch.is_empty
         outgoing = batch.take(0)[0]
         assert outgoing == (BALANCER, RouteQuery((key_of(1),)))
+
+
+class TestPacing:
+    """Batches of hosts with more or less processor time.
+
+    Callers send on lost connections after the return of a large fleet: each
+    gateway asks all agents again and again.
+    """
+
+    FLEET = 136
+
+    @pytest.mark.parametrize('processor_cores', [0.1, 0.25, 0.5, 2.0])
+    def test_processor_share(self, processor_cores: float) -> None:
+        """Guards against queries that leave no time for segments."""
+        per_second = 1 / datagram_pause_s(processor_cores)
+        assert per_second * DATAGRAM_COST_S <= 0.51 * processor_cores
+
+    @pytest.mark.parametrize(
+        ('processor_cores', 'limit_s'), [(0.5, 0.1), (2.0, 0.025)]
+    )
+    def test_large_fleet(self, processor_cores: float, limit_s: float) -> None:
+        """Guards against searches that wait for the batch before theirs.
+
+        A search needs up to three batches; with the pause of a very small
+        host, the third one is sent 0.54 s after the first.
+        """
+        batch = QuestionBatch(datagram_pause_s(processor_cores))
+        for number in range(self.FLEET):
+            member = make_member(f't{number}')
+            batch.add(QueryMember(member, Question(key_of(1), 0)))
+        assert len(batch.take(10)) == self.FLEET
+        assert batch.delay_s(10) <= limit_s
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -13,6 +13,8 @@
 # Process settings.
 LOG_LEVEL: Final = 'info'
 SLOTS: Final = 2
+PROCESSOR_SHARE: Final = 0.15
+PROCESSOR_SPEED: Final = 1.0
 
 # Service files.
 IDLE_TIMEOUT_S: Final = 3600.0
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -228,6 +228,22 @@
 GATEWAY_FIELDS: Final[FieldTable] = (
     *_SEGMENT_PROCESS_FIELDS,
     _address('segments', "UDP address that takes clients' segments."),
+    Field(
+        'processor_share',
+        FieldKind.number,
+        'Share of a processor core that the process may use.',
+        default=defaults.PROCESSOR_SHARE,
+        minimum=0.001,
+        maximum=100,
+    ),
+    Field(
+        'processor_speed',
+        FieldKind.number,
+        'Speed of that core, relative to a usual one.',
+        default=defaults.PROCESSOR_SPEED,
+        minimum=0.001,
+        maximum=100,
+    ),
 )
 
 SIDECAR_FIELDS: Final[FieldTable] = (
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -3,6 +3,10 @@
 from typing import NamedTuple
 
 from trefoilhaven_core.membership.messages import Address
+from trefoilhaven_core.settings.defaults import (
+    PROCESSOR_SHARE,
+    PROCESSOR_SPEED,
+)
 
 
 class Seed(NamedTuple):
@@ -107,7 +111,9 @@
     """Settings of a gateway, a balancer that routes connection segments.
 
     ``seeds`` holds addresses of other balancers. ``control`` is a UDP and
-    a TCP address.
+    a TCP address. ``processor_share`` is the share of a core that the process
+    may use, and ``processor_speed`` the speed of this core relative to a usual
+    one.
     """
 
     name: str
@@ -121,6 +127,13 @@
     seeds: tuple[Address, ...]
     log_level: str
     segments: Address
+    processor_share: float = PROCESSOR_SHARE
+    processor_speed: float = PROCESSOR_SPEED
+
+    @property
+    def processor_cores(self) -> float:
+        """Processor time of the process in usual cores."""
+        return self.processor_share * self.processor_speed
 
 
 class SidecarSettings(NamedTuple):
