--- a/packages/core/src/trefoilhaven_core/platform/adapters.py
+++ b/packages/core/src/trefoilhaven_core/platform/adapters.py
@@ -83,4 +83,4 @@
 
     @abstractmethod
     def close(self) -> None:
-        """Close the listening sockets."""
+        """Close the listening sockets and the clients' connections."""
