--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -68,9 +68,6 @@
 # agents for each of them.
 MIN_AGENTS_PER_PEER: Final = 2
 
-# Targets named in one log line, which bounds its length.
-MAX_NAMED_TARGETS: Final = 8
-
 
 class Search:
     """A search for the target that holds one connection.
@@ -246,10 +243,15 @@
         """Return whether a peer named a target that was not queried."""
         return any(key not in self._members for key in self._named)
 
-    def drops(self) -> list[Effect]:
-        """Return a drop of each queued segment, for a failed search."""
-        unanswered = self._members.pending_text()
-        detail = unanswered or 'the list of targets was not confirmed'
+    def drops(self, unconfirmed: Collection[str] = ()) -> list[Effect]:
+        """Return a drop of each queued segment, for a failed search.
+
+        ``unconfirmed`` names the peers that have not confirmed the list.
+        """
+        peers = ','.join(unconfirmed)
+        detail = self._members.pending_text() or (
+            f'the list of targets was not confirmed by {peers}'
+        )
         return [
             DropSegment(segment, DropCause.not_found, detail)
             for segment in self._segments
@@ -258,13 +260,11 @@
     def reset(self) -> ResetClient:
         """Return the reset of the client, as no target holds the connection."""
         latest = self._segments[-1]
-        failed = self._members.failed_names()
-        detail = f'{len(self._members)} targets asked, {len(failed)} gone'
-        if failed:
-            named = ','.join(failed[:MAX_NAMED_TARGETS])
-            detail = f'{detail}: {named}'
         return ResetClient(
-            self.key, latest.acknowledged, ResetCause.not_held, detail
+            self.key,
+            latest.acknowledged,
+            ResetCause.not_held,
+            self._members.summary_text(),
         )
 
     def _query_again(self, now: float) -> list[Effect]:
--- a/packages/core/src/trefoilhaven_core/connections/queried_members.py
+++ b/packages/core/src/trefoilhaven_core/connections/queried_members.py
@@ -1,12 +1,16 @@
 """Members that a search queries, and what their agents answered."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from trefoilhaven_core.connections.messages import Verdict
 from trefoilhaven_core.membership.messages import Address, Member
 
 TargetKey = tuple[str, str]
 
+# Targets named in one log line, which bounds its length.
+MAX_NAMED_TARGETS: Final = 8
+
 
 def target_key(member: Member) -> TargetKey:
     """Return the service and the target of a member."""
@@ -106,9 +110,12 @@
         """Return whether none of the members is the holder."""
         return bool(self._members) and not self._pending
 
-    def failed_names(self) -> list[str]:
-        """Return the targets whose agents seem to have failed."""
-        return sorted(target for _, target in self._failed)
+    def summary_text(self) -> str:
+        """Return how many members were asked and which failed, as log text."""
+        failed = sorted(target for _, target in self._failed)
+        summary = f'{len(self)} targets asked, {len(failed)} gone'
+        named = ','.join(failed[:MAX_NAMED_TARGETS])
+        return f'{summary}: {named}' if failed else summary
 
     def pending_text(self) -> str:
         """Return the members without a definite answer, as log text."""
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -211,7 +211,8 @@
 
     def _drop(self, search: Search) -> list[Effect]:
         del self._searches[search.key]
-        return search.drops()
+        unconfirmed = self._confirmation.unconfirmed_peers(search.started_at)
+        return search.drops(unconfirmed)
 
     def _may_reset(self, now: float, search: Search) -> bool:
         confirmed_as_of = self._confirmation.confirmed_as_of(
--- a/packages/core/src/trefoilhaven_core/membership/confirmations.py
+++ b/packages/core/src/trefoilhaven_core/membership/confirmations.py
@@ -108,11 +108,7 @@
         self._wanted_since = max(self._wanted_since, since)
         if now < self._due:
             return []
-        due = [
-            peer
-            for peer in self._peers
-            if self._confirmed_at.get(peer, -math.inf) < self._wanted_since
-        ]
+        due = self.unconfirmed_peers(self._wanted_since)
         if due:
             self._due = now + CONFIRMATION_INTERVAL_S
         for peer in due:
@@ -120,6 +116,14 @@
             self._unanswered[peer] = _Unanswered(queries + 1, now)
         return due
 
+    def unconfirmed_peers(self, since: float) -> list[str]:
+        """Return the peers that have not confirmed the list as of a time."""
+        return [
+            peer
+            for peer in self._peers
+            if self._confirmed_at.get(peer, -math.inf) < since
+        ]
+
     def on_reply(self, peer: str, sent_at: float, *, is_partial: bool) -> None:
         """Process a peer's reply to the query that was sent at ``sent_at``.
 
