--- /dev/null
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
@@ -0,0 +1,93 @@
+"""Tests of a sidecar that receives messages with unusual values."""
+
+import asyncio
+import os
+import time
+from typing import Any
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from trefoilhaven_agent.sidecar.tests.test_reporting import (
+    EndpointFixture,
+    StoreFixture,
+    make_task,
+)
+from trefoilhaven_core.connections import messages as connections
+from trefoilhaven_core.connections.tests.support import key_of, make_segment
+from trefoilhaven_core.membership.messages import MemberState
+from trefoilhaven_core.platform.adapters import TargetAnnouncement
+from trefoilhaven_core.timeline.monotonic import monotonic
+from trefoilhaven_core.wire.codec import Codec, make_codec
+from trefoilhaven_core.wire.tests.message_strategies import datagrams
+
+SENDER = ('127.0.0.9', 7000)
+EXAMPLES = int(os.environ.get('TREFOILHAVEN_EXAMPLES', '300'))
+MESSAGES_PER_EXAMPLE = 8
+
+RECEIVED = (
+    connections.SegmentForward,
+    connections.HolderQuery,
+    connections.BalancerHello,
+)
+
+
+class CodecEndpoint(EndpointFixture):
+    """An endpoint that decodes datagrams and encodes what is sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._codec: Codec = make_codec()
+
+
+class TestUnexpectedMessages:
+    """Messages that a balancer of another version may send."""
+
+    @settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        raws=st.lists(
+            datagrams(RECEIVED), min_size=1, max_size=MESSAGES_PER_EXAMPLE
+        )
+    )
+    def test_tasks_go_on(self, raws: list[bytes]) -> None:
+        """Guards against a message that ends the process.
+
+        An error in a handler is logged, but one in a task ends the process,
+        as the tasks use what the handlers have stored.
+        """
+        asyncio.run(self.receive(raws))
+
+    async def receive(self, raws: list[bytes]) -> None:
+        """Let datagrams arrive, and run a turn of each task."""
+        endpoint = CodecEndpoint()
+        task = make_task(StoreFixture(), endpoint)
+        segments = task._segments  # noqa: SLF001
+        codec: Any = segments._adapter.codec  # noqa: SLF001
+        codec.decode_from_client.return_value = make_segment(key_of(1))
+        codec.encode_reset.return_value = b''
+        announcement = TargetAnnouncement(
+            'certify',
+            't1',
+            'a',
+            int(time.time() * 1000),
+            1,
+            2,
+            MemberState.alive,
+            0,
+        )
+        assert await task.on_announcement(announcement)
+        for raw in raws:
+            endpoint.datagram_received(raw, SENDER)
+        now = monotonic()
+        for step in range(3):
+            connections_ = task._connections  # noqa: SLF001
+            segments.apply(connections_.tick(now + step))
+            connections_.forget(now + step)
+            task._balancers.expire(now + step)  # noqa: SLF001
+        member = task._target_tracker.member  # noqa: SLF001
+        assert member is not None
+        task._reports.send_all(member)  # noqa: SLF001
