Start another search for a later connection of the same port

Its further segments joined the search, and a target that had denied the former connection was not asked again, so that the new connection was reset.

Tests: test_port_reused_elsewhere, seen to fail first; test_same_connection.

--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -9,6 +9,7 @@
     Question,
     ReturnReason,
     Segment,
+    SegmentForward,
     SegmentReturn,
     TargetIdentity,
 )
@@ -153,3 +154,18 @@
     """Return the message that sends a segment back to its balancer."""
     message = SegmentReturn(*destination, reason, segment.raw)
     return SendMessage(balancer, message)
+
+
+def probe_member(member: Member, segment: Segment) -> SendMessage:
+    """Return the message that asks a member's target by a segment.
+
+    A target refuses the segment unless it holds the connection.
+    """
+    forward = SegmentForward(
+        member.service,
+        member.target,
+        member.incarnation,
+        is_probe=True,
+        raw=segment.raw,
+    )
+    return SendMessage(member.control, forward)
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -21,13 +21,12 @@
     QueryPeer,
     ResetCause,
     ResetClient,
-    SendMessage,
+    probe_member,
 )
 from trefoilhaven_core.connections.messages import (
     ConnectionKey,
     Question,
     Segment,
-    SegmentForward,
     Verdict,
 )
 from trefoilhaven_core.connections.queried_members import (
@@ -35,6 +34,7 @@
     TargetKey,
     target_key,
 )
+from trefoilhaven_core.connections.tables import is_acknowledged_near
 from trefoilhaven_core.membership.messages import Address, Member
 
 # Agents that have not answered are queried again after this time, in seconds,
@@ -130,6 +130,15 @@
         self._segments.append(segment)
         return []
 
+    def is_same_connection(self, segment: Segment) -> bool:
+        """Return whether a segment continues the connection searched for.
+
+        The client may have opened another one on the same port, whose
+        acknowledgement numbers are elsewhere.
+        """
+        first = self._segments[0]
+        return is_acknowledged_near(segment.acknowledged, first.acknowledged)
+
     def start(self, peers: Collection[Address]) -> list[Effect]:
         """Query the other balancers first, or the agents.
 
@@ -274,11 +283,10 @@
         return self.query()
 
     def _probe(self, now: float) -> list[Effect]:
-        """Probe all unsure targets at once with the first segment.
+        """Probe all unsure targets with the first segment.
 
-        Unless the agent of the holder did not answer, the holder is one of
-        them; the others refuse the segment. The other members have to answer,
-        or to be queried twice, before.
+        The holder is one of them, unless its agent has not answered; the
+        other members have to answer, or to be queried twice, before.
         """
         if not (self.is_repeated or self._members.are_answered()):
             return []
@@ -288,12 +296,5 @@
             if now - probed_at < PROBE_INTERVAL_S:
                 continue
             self._probed_at[member] = now
-            forward = SegmentForward(
-                member.service,
-                member.target,
-                member.incarnation,
-                is_probe=True,
-                raw=self._segments[0].raw,
-            )
-            effects.append(SendMessage(member.control, forward))
+            effects.append(probe_member(member, self._segments[0]))
         return effects
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -99,9 +99,10 @@
             self._cache.touch(segment.key)
             return [self._forward(known, segment)]
         search = self.searches.get(segment.key)
-        if search is not None:
+        if search is not None and search.is_same_connection(segment):
             return search.add(now, segment)
-        return self.searches.start(now, segment, self.peers)
+        dropped = self.searches.cancel(segment.key)
+        return [*dropped, *self.searches.start(now, segment, self.peers)]
 
     def on_return(
         self, now: float, returned: SegmentReturn, segment: Segment
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -237,3 +237,9 @@
         if entry.closed_at is not None:
             return now - entry.closed_at >= CLOSED_RETENTION_S
         return now - entry.seen_at >= self._idle_timeout_s
+
+
+def is_acknowledged_near(acknowledged: int, other: int) -> bool:
+    """Return whether two acknowledgements may be of one connection."""
+    start = other - ACKNOWLEDGED_WINDOW
+    return is_in_sequence_window(acknowledged, start, 2 * ACKNOWLEDGED_WINDOW)
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_searches.py
@@ -254,6 +254,36 @@
         assert not resets(effects)
         assert not len(fixture.router.searches)
 
+    def test_port_reused_elsewhere(self) -> None:
+        """Guards against the reset of a connection that was opened later.
+
+        The client has opened it on the same port through another balancer,
+        so that only its further segments arrive here. A target that denied
+        the former connection may hold it.
+        """
+        fixture = SearchFixture()
+        fixture.confirmation.set_peers(())
+        key = only(fixture.search(1))
+        holder, silent = fixture.members
+        fixture.deny(1.01, holder, [key])
+        later = make_segment(key, acknowledged=1 << 31, length=5)
+        effects = fixture.router.on_segment(1.5, later)
+        effects += fixture.deny(1.51, silent, [key])
+        assert not resets(effects)
+        asked = [
+            each.member for each in effects if isinstance(each, QueryMember)
+        ]
+        assert holder in asked
+
+    def test_same_connection(self) -> None:
+        """Guards against a search that starts anew with each segment."""
+        fixture = SearchFixture()
+        key = only(fixture.search(1))
+        further = make_segment(key, acknowledged=70_000)
+        assert not fixture.router.on_segment(1.1, further)
+        earlier = make_segment(key, acknowledged=(1 << 32) - 70_000)
+        assert not fixture.router.on_segment(1.2, earlier)
+
 
 class TestHostGone:
     """A host that has failed for good in a large fleet."""
