End the records of replaced targets after two minutes

Cause: since a replaced target is only marked beside its load, and its record stayed alive in the store of records for good. After each loss of power a gateway would have kept one for each host, and sent it to each gateway that starts.

Change: every 10 s a gateway records as left the targets that were replaced and have been silent for 120 s. mark_left moves from the agent to the records, which both use.

Test: test_record_ends.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -11,11 +11,7 @@
 from trefoilhaven_agent.sidecar.registrations import TargetRegistration
 from trefoilhaven_agent.sidecar.reports import ReportSender
 from trefoilhaven_agent.sidecar.segments import SegmentTask
-from trefoilhaven_agent.sidecar.targets import (
-    TargetTracker,
-    TargetUpdate,
-    mark_left,
-)
+from trefoilhaven_agent.sidecar.targets import TargetTracker, TargetUpdate
 from trefoilhaven_core.connections.connection_tracker import ConnectionTracker
 from trefoilhaven_core.connections.messages import BalancerHello
 from trefoilhaven_core.membership.messages import (
@@ -27,6 +23,7 @@
     BALANCERS_PREFIX,
     read_balancer,
 )
+from trefoilhaven_core.membership.records import mark_left
 from trefoilhaven_core.platform.adapters import (
     PlatformAdapter,
     TargetAnnouncement,
--- a/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -14,6 +14,7 @@
     Member,
     MemberState,
 )
+from trefoilhaven_core.membership.records import mark_left
 from trefoilhaven_core.platform.adapters import TargetAnnouncement
 
 # A heartbeat with a lower incarnation is stale if the current target was
@@ -54,11 +55,6 @@
     effects: tuple[Effect, ...] = ()
 
 
-def mark_left(member: Member) -> Member:
-    """Return the record of a target that has ended."""
-    return member._replace(state=MemberState.left, sequence=member.sequence + 1)
-
-
 class TargetTracker:
     """Keeps the member record of the target beside an agent."""
 
--- a/packages/balancer/src/trefoilhaven/gateway/removals.py
+++ b/packages/balancer/src/trefoilhaven/gateway/removals.py
@@ -36,7 +36,10 @@
 
 
 class RemovalTask:
-    """Deletes the objects of failed targets in the platform's store."""
+    """Deletes the objects of failed targets in the platform's store.
+
+    It also ends the records of targets that others have replaced.
+    """
 
     def __init__(self, state: GatewayState, client: PlatformClient) -> None:
         self._state = state
@@ -47,7 +50,9 @@
         """Check for failed targets regularly until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            await self.remove_failed(monotonic())
+            now = monotonic()
+            self._state.end_replaced(now, REMOVAL_TIMEOUT_S)
+            await self.remove_failed(now)
 
     async def remove_failed(self, now: float) -> None:
         """Delete the objects of failed targets if this balancer ranks first."""
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -18,6 +18,7 @@
     Origin,
 )
 from trefoilhaven_core.membership.messages import Member, MemberState
+from trefoilhaven_core.membership.records import mark_left
 from trefoilhaven_core.membership.views import ViewStore
 from trefoilhaven_core.settings.types import GatewaySettings
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
@@ -118,6 +119,16 @@
                 changed += self.target_selector.set_members(service, members)
         return changed if self.router.searches.is_membership_complete else []
 
+    def end_replaced(self, now: float, silent_s: float) -> None:
+        """Record that the targets replaced some time ago have left.
+
+        Otherwise their records would be kept, and sent to each gateway that
+        starts, for ever. Each gateway draws this conclusion itself.
+        """
+        replaced = self.target_selector.replaced_members(now, silent_s)
+        merged = self.store.merge(map(mark_left, replaced))
+        self.refresh({member.service for member in merged.members})
+
     def _apply_routes(self) -> None:
         stored = self.store.configuration(ROUTES_NAME)
         if stored.version <= self.routes.version:
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -29,6 +29,7 @@
 from trefoilhaven_core.platform.adapters import PlatformAdapter
 from trefoilhaven_core.settings.types import GatewaySettings
 from trefoilhaven_core.telemetry.runtimes import make_runtime
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.codec import make_codec
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
 from trefoilhaven_core.wire.transfers import TransferEndpoint
@@ -176,6 +177,28 @@
         task.gossip._on_changes(changes, CONTROL)  # noqa: SLF001
         assert [each.target for each in state.targets()] == ['t3']
 
+    def test_record_ends(self, discovery: 'StateAndDiscovery') -> None:
+        """Guards against records of replaced targets that pile up.
+
+        Every starting gateway would get them from its peers. A target that
+        was replaced only a moment ago may report again.
+        """
+        state, task = discovery
+        state.store.merge([make_member('t1')])
+        state.refresh(['certify'])
+        state.router.tick(monotonic())
+        successor = make_member('t3')._replace(host='host-t1', incarnation=9)
+        self.receive(task, successor)
+        state.end_replaced(monotonic(), silent_s=60.0)
+        record = state.store.member('certify', 't1')
+        assert record is not None
+        assert record.state is MemberState.alive
+        state.end_replaced(monotonic() + 61.0, silent_s=60.0)
+        record = state.store.member('certify', 't1')
+        assert record is not None
+        assert record.state is MemberState.left
+        assert [each.target for each in state.targets()] == ['t3']
+
     async def test_searches(self, discovery: 'StateAndDiscovery') -> None:
         """Guards against searches that still query a replaced target."""
         state, task = discovery
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator
 from typing import Final
 
 from trefoilhaven_core.connections.effects import Placed
@@ -14,7 +14,7 @@
 )
 from trefoilhaven_core.connections.pacing import FAR_INTERVAL_FACTOR
 from trefoilhaven_core.connections.replacements import HostTable
-from trefoilhaven_core.connections.response_outliers import ODD_MARGIN
+from trefoilhaven_core.connections.target_costs import select_cheapest
 from trefoilhaven_core.connections.target_states import TargetState
 from trefoilhaven_core.membership.messages import Member, MemberState
 
@@ -23,19 +23,6 @@
 SILENCE_TIMEOUT_S: Final = 0.8
 SILENCE_TIMEOUT_INTERVALS: Final = 2.2
 
-# A target in another failure domain is selected if its slots are less busy by
-# this share: traffic between domains costs bytes and a round trip of 7 ms.
-FAR_DOMAIN_PENALTY: Final = 0.6
-
-# Targets whose cost differs by less than this share count as equal, and one
-# of them is selected at random. Reports are up to 0.25 s old and the same for
-# all balancers, which would otherwise all select the same target.
-EQUAL_COST_MARGIN: Final = 0.3
-
-# Penalty of a target with many odd responses, which look like failures: its
-# share of them above the median of its service, times this factor.
-ODD_PENALTY_FACTOR: Final = 4.0
-
 
 class TargetSelector:
     """Targets of all services, with their load, as one balancer sees them.
@@ -135,6 +122,16 @@
             if target.is_present
         ]
 
+    def replaced_members(self, now: float, silent_s: float) -> list[Member]:
+        """Return the replaced members that were silent for a time."""
+        return [
+            target.member
+            for target in self._all()
+            if target.is_replaced
+            and target.member.state < MemberState.left
+            and target.silent_s(now) >= silent_s
+        ]
+
     def departed_members(self) -> list[Member]:
         """Return the members that have left or were replaced, latest first."""
         departed = [
@@ -250,16 +247,7 @@
         candidates = heard or usable
         if not candidates:
             return None
-        usual_odd = _usual_odd_share(candidates)
-        costs = [self._cost(target, usual_odd) for target in candidates]
-        limit = min(costs) + EQUAL_COST_MARGIN
-        chosen = rng.choice(
-            [
-                target
-                for cost, target in zip(costs, candidates, strict=True)
-                if cost < limit
-            ]
-        )
+        chosen = select_cheapest(candidates, self._domain, rng)
         chosen.placed += 1
         return chosen.member
 
@@ -278,18 +266,3 @@
 
     def _find(self, member: Member) -> TargetState:
         return self._targets[member.service][member.target]
-
-    def _cost(self, target: TargetState, usual_odd: float) -> float:
-        cost = target.busy_share()
-        excess = target.load.odd_share - usual_odd
-        if excess > ODD_MARGIN:
-            cost += ODD_PENALTY_FACTOR * excess
-        is_near = target.member.failure_domain == self._domain
-        return cost if is_near else cost + FAR_DOMAIN_PENALTY
-
-
-def _usual_odd_share(targets: Sequence[TargetState]) -> float:
-    """Return the median share of odd responses."""
-    # Importing the statistics module would delay each start by 3 ms.
-    shares = sorted(target.load.odd_share for target in targets)
-    return shares[(len(shares) - 1) // 2]
--- a/packages/core/src/trefoilhaven_core/membership/records.py
+++ b/packages/core/src/trefoilhaven_core/membership/records.py
@@ -57,6 +57,11 @@
     return version > known_version
 
 
+def mark_left(member: Member) -> Member:
+    """Return the record of a target that has ended."""
+    return member._replace(state=MemberState.left, sequence=member.sequence + 1)
+
+
 class ServiceRecords:
     """Records of one service and the running sum of their hashes."""
 
