--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
@@ -1,12 +1,10 @@
 """Tests of a sidecar that receives messages with unusual values."""
 
 import asyncio
-import os
 import time
 from typing import Any
 
-from hypothesis import HealthCheck, given, settings
-from hypothesis import strategies as st
+from hypothesis import given
 from trefoilhaven_agent.sidecar.tests.test_reporting import (
     EndpointFixture,
     StoreFixture,
@@ -18,11 +16,12 @@
 from trefoilhaven_core.platform.adapters import TargetAnnouncement
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.codec import Codec, make_codec
-from trefoilhaven_core.wire.tests.message_strategies import datagrams
+from trefoilhaven_core.wire.tests.message_strategies import (
+    SEQUENCE_SETTINGS,
+    sequences,
+)
 
 SENDER = ('127.0.0.9', 7000)
-EXAMPLES = int(os.environ.get('TREFOILHAVEN_EXAMPLES', '300'))
-MESSAGES_PER_EXAMPLE = 8
 
 RECEIVED = (
     connections.SegmentForward,
@@ -42,17 +41,8 @@
 class TestUnexpectedMessages:
     """Messages that a balancer of another version may send."""
 
-    @settings(
-        max_examples=EXAMPLES,
-        deadline=None,
-        derandomize=True,
-        suppress_health_check=list(HealthCheck),
-    )
-    @given(
-        raws=st.lists(
-            datagrams(RECEIVED), min_size=1, max_size=MESSAGES_PER_EXAMPLE
-        )
-    )
+    @SEQUENCE_SETTINGS
+    @given(raws=sequences(RECEIVED))
     def test_tasks_go_on(self, raws: list[bytes]) -> None:
         """Guards against a message that ends the process.
 
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
@@ -1,23 +1,22 @@
 """Tests of a gateway that receives messages with unusual values."""
 
 import asyncio
-import os
 import socket
 from typing import Any
 
-from hypothesis import HealthCheck, given, settings
-from hypothesis import strategies as st
+from hypothesis import given
 from trefoilhaven.gateway.tests.test_membership import GatewayFixture
 from trefoilhaven_core.connections import messages as connections
 from trefoilhaven_core.connections.tests.support import key_of, make_segment
 from trefoilhaven_core.membership import messages as membership
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.codec import make_codec
-from trefoilhaven_core.wire.tests.message_strategies import datagrams
+from trefoilhaven_core.wire.tests.message_strategies import (
+    SEQUENCE_SETTINGS,
+    sequences,
+)
 
 SENDER = ('127.0.0.9', 7000)
-EXAMPLES = int(os.environ.get('TREFOILHAVEN_EXAMPLES', '300'))
-MESSAGES_PER_EXAMPLE = 8
 MAX_PORT = 65_535
 
 RECEIVED = (
@@ -39,17 +38,8 @@
 class TestUnexpectedMessages:
     """Messages that a peer or an agent of another version may send."""
 
-    @settings(
-        max_examples=EXAMPLES,
-        deadline=None,
-        derandomize=True,
-        suppress_health_check=list(HealthCheck),
-    )
-    @given(
-        raws=st.lists(
-            datagrams(RECEIVED), min_size=1, max_size=MESSAGES_PER_EXAMPLE
-        )
-    )
+    @SEQUENCE_SETTINGS
+    @given(raws=sequences(RECEIVED))
     def test_tasks_go_on(self, raws: list[bytes]) -> None:
         """Guards against a message that ends the process.
 
--- a/packages/core/src/trefoilhaven_core/wire/tests/message_strategies.py
+++ b/packages/core/src/trefoilhaven_core/wire/tests/message_strategies.py
@@ -1,16 +1,29 @@
 """Hypothesis strategies of messages with valid types and unusual values."""
 
 import enum
+import os
 import types
 from collections.abc import Iterable
 from typing import Annotated, Any, NamedTuple, Union, get_args, get_origin
 from typing import get_type_hints
 
 import msgspec
+from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from trefoilhaven_core.membership.messages import HostAddress
 from trefoilhaven_core.wire.codec import make_codec
 
+MESSAGES_PER_SEQUENCE = 8
+
+# A process is created for each sequence, which takes longer than hypothesis
+# expects of an example.
+SEQUENCE_SETTINGS = settings(
+    max_examples=int(os.environ.get('TREFOILHAVEN_EXAMPLES', '300')),
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
 # Names that the processes under test use themselves, so that messages also
 # concern what they know.
 KNOWN_NAMES = ('certify', 't1', 'g1', 'g2', 'host-t1', 'a', '')
@@ -72,6 +85,15 @@
     return st.one_of(encoded, encoded, st.builds(damage, encoded, INTEGERS))
 
 
+def sequences(
+    kinds: Iterable[type[NamedTuple]],
+) -> st.SearchStrategy[list[bytes]]:
+    """Return a strategy of some datagrams that arrive one after the other."""
+    return st.lists(
+        datagrams(kinds), min_size=1, max_size=MESSAGES_PER_SEQUENCE
+    )
+
+
 def is_encodable(message: NamedTuple) -> bool:
     """Return whether all numbers of a message fit the encoding."""
     try:
