End searches after 0.8 s again

All agents had restarted and were unsure, so each search probes each target again every 0.2 s; since it did so as long as the client sent, and the pause that relieved the gateways was gone.

--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -38,11 +38,10 @@
 from trefoilhaven_core.membership.messages import Address, Member
 
 # Agents that have not answered are queried again after this time, in seconds,
-# which doubles up to a maximum. The round trip to another failure domain takes
+# which doubles each time. The round trip to another failure domain takes
 # 8 ms; after a restart of the whole system, queries must not crowd out
-# replies. An agent that comes up meanwhile is found by the next query.
+# replies.
 QUERY_INTERVAL_S: Final = 0.1
-MAX_QUERY_INTERVAL_S: Final = 0.4
 
 # Other balancers answer within 1 ms. If one of them has ended and does not
 # answer, the agents are queried after this time, in seconds.
@@ -52,10 +51,10 @@
 # this time, in seconds.
 PROBE_INTERVAL_S: Final = 0.2
 
-# A search ends when the client has sent nothing for this time, in seconds.
-# Clients that wait retransmit after 1.6 s at the latest, and get the result
-# of the search without a further segment.
-SEARCH_TIMEOUT_S: Final = 2.0
+# A search ends after this time, in seconds; the client's next segment starts
+# a new one. The pause until then relieves agents and balancers that are
+# overloaded by searches. Clients retransmit after 200 ms at the earliest.
+SEARCH_TIMEOUT_S: Final = 0.8
 
 # A target whose agent has failed is asked last. If the agent does not answer
 # within this time, in seconds, the target is taken to have ended.
@@ -92,15 +91,13 @@
         route changes.
 
         ``is_membership_complete`` means that both lists are complete.
-        ``members_revision`` is that of the members when they were read,
-        ``is_repeated`` is set after the first repetition of the queries, and
-        ``heard_at`` is the time of the client's latest segment.
+        ``members_revision`` is that of the members when they were read, and
+        ``is_repeated`` is set after the first repetition of the queries.
         """
         self.key: ConnectionKey = segment.key
         self.is_membership_complete = is_membership_complete
         self.members_revision = members_revision
         self.started_at = now
-        self.heard_at = now
         self.has_queried_failed = False
         self.is_repeated = False
         self._members = QueriedMembers(members)
@@ -122,9 +119,8 @@
         """Segments queued until the holder is known."""
         return tuple(self._segments)
 
-    def add(self, now: float, segment: Segment) -> list[Effect]:
+    def add(self, segment: Segment) -> list[Effect]:
         """Queue a segment; drop it if the queue is full."""
-        self.heard_at = now
         if len(self._segments) == MAX_QUEUED_SEGMENTS:
             return [DropSegment(segment, DropCause.queue_full)]
         self._segments.append(segment)
@@ -187,8 +183,7 @@
             self._failed_due = math.inf
             self._members.excuse_failed()
         if now >= self._query_due:
-            doubled_s = 2 * self._query_interval_s
-            self._query_interval_s = min(doubled_s, MAX_QUERY_INTERVAL_S)
+            self._query_interval_s *= 2
             self._query_due = now + self._query_interval_s
             self.is_repeated = True
             effects.extend(self.query())
@@ -241,8 +236,8 @@
         self._members.excuse_failed()
 
     def is_over(self, now: float) -> bool:
-        """Return whether the client has stopped sending."""
-        return now - self.heard_at >= SEARCH_TIMEOUT_S
+        """Return whether the search has taken too long."""
+        return now - self.started_at >= SEARCH_TIMEOUT_S
 
     def is_absent(self) -> bool:
         """Return whether every queried member is known not to be the holder."""
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -100,7 +100,7 @@
             return [self._forward(known, segment)]
         search = self.searches.get(segment.key)
         if search is not None and search.is_same_connection(segment):
-            return search.add(now, segment)
+            return search.add(segment)
         dropped = self.searches.cancel(segment.key)
         return [*dropped, *self.searches.start(now, segment, self.peers)]
 
