--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,91 +1,97 @@
-"""One entry of another writer in the store ends every program that starts."""
+"""A heartbeat with missing fields makes an agent reset its server's flows."""
 
 import asyncio
-import signal
+import json
 import sys
+import time
 from pathlib import Path
 
 DIRECTORY = Path(__file__).resolve().parent
 sys.path.insert(0, str(DIRECTORY.parent / 'lib'))
 
-from standins import config, main  # noqa: E402
+from standins import CannotRun, call_http, config, main  # noqa: E402
 
 ROUTE = ('198.18.0.1', 443)
-NESTED_LISTS = 2_000
-RESTART_DELAY_S = 0.5
-FRONTS = ('front-1', 'front-2')
-ENDS = 3
-
-
-async def supervise(fleet, names, ends):
-    """Start programs again after a short delay, as the platform does."""
-    while True:
-        for name in names:
-            process = fleet.processes[name]
-            code = process.poll()
-            if code is None:
-                continue
-            ends.append(name)
-            last = fleet.log(name).strip().splitlines()[-1:]
-            fleet.record.line(f'{name}: ended by itself with {code}: {last}')
-            await asyncio.sleep(RESTART_DELAY_S)
-            fleet.spawn(name, 'work')
-        await asyncio.sleep(0.05)
+FLOWS = 12
 
 
 async def case(fleet, trouble):
-    for number, name in enumerate(FRONTS):
-        fleet.add_front(name, f'127.77.1.{number + 1}')
-    fleet.add_side('side-1', '127.77.2.1')
+    fleet.add_front('front-1', '127.77.1.1')
+    fleet.add_front('front-2', '127.77.1.2')
+    for number in (1, 2):
+        fleet.add_side(f'side-{number}', f'127.77.2.{number}')
     await fleet.start_store()
     fleet.store.write_config(config(1, [(ROUTE, 'work')]))
-    for name in FRONTS:
+    for name in ('front-1', 'front-2'):
         fleet.spawn(name)
-    fleet.spawn('side-1', 'work')
-    server = await fleet.server('side-1', 'i-1', 'work')
-    await fleet.wait_ready(FRONTS)
-    await fleet.wait('heartbeat', lambda: server.confirmed)
+    servers = []
+    for number in (1, 2):
+        fleet.spawn(f'side-{number}', 'work')
+        servers.append(
+            await fleet.server(f'side-{number}', f'i-{number}', 'work')
+        )
+    await fleet.wait_ready(['front-1', 'front-2'])
+    await fleet.wait(
+        'heartbeats', lambda: all(each.confirmed for each in servers)
+    )
+    await asyncio.sleep(5)
+
     requester = fleet.requester('127.77.3.1')
-    flow = requester.flow(40_000, ROUTE)
-    if not await flow.connect() or not await flow.request('before'):
-        return 'the request before was not served'
+    flows = [requester.flow(40_000 + each, ROUTE) for each in range(FLOWS)]
+    await asyncio.gather(*(flow.connect() for flow in flows))
+    await asyncio.gather(
+        *(flow.request(f'a-{number}') for number, flow in enumerate(flows))
+    )
+    held = [flow for flow in flows if flow.key in servers[0].open]
+    if not held:
+        raise CannotRun('no flow is open at the first server')
+    await asyncio.sleep(0.5)
 
+    # A whole heartbeat has also address, version and cold_left_ms.
+    heartbeat = {
+        'service': 'work',
+        'zone': 'a',
+        'slots': 2,
+        'state': 'ready',
+        'sequence': 1,
+        'born': round(time.time() * 1000),
+    }
     if trouble:
-        nested = '[' * NESTED_LISTS + ']' * NESTED_LISTS
-        fleet.store.put(
-            'trefoilhaven-balancers', 'other', f'{{"record":{nested}}}'
+        answer = await call_http(
+            servers[0].host,
+            fleet.ports['heartbeats'],
+            'PUT',
+            '/v1/instances/other',
+            json.dumps(heartbeat).encode(),
         )
         fleet.record.line(
-            'another writer: object trefoilhaven-balancers/other, whose '
-            f'record is a list of {NESTED_LISTS} levels'
+            f'another writer: PUT /v1/instances/other on side-1 '
+            f'{json.dumps(heartbeat)} -> {answer and answer[0]}'
         )
-    await asyncio.sleep(2)
-
-    # A planned restart of the fronts, one after the other.
-    ends = []
-    supervisor = None
-    for name in FRONTS:
-        fleet.kill(name, signal.SIGTERM)
-        await asyncio.sleep(RESTART_DELAY_S)
-        fleet.spawn(name)
-        if supervisor is None:
-            supervisor = asyncio.create_task(supervise(fleet, [name], ends))
-        await asyncio.sleep(3)
-    supervisor.cancel()
-    supervisor = asyncio.create_task(supervise(fleet, FRONTS, ends))
-    await asyncio.sleep(4)
-    served = 0
-    for number in range(4):
-        after = requester.flow(41_000 + number, ROUTE)
-        if await after.connect() and await after.request(f'after-{number}'):
-            served += 1
-    supervisor.cancel()
-    ended = {name: ends.count(name) for name in FRONTS}
-    fleet.record.line(f'ended by themselves: {ended}; served after: {served}/4')
-    if all(count >= ENDS for count in ended.values()):
+    await asyncio.sleep(1)
+    for turn in range(3):
+        going = [flow for flow in flows if not flow.is_over]
+        await asyncio.gather(
+            *(
+                flow.request(f'b-{turn}-{number}')
+                for number, flow in enumerate(going)
+            )
+        )
+        await asyncio.sleep(1)
+    reset = [
+        flow
+        for flow in held
+        if any(not is_own and near for _, _, near, is_own in flow.resets)
+    ]
+    still = sum(flow.key in servers[0].open for flow in held)
+    fleet.record.line(
+        f'{len(held)} flows were opened at i-1, which holds {still} of them '
+        f'at the end; {len(reset)} were reset'
+    )
+    if reset:
         return (
-            f'Fault: after a planned restart the fronts end by themselves '
-            f'again and again ({ended}); {served} of 4 requests were served'
+            f'FLOW: {len(reset)} of {len(held)} open flows were reset by the '
+            'system; their server lives and holds them'
         )
     return ''
 
