--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -317,9 +317,7 @@
             'finalizers': [],
             'deleting': False,
         }
-        return (
-            f'{{"meta":{json.dumps(meta)},"spec":{known["spec"]},"status":null}}'
-        )
+        return f'{{"meta":{json.dumps(meta)},"spec":{known["spec"]},"status":null}}'
 
     async def _handle(self, method, target, body):
         if self.mode == 'silent':
@@ -604,7 +602,12 @@
             f'Content-Length: {len(body)}\r\n\r\n'
         ).encode() + body
         self.sending[key] = Response(
-            self, client, service, packet.ack, packet.seq + packet.length, answer
+            self,
+            client,
+            service,
+            packet.ack,
+            packet.seq + packet.length,
+            answer,
         )
         asyncio.get_running_loop().call_later(
             self.work_s, self.sending[key].send
@@ -873,11 +876,13 @@
         distance = (packet.seq - self.ack) % SPACE
         near = min(distance, SPACE - distance) <= RESET_WINDOW
         is_own = packet.is_genuine
-        state = 'over' if self.is_over else 'open' if self.is_open else 'opening'
+        state = (
+            'over' if self.is_over else 'open' if self.is_open else 'opening'
+        )
         self.resets.append((self.record.now(), state, near, is_own))
         self.record.line(
             f'requester: {flow_text(self.key)} ({state}, ack {self.ack}) gets '
-            f'{"a server" if is_own else "the system"}\'s reset: '
+            f"{'a server' if is_own else 'the system'}'s reset: "
             f'{packet.text()}, {"within" if near else "outside"} the window'
         )
         if not self.is_open or near:
@@ -1096,9 +1101,10 @@
     """Return ports that are free on all loopback addresses now."""
     found = []
     while len(found) < count:
-        with socket.socket() as tcp, socket.socket(
-            socket.AF_INET, socket.SOCK_DGRAM
-        ) as udp:
+        with (
+            socket.socket() as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
             tcp.bind(('0.0.0.0', 0))
             port = tcp.getsockname()[1]
             try:
