--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 
 from standins import config, main  # noqa: E402
 
-ROUTE = ('198.18.0.1', 443)
+ROUTE = ('127.78.0.1', 443)
 WORK_S = 0.026
 PAUSE_S = 0.01
 MAX_FLOW_S = 60.0
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 
 from standins import CannotRun, config, main  # noqa: E402
 
-ROUTE = ('198.18.0.1', 443)
+ROUTE = ('127.78.0.1', 443)
 STORE_DOWN_S = 4.5
 RESTART_DELAY_S = 0.3
 STABLE_WINDOW_S = 4.0
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 
 from standins import CannotRun, call_http, config, main  # noqa: E402
 
-ROUTE = ('198.18.0.1', 443)
+ROUTE = ('127.78.0.1', 443)
 FLOWS = 12
 
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -27,6 +27,16 @@
 KEY = b'review key'
 RESET_WINDOW = 76_800
 
+# The addresses that the cases use: the store's, and those of up to four
+# fronts, four machines beside servers and one requester.
+STORE_HOST = '127.77.0.1'
+HOSTS = (
+    STORE_HOST,
+    *(f'127.77.1.{number}' for number in range(1, 5)),
+    *(f'127.77.2.{number}' for number in range(1, 5)),
+    '127.77.3.1',
+)
+
 
 class CannotRun(Exception):
     """The case could not be set up."""
@@ -967,7 +977,7 @@
         self.servers = []
         self.requesters = []
         self.ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
-        self.store = Store('127.77.0.1', self.ports['store'], self.record)
+        self.store = Store(STORE_HOST, self.ports['store'], self.record)
         self.router = Router(self)
         self._logs = []
         self._directory = Path(tempfile.mkdtemp(prefix='review-'))
@@ -1098,22 +1108,26 @@
 
 
 def free_ports(count):
-    """Return ports that are free on all loopback addresses now."""
+    """Return ports that are free on all addresses of the cases now."""
     found = []
     while len(found) < count:
-        with (
-            socket.socket() as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-        ):
-            tcp.bind(('0.0.0.0', 0))
-            port = tcp.getsockname()[1]
+        with socket.socket() as probe:
+            probe.bind((STORE_HOST, 0))
+            port = probe.getsockname()[1]
+        if port not in found and all(is_free(host, port) for host in HOSTS):
+            found.append(port)
+    return found
+
+
+def is_free(host, port):
+    """Return whether a port is free on an address, for TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                udp.bind(('0.0.0.0', port))
+                probe.bind((host, port))
             except OSError:
-                continue
-            if port not in found:
-                found.append(port)
-    return found
+                return False
+    return True
 
 
 def config(version, routes):
