Add messages for evacuations, policies and state offers

Evacuated failure domains and the policies of routes and services are exchanged under names of their own, and agents learn theirs by TargetPolicy. Nothing uses the messages yet.

--- a/packages/core/src/trefoilhaven_core/wire/kinds.py
+++ b/packages/core/src/trefoilhaven_core/wire/kinds.py
@@ -49,4 +49,6 @@
     38: connections.RouteReply,
     39: connections.TargetsQuery,
     40: connections.TargetsReply,
+    41: connections.TargetPolicy,
+    42: connections.StateOffer,
 }
