Add the gateway setting evacuations

A deployment with a bound on evacuations asks for them; others are served as before, so the setting is off by default. Field tables had no boolean kind.

--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -15,6 +15,7 @@
 SLOTS: Final = 2
 PROCESSOR_SHARE: Final = 0.15
 PROCESSOR_SPEED: Final = 1.0
+EVACUATIONS: Final = False
 
 # Service files.
 IDLE_TIMEOUT_S: Final = 3600.0
--- a/packages/core/src/trefoilhaven_core/settings/fields.py
+++ b/packages/core/src/trefoilhaven_core/settings/fields.py
@@ -16,6 +16,7 @@
     url = 'url'
     integer = 'integer'
     number = 'number'
+    boolean = 'boolean'
     choice = 'choice'
     names = 'names'
     section = 'section'
--- a/packages/core/src/trefoilhaven_core/settings/readers.py
+++ b/packages/core/src/trefoilhaven_core/settings/readers.py
@@ -87,6 +87,7 @@
             FieldKind.url: self._url,
             FieldKind.integer: self._integer,
             FieldKind.number: self._number,
+            FieldKind.boolean: self._boolean,
             FieldKind.choice: self._choice,
             FieldKind.names: self._names,
             FieldKind.section: self._section,
@@ -183,6 +184,11 @@
         bounded = self._bounded(path, raw, field)
         return bounded if bounded is _INVALID else float(bounded)
 
+    def _boolean(self, path: str, raw: Any, field: Field) -> Any:
+        if isinstance(raw, bool):
+            return raw
+        return self._wrong_type(path, raw, 'a boolean')
+
     def _bounded(self, path: str, raw: float, field: Field) -> Any:
         low = -math.inf if field.minimum is None else field.minimum
         high = math.inf if field.maximum is None else field.maximum
--- a/packages/core/src/trefoilhaven_core/settings/schemas.py
+++ b/packages/core/src/trefoilhaven_core/settings/schemas.py
@@ -76,6 +76,8 @@
             return _list(field, names)
         case FieldKind.choice:
             return {'enum': list(field.choices)}
+        case FieldKind.boolean:
+            return {'type': 'boolean'}
         case FieldKind.integer | FieldKind.number:
             return {'type': field.kind.value} | _bounds(
                 field,
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -244,6 +244,12 @@
         minimum=0.001,
         maximum=100,
     ),
+    Field(
+        'evacuations',
+        FieldKind.boolean,
+        'Whether evacuations of failure domains are read from the platform.',
+        default=defaults.EVACUATIONS,
+    ),
 )
 
 SIDECAR_FIELDS: Final[FieldTable] = (
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -4,6 +4,7 @@
 
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.settings.defaults import (
+    EVACUATIONS,
     PROCESSOR_SHARE,
     PROCESSOR_SPEED,
 )
@@ -113,7 +114,8 @@
     ``seeds`` holds addresses of other balancers. ``control`` is a UDP and
     a TCP address. ``processor_share`` is the share of a core that the process
     may use, and ``processor_speed`` the speed of this core relative to a usual
-    one.
+    one. With ``evacuations``, the evacuated failure domains are read from the
+    platform.
     """
 
     name: str
@@ -129,6 +131,7 @@
     segments: Address
     processor_share: float = PROCESSOR_SHARE
     processor_speed: float = PROCESSOR_SPEED
+    evacuations: bool = EVACUATIONS
 
     @property
     def processor_cores(self) -> float:
