Place no new connections in evacuated failure domains

Targets of evacuated domains are left out of the choice. When all domains with targets are evacuated, an opening is reset at once, unless the list of targets is incomplete or an earlier target left a copy unanswered: it may have accepted the connection, which must not be reset once it is open.

--- a/packages/core/src/trefoilhaven_core/connections/caches.py
+++ b/packages/core/src/trefoilhaven_core/connections/caches.py
@@ -30,12 +30,14 @@
 
     ``opening_sequence`` is the sequence number of the opening segment, None
     if this balancer has not placed the connection. ``tried`` names the targets
-    at which that segment was tried before.
+    at which that segment was tried before, and ``is_unanswered`` tells whether
+    one of them left it unanswered and may have accepted it.
     """
 
     __slots__ = (
         'incarnation',
         'is_accepted',
+        'is_unanswered',
         'opening_sequence',
         'service',
         'target',
@@ -46,6 +48,7 @@
         """Create a route that the target has not accepted yet."""
         self.incarnation = member.incarnation
         self.is_accepted = False
+        self.is_unanswered = False
         self.opening_sequence: int | None = None
         self.service = member.service
         self.target = member.target
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -22,6 +22,7 @@
     no_route = 'no route for the address'
     not_held = 'no target holds the connection'
     target_gone = 'the target has ended'
+    evacuated = 'all failure domains with targets are evacuated'
 
 
 class DropCause(Enum):
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from typing import Final
 
 from trefoilhaven_core.connections.caches import (
@@ -125,7 +126,10 @@
                 return []
             if known.opening_sequence != segment.sequence:
                 return []
-            return self._place(now, segment, (*known.tried, known.target))
+            tried = (*known.tried, known.target)
+            return self._place(
+                now, segment, tried, is_unanswered=known.is_unanswered
+            )
         if returned.reason is ReturnReason.not_held and is_from_known:
             self._cache.remove(key)
         elif known is not None:
@@ -214,15 +218,24 @@
         is_retransmission = segment.acknowledged > len(known.tried)
         if is_retransmission and not known.is_accepted:
             tried = (*known.tried, known.target)
-            return self._place(now, segment, tried) or [
+            return self._place(now, segment, tried, is_unanswered=True) or [
                 self._forward(known, segment)
             ]
         return [self._forward(known, segment)]
 
     def _place(
-        self, now: float, segment: Segment, tried: tuple[str, ...]
+        self,
+        now: float,
+        segment: Segment,
+        tried: tuple[str, ...],
+        *,
+        is_unanswered: bool = False,
     ) -> list[Effect]:
-        """Choose a target for a new connection."""
+        """Choose a target for a new connection.
+
+        ``is_unanswered`` tells whether one of the targets that were tried may
+        have accepted it.
+        """
         if len(tried) >= OPENING_TRIES:
             return [DropSegment(segment, DropCause.no_target)]
         address = segment.key[2:]
@@ -235,13 +248,22 @@
         )
         member = next(filter(None, chosen), None)
         if member is None:
+            if not is_unanswered and self._is_evacuated(services):
+                cause = ResetCause.evacuated
+                return [ResetClient(segment.key, segment.acknowledged, cause)]
             return [DropSegment(segment, DropCause.no_target)]
         route = self._cache.add(segment.key, member)
+        route.is_unanswered = is_unanswered
         route.opening_sequence = segment.sequence
         route.tried = tried
         placed = self._selector.placement(now, segment.key, member, tried)
         return [placed, self._forward(route, segment)]
 
+    def _is_evacuated(self, services: Iterable[str]) -> bool:
+        """Return whether evacuations leave no target, as far as is known."""
+        is_complete = self.searches.is_membership_complete
+        return is_complete and self._selector.is_evacuated(services)
+
     def _forward(self, route: CachedRoute, segment: Segment) -> SendMessage:
         member = self._selector.member(route.service, route.target)
         forward = SegmentForward(
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -33,8 +33,10 @@
     def __init__(self, failure_domain: str) -> None:
         """Start without targets; ``failure_domain`` is the balancer's own.
 
-        ``revision`` increases with each change of the members.
+        ``revision`` increases with each change of the members. Targets in
+        ``evacuated_domains`` get no new connections.
         """
+        self.evacuated_domains: frozenset[str] = frozenset()
         self.failure_detector = AgentFailureDetector()
         self.revision = 0
         self._domain = failure_domain
@@ -237,6 +239,7 @@
             if target.member.state is MemberState.alive
             and target.is_present
             and target.member.target not in excluded
+            and target.member.failure_domain not in self.evacuated_domains
         ]
         heard = [
             target
@@ -251,6 +254,19 @@
         chosen.placed += 1
         return chosen.member
 
+    def is_evacuated(self, services: Iterable[str]) -> bool:
+        """Return whether all domains with targets of services are evacuated.
+
+        Targets that drain are left out, since they take no new connections
+        either. The result is false without a target.
+        """
+        domains = {
+            member.failure_domain
+            for member in self.members(services)
+            if member.state is not MemberState.draining
+        }
+        return bool(domains) and domains <= self.evacuated_domains
+
     def _silent_limit_s(self, target: TargetState) -> float:
         """Return the time without reports after which an agent is silent."""
         is_near = target.member.failure_domain == self._domain
