--- a/packages/core/src/trefoilhaven_core/connections/pacing.py
+++ b/packages/core/src/trefoilhaven_core/connections/pacing.py
@@ -10,8 +10,10 @@
 
 from trefoilhaven_core.membership.messages import Member
 
-# Bytes of a hello and of a report, including UDP and IP headers.
+# Bytes of a hello, of a policy sent along with it, and of a report, including
+# UDP and IP headers.
 HELLO_BYTES: Final = 110
+POLICY_BYTES: Final = 120
 REPORT_BYTES: Final = 260
 
 # Shares of hellos and of reports in the 20 KB/s that a node may use for
@@ -19,8 +21,20 @@
 HELLO_BYTES_PER_S: Final = 2_500
 REPORT_BYTES_PER_S: Final = 8_000
 
+# Share of policies that a balancer sends at once after a change. Balancers
+# send no reports; the rest of their budget is left to gossip and questions.
+PROMPT_BYTES_PER_S: Final = 12_000
+
 HELLO_S: Final = 1.0
 
+# Interval in seconds between two batches of policies after a change.
+PROMPT_INTERVAL_S: Final = 0.25
+
+# Policies of a batch that the budget allows.
+MAX_PROMPT_POLICIES: Final = int(
+    PROMPT_INTERVAL_S * PROMPT_BYTES_PER_S / POLICY_BYTES
+)
+
 # Hellos that the budget allows within ``HELLO_S``.
 MAX_HELLOS: Final = int(HELLO_S * HELLO_BYTES_PER_S / HELLO_BYTES)
 
@@ -53,25 +67,34 @@
         now: float,
         members: Sequence[Member],
         unheard_members: Sequence[Member],
+        hello_bytes: int = HELLO_BYTES,
     ) -> Sequence[Member]:
-        """Return the members to send a hello to at the monotonic ``now``."""
+        """Return the members to send a hello to at the monotonic ``now``.
+
+        ``hello_bytes`` includes what is sent along with each hello.
+        """
         if now < self._all_due:
-            return self._take(unheard_members)
-        self._all_due = now + hello_interval_s(len(members))
+            return self._take(unheard_members, hello_bytes)
+        self._all_due = now + hello_interval_s(len(members), hello_bytes)
         return members
 
-    def _take(self, members: Sequence[Member]) -> Sequence[Member]:
+    def _take(
+        self, members: Sequence[Member], hello_bytes: int
+    ) -> Sequence[Member]:
         """Return the next members in turn, as many as the budget allows."""
         start = self._next_unheard
         if start >= len(members):
             start = 0
-        self._next_unheard = start + MAX_HELLOS
+        self._next_unheard = start + MAX_HELLOS * HELLO_BYTES // hello_bytes
         return members[start : self._next_unheard]
 
 
-def hello_interval_s(targets: int) -> float:
-    """Return the interval in seconds between two hellos to all targets."""
-    return max(HELLO_S, targets * HELLO_BYTES / HELLO_BYTES_PER_S)
+def hello_interval_s(targets: int, hello_bytes: int = HELLO_BYTES) -> float:
+    """Return the interval in seconds between two hellos to all targets.
+
+    ``hello_bytes`` includes what is sent along with each hello.
+    """
+    return max(HELLO_S, targets * hello_bytes / HELLO_BYTES_PER_S)
 
 
 def changed_report_interval_s(near_balancers: int) -> float:
