Read policies of routes and services from the configuration

They are read apart from the routes: a route or service with a missing or odd field has no policy, and the routes stay readable.

--- a/packages/core/src/trefoilhaven_core/platform/adapters.py
+++ b/packages/core/src/trefoilhaven_core/platform/adapters.py
@@ -11,6 +11,7 @@
 from expression import Result
 
 from trefoilhaven_core.connections.messages import ConnectionKey, SegmentCodec
+from trefoilhaven_core.connections.policies import Policies
 from trefoilhaven_core.connections.routes import RouteConfiguration
 from trefoilhaven_core.membership.messages import Address, MemberState
 from trefoilhaven_core.platform.clients import PlatformClient
@@ -20,6 +21,10 @@
 ROUTES_PREFIX = 'config/'
 ROUTES_PATH = 'config/main'
 
+# Prefix of the objects that evacuate failure domains; their names are those of
+# the domains, and their content is empty.
+EVACUATIONS_PREFIX = 'evacuations/'
+
 
 class TargetAnnouncement(NamedTuple):
     """Announcement in which a target describes itself.
@@ -70,6 +75,13 @@
     def read_routes(self, content: Any) -> Result[RouteConfiguration, Findings]:
         """Return the routes in the operator's configuration, or findings."""
 
+    @abstractmethod
+    def read_policies(self, content: Any) -> Policies:
+        """Return the policies in the operator's configuration.
+
+        A route or service without readable policies has none.
+        """
+
     @abstractmethod
     async def serve_readiness(self, is_ready: Callable[[], bool]) -> None:
         """Answer the fabric's readiness checks of this process."""
