Read evacuations at gateways and tell the agents

Gateways with the setting watch evacuations/, keep the complete set from listings and watches, and spread what changed. Policies of the configuration are spread as @policies at its version. Names that begin with @ are no services.

A gateway is not ready before it knows the evacuations, but waits at most 5 s: a store that refuses this kind of object would keep all gateways out. Agents get a TargetPolicy with hellos, at 61 targets with every fourth, as hellos would be 5.6 s apart otherwise.

connections_reset is counted by cause at gateways.

--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from trefoilhaven.balancer.gossip import GossipTask, PeerAddresses
+from trefoilhaven.gateway.evacuations import EvacuationTask
 from trefoilhaven.gateway.membership import (
     MembershipTask,
     TransferStateFetcher,
@@ -19,7 +20,13 @@
 )
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven.gateway.target_policies import TargetPolicySender
+from trefoilhaven_core.connections.evacuations import EVACUATIONS_NAME
 from trefoilhaven_core.connections.pacing import far_report_interval_s
+from trefoilhaven_core.connections.policies import (
+    POLICIES_NAME,
+    encode_policies,
+)
 from trefoilhaven_core.connections.route_codec import ROUTES_NAME, encode_routes
 from trefoilhaven_core.membership.dissemination import Disseminator
 from trefoilhaven_core.membership.messages import (
@@ -106,6 +113,10 @@
             lambda _: self.membership.registered.set(),
         )
         self._registrar.set_desired(balancer_content(own))
+        self._target_policies = TargetPolicySender(state, endpoint)
+        self.evacuations = EvacuationTask(
+            state, self._client, self.gossip, rng, self._watch_timeout_s
+        )
         self.membership = MembershipTask(
             state,
             self.gossip,
@@ -113,6 +124,7 @@
             endpoint,
             transfers,
             segments,
+            self._target_policies,
             rng,
         )
 
@@ -123,6 +135,7 @@
             self.membership.run(),
             self._registrar.run(),
             self._watch_routes(),
+            self.evacuations.run(),
         )
 
     def _seed_addresses(self) -> Iterable[Address]:
@@ -139,7 +152,10 @@
 
     def _on_gossip(self, services: Iterable[str]) -> None:
         """Apply records that a peer sent."""
-        log_changed_targets(self._state.refresh(services), 'a peer')
+        touched = set(services)
+        log_changed_targets(self._state.refresh(touched), 'a peer')
+        if not touched.isdisjoint((POLICIES_NAME, EVACUATIONS_NAME)):
+            self._target_policies.on_change(monotonic())
 
     async def _run_gossip(self) -> None:
         while True:
@@ -151,6 +167,8 @@
                     Changes(name, (), detections.balancers)
                 )
             self.gossip.tick(now, detections.probes)
+            self.evacuations.tick(now)
+            self._target_policies.tick(now)
             self._state.store.forget(now)
             self._state.refresh_peers()
             report_s = far_report_interval_s(len(self._state.store.balancers))
@@ -166,14 +184,15 @@
             backoff_limit_s=WATCH_BACKOFF_LIMIT_S,
         )
         while True:
-            name = self._state.cfg.name
-            rank = balancer_rank(name, self._state.store.balancers)
-            is_short = rank < SHORT_WATCH_GATEWAYS
-            watcher.watch_timeout_s = (
-                SHORT_WATCH_TIMEOUT_S if is_short else LONG_WATCH_TIMEOUT_S
-            )
+            watcher.watch_timeout_s = self._watch_timeout_s()
             await watcher.poll_with_backoff()
 
+    def _watch_timeout_s(self) -> float:
+        name = self._state.cfg.name
+        rank = balancer_rank(name, self._state.store.balancers)
+        is_short = rank < SHORT_WATCH_GATEWAYS
+        return SHORT_WATCH_TIMEOUT_S if is_short else LONG_WATCH_TIMEOUT_S
+
     def _on_routes(self, change: ObjectChange) -> None:
         if change.deleted or change.path != ROUTES_PATH:
             return
@@ -182,11 +201,15 @@
             findings = [str(finding) for finding in read.error]
             logger.error('configuration rejected', extra={'findings': findings})
             return
+        version = read.ok.version
+        self._distribute(ROUTES_NAME, version, encode_routes(read.ok))
+        policies = self._adapter.read_policies(change.content)
+        # Without any policies now and before, there is nothing to say.
+        if policies[1:] != self._state.policies[1:] or any(policies[1:]):
+            content = encode_policies(policies._replace(version=version))
+            self._distribute(POLICIES_NAME, version, content)
+
+    def _distribute(self, name: str, version: int, content: bytes) -> None:
         self.gossip.disseminate_configuration(
-            ConfigurationNotice(
-                self._state.cfg.name,
-                ROUTES_NAME,
-                read.ok.version,
-                encode_routes(read.ok),
-            )
+            ConfigurationNotice(self._state.cfg.name, name, version, content)
         )
--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -9,12 +9,13 @@
 import contextlib
 import logging
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 from trefoilhaven.balancer.gossip import GossipTask, StateFetcher
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven.gateway.target_policies import TargetPolicySender
 from trefoilhaven_core.connections.messages import (
     BalancerHello,
     TargetReport,
@@ -102,6 +103,7 @@
         endpoint: DatagramEndpoint,
         transfers: TransferEndpoint,
         segments: SegmentTask,
+        target_policies: TargetPolicySender,
         rng: random.Random,
     ) -> None:
         """Register the handlers of reports and of state requests.
@@ -115,6 +117,7 @@
         self._client = client
         self._endpoint = endpoint
         self._segments = segments
+        self._target_policies = target_policies
         self._rng = rng
         self._hello = BalancerHello(
             cfg.name, cfg.failure_domain, state.runtime.incarnation, HELLO_S
@@ -138,13 +141,20 @@
         schedule = HelloSchedule()
         while True:
             unheard = self._state.target_selector.unheard_members()
-            self._send_hello(
-                schedule.recipients(monotonic(), self._state.targets(), unheard)
+            recipients = schedule.recipients(
+                monotonic(),
+                self._state.targets(),
+                unheard,
+                self._target_policies.hello_bytes,
             )
+            self._send_hello(recipients)
+            self._target_policies.send_with_hello(recipients)
             await asyncio.sleep(HELLO_S)
 
-    def _send_hello(self, members: Iterable[Member]) -> None:
-        interval_s = hello_interval_s(len(self._state.targets()))
+    def _send_hello(self, members: Sequence[Member]) -> None:
+        interval_s = hello_interval_s(
+            len(self._state.targets()), self._target_policies.hello_bytes
+        )
         hello = self._hello._replace(interval_s=interval_s)
         addresses = [member.control for member in members]
         self._endpoint.send(hello, *addresses)
@@ -199,10 +209,12 @@
 
     def _set_membership_complete(self, source: str) -> None:
         self._state.set_membership_complete(monotonic())
-        self._send_hello(self._state.targets())
+        targets = self._state.targets()
+        self._send_hello(targets)
+        self._target_policies.send(targets)
         logger.info(
             'list of targets is known',
-            extra={'source': source, 'targets': len(self._state.targets())},
+            extra={'source': source, 'targets': len(targets)},
         )
 
     def _ask_peers(self, since: float) -> None:
--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -19,6 +19,7 @@
     Placed,
     QueryMember,
     QueryPeer,
+    ResetCause,
     ResetClient,
     SendMessage,
     UnknownTarget,
@@ -71,7 +72,10 @@
             cause: metrics.counter('segments_dropped', reason=cause.name)
             for cause in DropCause
         }
-        self._resets = metrics.counter('connections_reset')
+        self._resets = {
+            cause: metrics.counter('connections_reset', cause=cause.name)
+            for cause in ResetCause
+        }
         self._forwards = metrics.counter('segments_forwarded')
         self._placed = metrics.counter('connections_placed')
         self._search_time = metrics.histogram('holder_search')
@@ -254,7 +258,10 @@
             return
         raw = self._adapter.codec.encode_reset(effect.key, effect.sequence)
         self._raw_endpoint.send(raw, self._adapter.client_address(effect.key))
-        self._resets.add()
+        self._resets[effect.cause].add()
+        if effect.cause is ResetCause.evacuated:
+            self._log_evacuated(effect)
+            return
         logger.info(
             'connection reset',
             extra={
@@ -264,3 +271,16 @@
                 'version': self._state.routes.version,
             },
         )
+
+    def _log_evacuated(self, effect: ResetClient) -> None:
+        evacuations = self._state.evacuations
+        self._log.warn(
+            monotonic(),
+            effect.cause.name,
+            'connection reset',
+            connection=connection_text(effect.key),
+            reason=effect.cause.value,
+            domains=sorted(self._state.target_selector.evacuated_domains),
+            era=evacuations.era,
+            revision=evacuations.revision,
+        )
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -2,9 +2,20 @@
 
 import logging
 import random
-from collections.abc import Iterable
-from typing import Final
-
+from collections.abc import Callable, Iterable
+from typing import Final, TypeVar
+
+from trefoilhaven_core.connections.evacuations import (
+    EVACUATIONS_NAME,
+    UNKNOWN_EVACUATIONS,
+    Evacuations,
+    decode_evacuations,
+)
+from trefoilhaven_core.connections.policies import (
+    POLICIES_NAME,
+    Policies,
+    decode_policies,
+)
 from trefoilhaven_core.connections.route_codec import (
     ROUTES_NAME,
     decode_routes,
@@ -31,6 +42,14 @@
 MIN_REPORTED_SHARE: Final = 0.6
 MAX_REPORT_WAIT_S: Final = 1.5
 
+# A gateway that reads evacuations is not ready until it knows them, but waits
+# no longer than this time, in seconds, once the list of targets is complete:
+# no gateway would ever be ready if the store refused this kind of object.
+# Peers that know the evacuations send them with their state or next digest.
+MAX_EVACUATIONS_WAIT_S: Final = 5.0
+
+_Value = TypeVar('_Value')
+
 
 class GatewayState:
     """Records, routes and connections of one gateway.
@@ -49,6 +68,8 @@
         self.runtime = runtime
         self.store = ViewStore()
         self.routes = AddressRoutes()
+        self.policies = Policies()
+        self.evacuations = UNKNOWN_EVACUATIONS
         self.target_selector = TargetSelector(cfg.failure_domain)
         self.confirmation = MembershipConfirmation(
             Origin(cfg.failure_domain, runtime.incarnation)
@@ -58,6 +79,11 @@
         )
         self.is_stopping = False
         self._complete_at: float | None = None
+        self._has_evacuations = False
+        runtime.metrics.gauge(
+            'evacuated_domains',
+            lambda: len(self.target_selector.evacuated_domains),
+        )
 
     def not_ready_reason(self, now: float) -> str:
         """Return why this process must not get traffic, '' when ready."""
@@ -68,6 +94,12 @@
         if self._complete_at is None:
             return 'the list of targets is not known'
         waited_s = now - self._complete_at
+        if (
+            self.cfg.evacuations
+            and not self._has_evacuations
+            and waited_s < MAX_EVACUATIONS_WAIT_S
+        ):
+            return 'the evacuations are not known'
         if (
             self.target_selector.reported_share() < MIN_REPORTED_SHARE
             and waited_s < MAX_REPORT_WAIT_S
@@ -114,7 +146,11 @@
         for service in services:
             if service == ROUTES_NAME:
                 self._apply_routes()
-            else:
+            elif service == POLICIES_NAME:
+                self._apply_policies()
+            elif service == EVACUATIONS_NAME:
+                self._apply_evacuations()
+            elif not service.startswith('@'):
                 members = self.store.members(service)
                 changed += self.target_selector.set_members(service, members)
         return changed if self.router.searches.is_membership_complete else []
@@ -129,24 +165,88 @@
         merged = self.store.merge(map(mark_left, replaced))
         self.refresh({member.service for member in merged.members})
 
-    def _apply_routes(self) -> None:
-        stored = self.store.configuration(ROUTES_NAME)
-        if stored.version <= self.routes.version:
-            return
+    def use_evacuated_domains(self, domains: frozenset[str]) -> None:
+        """Stop placing connections in some failure domains, and no others."""
+        self._has_evacuations = True
+        self.target_selector.evacuated_domains = domains
+
+    def _read_stored(
+        self,
+        name: str,
+        version: int,
+        decode: Callable[[bytes], _Value],
+    ) -> _Value | None:
+        """Return a configuration above a version, None without one."""
+        stored = self.store.configuration(name)
+        if stored.version <= version:
+            return None
         try:
-            configuration = decode_routes(stored.content)
+            return decode(stored.content)
         except DECODE_ERRORS as exc:
             logger.exception(
                 'configuration rejected',
-                extra={'version': stored.version, 'reason': str(exc)},
+                extra={
+                    'kind': name,
+                    'version': stored.version,
+                    'reason': str(exc),
+                },
             )
+            return None
+
+    def _apply_policies(self) -> None:
+        policies = self._read_stored(
+            POLICIES_NAME, self.policies.version, decode_policies
+        )
+        if policies is None or policies.version <= self.policies.version:
             return
-        if self.routes.offer(configuration):
+        self.policies = policies
+        logger.info(
+            'policies in force',
+            extra={
+                'version': policies.version,
+                'routes': len(policies.routes),
+                'services': len(policies.services),
+            },
+        )
+
+    def _apply_evacuations(self) -> None:
+        before = self.evacuations
+        evacuations = self._read_stored(
+            EVACUATIONS_NAME, before.version, decode_evacuations
+        )
+        if evacuations is None or evacuations.version <= before.version:
+            return
+        self.evacuations = evacuations
+        self.use_evacuated_domains(evacuations.domains)
+        self._log_evacuations(before, evacuations)
+
+    def _log_evacuations(self, before: Evacuations, now: Evacuations) -> None:
+        domains = ', '.join(sorted(now.domains)) or 'none'
+        self.runtime.publish('evacuations in force', detail=domains)
+        logger.info(
+            'evacuations in force',
+            extra={
+                'domains': sorted(now.domains),
+                'before': sorted(before.domains),
+                'era': now.era,
+                'revision': now.revision,
+                'is_settled': now.is_settled,
+            },
+        )
+
+    def _apply_routes(self) -> None:
+        configuration = self._read_stored(
+            ROUTES_NAME, self.routes.version, decode_routes
+        )
+        if configuration and self.routes.offer(configuration):
             self.runtime.publish(
                 'configuration in force',
-                detail=f'version {stored.version}',
+                detail=f'version {configuration.version}',
             )
             logger.info(
                 'configuration in force',
-                extra={'version': stored.version, 'routes': len(self.routes)},
+                extra={
+                    'version': configuration.version,
+                    'routes': len(self.routes),
+                },
             )
--- /dev/null
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_evacuation_schedules.py
@@ -0,0 +1,153 @@
+"""Random schedules of evacuations at several gateways."""
+
+import random
+from collections.abc import Iterable
+from unittest import mock
+
+import pytest
+from trefoilhaven.gateway.tests.evacuation_fixture import (
+    Gateway,
+    ScriptedStore,
+)
+from trefoilhaven_core.connections.evacuations import (
+    ERA_HOLD_S,
+    EVACUATIONS_NAME,
+)
+from trefoilhaven_core.membership.messages import (
+    ConfigurationNotice,
+)
+
+
+class Fleet:
+    """Gateways that see the store and each other's notices late."""
+
+    def __init__(self, seed: int) -> None:
+        """Start with five gateways."""
+        self.rng = random.Random(seed)
+        self.store = ScriptedStore()
+        self.store.era = self.rng.randrange(2)
+        self.gateways = [Gateway(self.store) for _ in range(5)]
+        self.now = 1000.0
+        self._pending: list[tuple[int, ConfigurationNotice]] = []
+        self._known: list[int] = [0] * len(self.gateways)
+
+    async def poll(self, number: int) -> None:
+        """Let one gateway call the store, and list again after a failure."""
+        gateway = self.gateways[number]
+        if await gateway.poll() is not None:
+            gateway.task.evacuations._revision = None  # noqa: SLF001
+        self.spread(number)
+
+    def spread(self, number: int) -> None:
+        """Queue what a gateway has in force for all others."""
+        notice = self.gateways[number].notice()
+        if notice.version <= self._known[number]:
+            return
+        self._known[number] = notice.version
+        others = range(len(self.gateways))
+        self._pending += [(peer, notice) for peer in others if peer != number]
+
+    def deliver(self, share: float) -> None:
+        """Deliver a share of the notices in any order, and lose some."""
+        self.rng.shuffle(self._pending)
+        count = round(len(self._pending) * share)
+        arrived = self._pending[:count]
+        self._pending = self._pending[count:]
+        for number, notice in arrived:
+            if self.rng.random() < 0.2:
+                continue
+            self.gateways[number].receive(notice)
+            self.spread(number)
+
+    def restart(self, number: int) -> None:
+        """Replace a gateway by one that fetches a peer's state."""
+        peer = self.gateways[number - 1]
+        started = Gateway(self.store)
+        stored = peer.state.store.configuration(EVACUATIONS_NAME)
+        if stored.version:
+            started.receive(ConfigurationNotice('g2', *stored))
+        self.gateways[number] = started
+        self._known[number] = 0
+
+    def change(self) -> None:
+        """Let the operator evacuate or take back a domain, or both."""
+        domain = self.rng.choice('abcz')
+        if domain in self.store.domains:
+            self.store.remove(domain)
+            if self.rng.random() < 0.3:
+                self.store.write(domain)
+            return
+        self.store.write(domain)
+        if self.rng.random() < 0.3:
+            self.store.remove(domain)
+
+    def restore(self) -> None:
+        """Bring the store back older; the operator writes all again."""
+        wanted = set(self.store.domains)
+        self.store.restore()
+        for domain in sorted(self.store.domains - wanted):
+            self.store.remove(domain)
+        for domain in sorted(wanted):
+            self.store.write(domain)
+
+    async def step(self, *, is_restored: bool) -> None:
+        """Let something happen."""
+        self.now += self.rng.random()
+        kind = self.rng.random()
+        if kind < 0.2:
+            self.change()
+        elif kind < 0.25:
+            self.restart(self.rng.randrange(len(self.gateways)))
+        elif kind < 0.3:
+            self.store.copy()
+        elif kind < 0.33 and is_restored:
+            self.restore()
+        elif kind < 0.4:
+            self.store.refuses = not self.store.refuses
+        elif kind < 0.7:
+            await self.poll(self.rng.randrange(len(self.gateways)))
+        else:
+            self.deliver(0.5)
+
+    async def settle(self) -> None:
+        """Let the store serve until the hold of a new era has ended."""
+        self.store.refuses = False
+        for _ in range(4):
+            for number in range(len(self.gateways)):
+                await self.poll(number)
+            self.now += ERA_HOLD_S
+        self.deliver(1.0)
+        for number in range(len(self.gateways)):
+            await self.poll(number)
+
+    def digests(self) -> Iterable[int]:
+        """Return the versions in force, which digests compare."""
+        return (each.state.evacuations.version for each in self.gateways)
+
+
+class TestSchedules:
+    """Random schedules of gateways whose views have different ages."""
+
+    @pytest.mark.parametrize('seed', range(30))
+    async def test_converges(self, seed: int) -> None:
+        """Guards against gateways that keep different sets, or a wrong one.
+
+        The domains in force never go back to a lower version on the way.
+        """
+        fleet = Fleet(seed)
+        fleet.store.copy()
+        with mock.patch(
+            'trefoilhaven.gateway.evacuations.monotonic',
+            side_effect=lambda: fleet.now,
+        ):
+            for _ in range(300):
+                gateways = list(fleet.gateways)
+                before = list(fleet.digests())
+                await fleet.step(is_restored=bool(seed % 2))
+                for number, gateway in enumerate(gateways):
+                    if fleet.gateways[number] is gateway:
+                        version = gateway.state.evacuations.version
+                        assert version >= before[number]
+            await fleet.settle()
+        wanted = fleet.store.domains
+        assert [each.evacuated for each in fleet.gateways] == [wanted] * 5
--- a/packages/core/src/trefoilhaven_core/connections/pacing.py
+++ b/packages/core/src/trefoilhaven_core/connections/pacing.py
@@ -27,6 +27,10 @@
 
 HELLO_S: Final = 1.0
 
+# An agent of a large deployment gets its policy with one of so many hellos of
+# each balancer; with many balancers that is still about twice a second.
+MAX_HELLOS_PER_POLICY: Final = 4
+
 # Interval in seconds between two batches of policies after a change.
 PROMPT_INTERVAL_S: Final = 0.25
 
@@ -89,6 +93,19 @@
         return members[start : self._next_unheard]
 
 
+def hellos_per_policy(targets: int) -> int:
+    """Return with how many hellos an agent gets its policy once.
+
+    With every hello, the hellos of a balancer with 61 targets would be 5.6 s
+    apart instead of 2.7 s, and an agent that restarts without the store would
+    know all balancers as much later.
+    """
+    all_bytes = targets * (HELLO_BYTES + POLICY_BYTES)
+    if all_bytes <= HELLO_S * HELLO_BYTES_PER_S:
+        return 1
+    return MAX_HELLOS_PER_POLICY
+
+
 def hello_interval_s(targets: int, hello_bytes: int = HELLO_BYTES) -> float:
     """Return the interval in seconds between two hellos to all targets.
 
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_target_policies.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_target_policies.py
@@ -5,12 +5,14 @@
 from trefoilhaven_core.connections.pacing import (
     HELLO_BYTES,
     HELLO_BYTES_PER_S,
+    MAX_HELLOS_PER_POLICY,
     MAX_PROMPT_POLICIES,
     POLICY_BYTES,
     PROMPT_BYTES_PER_S,
     PROMPT_INTERVAL_S,
     HelloSchedule,
     hello_interval_s,
+    hellos_per_policy,
 )
 from trefoilhaven_core.connections.policies import Policies, ServicePolicy
 from trefoilhaven_core.connections.target_policies import (
@@ -108,6 +110,11 @@
             interval_s = hello_interval_s(targets, both)
             assert targets * both / interval_s <= HELLO_BYTES_PER_S
 
+    def test_hellos_per_policy(self) -> None:
+        """Guards against policies that are rarer than the budget allows."""
+        assert hellos_per_policy(10) == 1
+        assert hellos_per_policy(61) == MAX_HELLOS_PER_POLICY
+
     def test_budget_of_further_hellos(self) -> None:
         """Guards against a burst to agents that have not reported."""
         members = [make_member(f't{number}') for number in range(500)]
