Settle a new era by an answer from after its hold

A gateway that did not reach the store during the hold settled by its first listing, which lacks what the operator has written again since, and the evacuation ended for a moment everywhere. The watch now ends with the hold, and only an answer from after it decides. What a peer distributes is checked against the own view at once.

Without the rule, test_new_era fails.

--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -156,6 +156,9 @@
         log_changed_targets(self._state.refresh(touched), 'a peer')
         if not touched.isdisjoint((POLICIES_NAME, EVACUATIONS_NAME)):
             self._target_policies.on_change(monotonic())
+        if EVACUATIONS_NAME in touched:
+            # What a peer distributed may be older than what is seen here.
+            self.evacuations.tick(monotonic())
 
     async def _run_gossip(self) -> None:
         while True:
--- a/packages/balancer/src/trefoilhaven/gateway/evacuations.py
+++ b/packages/balancer/src/trefoilhaven/gateway/evacuations.py
@@ -37,6 +37,10 @@
 # evacuation has to be in force 5 s after it was written.
 BACKOFF_LIMIT_S: Final = 0.5
 
+# Time in seconds by which a watch outlasts the hold of a new era, so that its
+# answer does not come just before the end.
+DUE_MARGIN_S: Final = 0.05
+
 
 class EvacuationTask:
     """Reads the evacuations and distributes what changed."""
@@ -86,8 +90,13 @@
             if not self._on_listing(listing.ok):
                 return Unavailable(False, 'answer of an earlier era')
         else:
+            due_s = self._seen.answer_due_s(
+                monotonic(), self._state.evacuations
+            )
             changes = await self._client.watch(
-                EVACUATIONS_PREFIX, self._revision, self._watch_timeout_s()
+                EVACUATIONS_PREFIX,
+                self._revision,
+                min(self._watch_timeout_s(), due_s + DUE_MARGIN_S),
             )
             if changes.is_error():
                 return changes.error
@@ -133,7 +142,7 @@
                 DomainChange(_domain(change.path), not change.deleted)
             )
         is_applied = self._seen.on_changes(
-            era_of(answer), answer.revision, changes
+            monotonic(), era_of(answer), answer.revision, changes
         )
         self._revision = answer.revision if is_applied else None
 
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_evacuation_schedules.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_evacuation_schedules.py
@@ -151,3 +151,41 @@
             await fleet.settle()
         wanted = fleet.store.domains
         assert [each.evacuated for each in fleet.gateways] == [wanted] * 5
+
+    @pytest.mark.parametrize('seed', range(20))
+    async def test_new_era(self, seed: int) -> None:
+        """Guards against gateways that follow a restored copy at once.
+
+        The copy lacks the evacuation of one domain and shows another that was
+        withdrawn. The operator corrects both within 2.5 s of the first
+        listing. Gateways call the store at any time, and some restart.
+        """
+        fleet = Fleet(seed)
+        fleet.store.write('old')
+        fleet.store.copy()
+        fleet.store.remove('old')
+        fleet.store.write('new')
+        with mock.patch(
+            'trefoilhaven.gateway.evacuations.monotonic',
+            side_effect=lambda: fleet.now,
+        ):
+            await fleet.settle()
+            fleet.store.restore()
+            end = fleet.now + 3 * ERA_HOLD_S
+            corrected = fleet.now + fleet.rng.uniform(0, 2.5)
+            while fleet.now < end:
+                if fleet.now >= corrected:
+                    corrected = end
+                    fleet.store.remove('old')
+                    fleet.store.write('new')
+                number = fleet.rng.randrange(len(fleet.gateways))
+                if fleet.rng.random() < 0.05:
+                    fleet.restart(number)
+                await fleet.poll(number)
+                fleet.gateways[number].task.evacuations.tick(fleet.now)
+                fleet.deliver(0.7)
+                fleet.now += fleet.rng.uniform(0, 0.2)
+                evacuated = [each.evacuated for each in fleet.gateways]
+                assert evacuated == [{'new'}] * len(evacuated)
+        eras = {each.state.evacuations.era for each in fleet.gateways}
+        assert eras == {fleet.store.era}
--- a/packages/core/src/trefoilhaven_core/connections/evacuations.py
+++ b/packages/core/src/trefoilhaven_core/connections/evacuations.py
@@ -102,6 +102,7 @@
     def __init__(self) -> None:
         """Start before the first listing."""
         self._seen: Evacuations | None = None
+        self._seen_at = -math.inf
         self._held_until = -math.inf
         self._changes: dict[str, bool] = {}
 
@@ -124,10 +125,15 @@
             is_new_era = listed.era > in_force.era
             self._held_until = now + ERA_HOLD_S if is_new_era else now
         self._seen = listed
+        self._seen_at = now
         return True
 
     def on_changes(
-        self, era: int, revision: int, changes: Iterable[DomainChange]
+        self,
+        now: float,
+        era: int,
+        revision: int,
+        changes: Iterable[DomainChange],
     ) -> bool:
         """Apply the answer of a watch; return false if a listing is needed.
 
@@ -140,8 +146,19 @@
         self._changes |= latest
         domains = _changed(self._seen.domains, latest)
         self._seen = Evacuations(era, revision, domains)
+        self._seen_at = now
         return True
 
+    def answer_due_s(self, now: float, in_force: Evacuations) -> float:
+        """Return in how many seconds the store has to answer again.
+
+        It is the end of the time for which the set in force is kept: what
+        decides then must not be older. The result is infinite at other times.
+        """
+        if not self._is_held(now, in_force):
+            return math.inf
+        return max(0.0, self._held_until - now)
+
     def to_distribute(
         self, now: float, in_force: Evacuations
     ) -> Evacuations | None:
@@ -182,7 +199,9 @@
 
     def _is_held(self, now: float, in_force: Evacuations) -> bool:
         """Return whether the set in force is kept against the store's."""
-        if self._seen is None or now >= self._held_until:
+        if self._seen is None:
+            return False
+        if now >= self._held_until and self._seen_at >= self._held_until:
             return False
         is_current = in_force.is_known and in_force.era >= self._seen.era
         return not (is_current and in_force.is_settled)
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_evacuations.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_evacuations.py
@@ -1,5 +1,7 @@
 """Tests of the evacuations that processes see in the store and exchange."""
 
+import math
+
 from trefoilhaven_core.connections.evacuations import (
     ERA_HOLD_S,
     UNKNOWN_EVACUATIONS,
@@ -77,7 +79,7 @@
         store = StoreEvacuations()
         in_force = Evacuations(0, 5, domains('a'))
         store.on_listing(1, in_force, Evacuations(0, 9, domains('a')))
-        assert store.on_changes(0, 12, ())
+        assert store.on_changes(1, 0, 12, ())
         assert store.to_distribute(1, in_force) is None
 
     def test_watch(self) -> None:
@@ -86,7 +88,7 @@
         in_force = Evacuations(0, 5, domains('a'))
         store.on_listing(1, in_force, in_force)
         changes = [DomainChange('b', True), DomainChange('a', False)]
-        store.on_changes(0, 8, changes)
+        store.on_changes(1, 0, 8, changes)
         wanted = Evacuations(0, 8, domains('b'))
         assert store.to_distribute(1, in_force) == wanted
 
@@ -109,7 +111,7 @@
         first = Evacuations(0, 5)
         store.on_listing(1, first, first)
         both = [DomainChange('a', True), DomainChange('a', False)]
-        store.on_changes(0, 9, both)
+        store.on_changes(1, 0, 9, both)
         assert store.to_distribute(1, first) is None
         between = Evacuations(0, 7, domains('a'))
         assert store.to_distribute(2, between) == Evacuations(0, 9)
@@ -135,10 +137,29 @@
         store = StoreEvacuations()
         store.on_listing(10, self.before, Evacuations(2, 300))
         assert store.to_distribute(10, self.before) is None
-        store.on_changes(2, 310, [DomainChange('a', True)])
+        store.on_changes(10.1, 2, 310, [DomainChange('a', True)])
         late = 10 + ERA_HOLD_S
+        assert store.to_distribute(late, self.before) is None
+        store.on_changes(late, 2, 320, ())
         wanted = store.to_distribute(late, self.before)
-        assert wanted == Evacuations(2, 310, domains('a'))
+        assert wanted == Evacuations(2, 320, domains('a'))
+
+    def test_stale_view(self) -> None:
+        """Guards against a decision by what was seen before the hold ended.
+
+        The operator has written the evacuation again, but the store has not
+        answered this gateway since the first listing.
+        """
+        store = StoreEvacuations()
+        store.on_listing(10, self.before, Evacuations(2, 300))
+        assert store.answer_due_s(10.5, self.before) == ERA_HOLD_S - 0.5
+        late = 20 + ERA_HOLD_S
+        assert store.to_distribute(late, self.before) is None
+        assert store.answer_due_s(late, self.before) == 0
+        listed = Evacuations(2, 320, domains('a'))
+        store.on_listing(late, self.before, listed)
+        assert store.to_distribute(late, self.before) == listed
+        assert store.answer_due_s(late, self.before) == math.inf
 
     def test_withdrawn_evacuation(self) -> None:
         """Guards against an old evacuation that appears again."""
@@ -146,26 +167,29 @@
         listed = Evacuations(2, 300, domains('a', 'b'))
         store.on_listing(10, self.before, listed)
         assert store.to_distribute(12.9, self.before) is None
-        store.on_changes(2, 310, [DomainChange('b', False)])
+        store.on_changes(10.1, 2, 310, [DomainChange('b', False)])
         assert store.to_distribute(12.9, self.before) is None
 
     def test_listing_decides(self) -> None:
         """Guards against a set that nobody can withdraw any more."""
         store = StoreEvacuations()
-        listed = Evacuations(2, 300)
-        store.on_listing(10, self.before, listed)
+        store.on_listing(10, self.before, Evacuations(2, 300))
         late = 10 + ERA_HOLD_S
-        assert store.to_distribute(late, self.before) == listed
+        store.on_changes(late, 2, 305, ())
+        wanted = Evacuations(2, 305)
+        assert store.to_distribute(late, self.before) == wanted
 
     def test_change_at_once(self) -> None:
         """Guards against an evacuation that waits for the end of the hold."""
         store = StoreEvacuations()
         store.on_listing(10, self.before, Evacuations(2, 300))
-        store.on_changes(2, 310, [DomainChange('b', True)])
+        store.on_changes(10.1, 2, 310, [DomainChange('b', True)])
         held = store.to_distribute(10.1, self.before)
         assert held == Evacuations(2, 310, domains('a', 'b'), is_settled=False)
         assert store.to_distribute(10.2, held) is None
-        settled = store.to_distribute(10 + ERA_HOLD_S, held)
+        late = 10 + ERA_HOLD_S
+        store.on_changes(late, 2, 310, ())
+        settled = store.to_distribute(late, held)
         assert settled == Evacuations(2, 310, domains('b'))
 
     def test_change_by_listing(self) -> None:
@@ -184,7 +208,7 @@
         settled = Evacuations(2, 310)
         assert store.to_distribute(20.1, settled) is None
         changes = [DomainChange('a', False), DomainChange('c', True)]
-        store.on_changes(2, 330, changes)
+        store.on_changes(20.2, 2, 330, changes)
         wanted = Evacuations(2, 330, domains('c'))
         assert store.to_distribute(20.2, settled) == wanted
 
@@ -200,6 +224,7 @@
         assert store.to_apply(UNKNOWN_EVACUATIONS) == listed
         assert store.to_apply(self.before) == self.before
         late = 10 + ERA_HOLD_S
+        store.on_changes(late, 2, 300, ())
         assert store.to_distribute(late, UNKNOWN_EVACUATIONS) == listed
 
     def test_earlier_era(self) -> None:
@@ -207,8 +232,9 @@
         store = StoreEvacuations()
         store.on_listing(10, self.before, Evacuations(2, 300))
         assert not store.on_listing(11, self.before, Evacuations(1, 600))
-        assert not store.on_changes(1, 600, [DomainChange('a', False)])
+        assert not store.on_changes(11, 1, 600, [DomainChange('a', False)])
         late = 10 + ERA_HOLD_S
+        store.on_changes(late, 2, 300, ())
         assert store.to_distribute(late, self.before) == Evacuations(2, 300)
 
     def test_earlier_era_than_peers(self) -> None:
