--- a/packages/core/src/trefoilhaven_core/platform/clients.py
+++ b/packages/core/src/trefoilhaven_core/platform/clients.py
@@ -1,11 +1,13 @@
 """Interface of the platform's object store, used by other packages."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from expression import Result
 
 from trefoilhaven_core.platform.errors import PlatformError
+from trefoilhaven_core.platform.points import StorePoint
 
 
 class PlatformObject(NamedTuple):
@@ -21,10 +23,19 @@
 
 
 class Listing(NamedTuple):
-    """Objects under a prefix at one revision of the platform."""
+    """Objects under a prefix at one revision of the platform.
+
+    ``era`` is 0 for a platform that has no eras.
+    """
 
     revision: int
     objects: tuple[PlatformObject, ...]
+    era: int = 0
+
+    @property
+    def point(self) -> StorePoint:
+        """Era and revision."""
+        return StorePoint(self.era, self.revision)
 
 
 class ObjectChange(NamedTuple):
@@ -38,10 +49,20 @@
 
 
 class Changes(NamedTuple):
-    """Changes under a prefix; the next watch starts after ``revision``."""
+    """Changes under a prefix; the next watch starts after ``revision``.
+
+    Changes of a later era than that of the watched revision are not
+    complete: revisions were given out again.
+    """
 
     revision: int
     objects: tuple[ObjectChange, ...]
+    era: int = 0
+
+    @property
+    def point(self) -> StorePoint:
+        """Era and revision."""
+        return StorePoint(self.era, self.revision)
 
 
 class PlatformClient(ABC):
@@ -97,5 +118,22 @@
         Returns without changes when none came within the timeout.
         """
 
+    def on_new_era(  # noqa: B027
+        self, handler: Callable[[int], None]
+    ) -> None:
+        """Call a handler with each new era; never for one without eras.
+
+        Any answer to this process may show the new era.
+        """
+
+    def limit_probe_interval(self, limit_s: float) -> None:  # noqa: B027
+        """Limit the time between probes of an unavailable platform."""
+
+    def end_waits(self) -> None:  # noqa: B027
+        """Make later calls at once, also while the platform is unavailable.
+
+        A process that stops calls it before its last write.
+        """
+
     async def close(self) -> None:  # noqa: B027
         """Close the connections; does nothing if there are none."""
--- a/packages/core/src/trefoilhaven_core/platform/errors.py
+++ b/packages/core/src/trefoilhaven_core/platform/errors.py
@@ -37,6 +37,15 @@
     reason: str
 
 
+class HistoryGone(NamedTuple):
+    """The platform does not have the revision after which to watch.
+
+    It has dropped the changes since, or has come back older.
+    """
+
+    prefix: str
+
+
 class TooLarge(NamedTuple):
     """The content exceeds the platform's limit for one object."""
 
@@ -44,7 +53,9 @@
     limit_bytes: int
 
 
-PlatformError = NotFound | Conflict | RateLimited | Unavailable | TooLarge
+PlatformError = (
+    NotFound | Conflict | RateLimited | Unavailable | HistoryGone | TooLarge
+)
 
 
 def describe_error(error: PlatformError) -> str:
@@ -54,6 +65,8 @@
             return f'{path} does not exist'
         case Conflict(path, version):
             return f'{path} has version {version}'
+        case HistoryGone(prefix):
+            return f'the changes of {prefix} since the revision are gone'
         case RateLimited(retry_after_s):
             return f'the call rate is limited; retry after {retry_after_s:g} s'
         case TooLarge(path, limit_bytes):
--- a/packages/core/src/trefoilhaven_core/wire/http_client.py
+++ b/packages/core/src/trefoilhaven_core/wire/http_client.py
@@ -15,11 +15,19 @@
 
 
 class HttpClientResponse(NamedTuple):
-    """Status, Retry-After header ('' if absent) and body of a response."""
+    """Status, Retry-After header ('' if absent) and body of a response.
+
+    ``headers`` has all headers with their names in lower case.
+    """
 
     status: int
     retry_after: str
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def header(self, name: bytes) -> str:
+        """Return the header of a name in lower case, '' if absent."""
+        return _decode_header(dict(self.headers).get(name, b''))
 
 
 class NotSentError(OSError):
@@ -149,7 +157,7 @@
     ) -> HttpClientResponse:
         conn = connection.conn
         status = 0
-        retry_after = ''
+        headers: tuple[tuple[bytes, bytes], ...] = ()
         body = bytearray()
         while True:
             event = conn.next_event()
@@ -157,16 +165,24 @@
                 conn.receive_data(await connection.reader.read(_READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
-                found = dict(event.headers).get(b'retry-after', b'')
-                retry_after = found.decode('ascii', 'replace')
+                headers = tuple(
+                    (bytes(name), bytes(each)) for name, each in event.headers
+                )
             elif isinstance(event, h11.Data):
                 body.extend(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return HttpClientResponse(status, retry_after, bytes(body))
+                retry_after = dict(headers).get(b'retry-after', b'')
+                return HttpClientResponse(
+                    status, _decode_header(retry_after), bytes(body), headers
+                )
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError('connection closed before the response ended')
 
 
+def _decode_header(content: bytes) -> str:
+    return content.decode('ascii', 'replace')
+
+
 async def _wait_for_data(reader: asyncio.StreamReader) -> None:
     """Return when data arrives, or at the end of the connection."""
     with contextlib.suppress(OSError):
