List again after a new era, and write objects again

A watcher reports the deletions of an outage: objects that it had reported and that the complete list lacks. A watch that meets a later era lists again.

A registrar writes or deletes its object again when the era rises. The version that it knows may belong to another write by then, so that it creates the object and takes the version from the conflict; equal content is kept.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -75,6 +75,7 @@
         )
         segments.open()
         register_endpoint_metrics(self._runtime.metrics, 'control', endpoint)
+        self._adapter.register_metrics(self._runtime.metrics)
         await reporting.check_start()
         await self._adapter.serve_announcements(reporting.on_announcement)
         await self._adapter.serve_readiness(lambda: True)
--- a/packages/balancer/src/trefoilhaven/gateway/process.py
+++ b/packages/balancer/src/trefoilhaven/gateway/process.py
@@ -71,6 +71,7 @@
         segments.open()
         await transfers.start(cfg.control)
         register_endpoint_metrics(self._runtime.metrics, 'control', endpoint)
+        self._adapter.register_metrics(self._runtime.metrics)
         await serve_metrics(cfg.metrics, self._runtime.metrics)
         await self._adapter.serve_readiness(
             lambda: not state.not_ready_reason(monotonic()),
--- a/packages/core/src/trefoilhaven_core/platform/adapters.py
+++ b/packages/core/src/trefoilhaven_core/platform/adapters.py
@@ -15,6 +15,7 @@
 from trefoilhaven_core.membership.messages import Address, MemberState
 from trefoilhaven_core.platform.clients import PlatformClient
 from trefoilhaven_core.settings.findings import Findings
+from trefoilhaven_core.telemetry.metrics import Metrics
 
 # Prefix and path of the object that holds the operator's routes.
 ROUTES_PREFIX = 'config/'
@@ -64,7 +65,11 @@
 
     @abstractmethod
     def make_client(self) -> PlatformClient:
-        """Return a client of the platform's object store."""
+        """Return a client of the platform's object store.
+
+        The clients of one adapter share what they know of the store: its era
+        and whether it is available.
+        """
 
     @abstractmethod
     def read_routes(self, content: Any) -> Result[RouteConfiguration, Findings]:
@@ -81,6 +86,9 @@
         Those for which the handler returns True are acknowledged.
         """
 
+    def register_metrics(self, metrics: Metrics) -> None:  # noqa: B027
+        """Export what the adapter counts; it counts nothing by default."""
+
     @abstractmethod
     def close(self) -> None:
         """Close the listening sockets and the clients' connections."""
--- a/packages/core/src/trefoilhaven_core/platform/registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/registrar.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import Any, Final
 
+from expression import Ok
+
 from trefoilhaven_core.platform.backoffs import Backoff
 from trefoilhaven_core.platform.clients import PlatformClient
 from trefoilhaven_core.platform.errors import (
@@ -18,12 +20,18 @@
 
 BACKOFF_LIMIT_S: Final = 2.0
 
+# After the return of an older copy, the processes write again within this
+# time, in seconds. Lost entries are to be back two seconds after the return.
+REWRITE_SPREAD_S: Final = 0.5
+
 
 class Registrar:
     """Writes the desired content of an object until a write succeeds.
 
     Writes carry the version that they replace, so that a write that is
-    applied late can't undo a later one.
+    applied late can't undo a later one. When the platform has come back from
+    an older copy, which may lack the object, have its earlier content, or have
+    it although it was deleted, the registrar writes or deletes it again.
     """
 
     def __init__(
@@ -50,15 +58,34 @@
         self._client = client
         self._path = path
         self._backoff = Backoff(rng, limit_s=BACKOFF_LIMIT_S)
+        self._rng = rng
         self._version: int | None = None
+        self._is_version_current = True
+        self._has_desired = False
+        self._delay_s = 0.0
         self._desired: Any = None
         self._is_pending = False
         self._changed = asyncio.Event()
+        client.on_new_era(lambda _: self.write_again())
 
     def set_desired(self, content: Any) -> None:
         """Set the content to write, None to delete the object."""
         self._desired = content
+        self._has_desired = True
+        self._is_pending = True
+        self._changed.set()
+
+    def write_again(self) -> None:
+        """Write or delete the object again, in case the platform lost that.
+
+        The version known so far may have been given out again, so that it is
+        read first. Nothing is done before the first ``set_desired``.
+        """
+        if not self._has_desired:
+            return
+        self._is_version_current = False
         self._is_pending = True
+        self._delay_s = self._rng.uniform(0, REWRITE_SPREAD_S)
         self._changed.set()
 
     async def run(self) -> None:
@@ -66,6 +93,8 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
+            delay_s, self._delay_s = self._delay_s, 0.0
+            await asyncio.sleep(delay_s)
             while self._is_pending and not await self.write():
                 await asyncio.sleep(self._backoff.next_s())
 
@@ -84,7 +113,7 @@
         return done and not self._is_pending
 
     async def _put(self, content: Any) -> bool:
-        known = self._version or 0
+        known = (self._version or 0) if self._is_version_current else 0
         replaced = None
         written = await self._client.put(self._path, content, known)
         if written.is_error() and isinstance(written.error, Conflict):
@@ -93,8 +122,12 @@
             # is repeated without a delay.
             known = written.error.version
             replaced = written.error.content
-            written = await self._client.put(self._path, content, known)
+            if replaced == content:
+                written = Ok(known)
+            else:
+                written = await self._client.put(self._path, content, known)
         if written.is_ok():
+            self._is_version_current = True
             if self._version is None and self._on_first_write:
                 self._on_first_write(replaced)
             self._version = written.ok
@@ -103,14 +136,17 @@
         return False
 
     async def _delete(self) -> bool:
-        if self._version is None:
-            # An earlier process may have left its object.
+        if self._version is None or not self._is_version_current:
+            # An earlier process may have left its object, or a deletion was
+            # lost with the latest changes of the platform.
             read = await self._client.get(self._path)
             if read.is_error():
                 self._record_failure(read.error)
                 return isinstance(read.error, NotFound)
+            if self._version is None:
+                self._predecessor = read.ok.content
             self._version = read.ok.version
-            self._predecessor = read.ok.content
+            self._is_version_current = True
         if not self._version:
             self._report_predecessor()
             return True
@@ -132,8 +168,10 @@
     def _record_failure(self, error: Any) -> None:
         if isinstance(error, Conflict):
             self._version = error.version
+            self._is_version_current = True
         elif isinstance(error, NotFound):
             self._version = 0
+            self._is_version_current = True
         logger.info(
             'object not written',
             extra={'path': self._path, 'reason': describe_error(error)},
--- a/packages/core/src/trefoilhaven_core/platform/watchers.py
+++ b/packages/core/src/trefoilhaven_core/platform/watchers.py
@@ -14,6 +14,7 @@
     PlatformObject,
 )
 from trefoilhaven_core.platform.errors import PlatformError, describe_error
+from trefoilhaven_core.platform.points import StorePoint
 from trefoilhaven_core.settings import defaults
 
 logger = logging.getLogger(__name__)
@@ -24,8 +25,12 @@
 class Watcher:
     """Lists a prefix, then watches it; lists again after each failure.
 
-    After a failure ``on_change`` gets every object again and must compare
-    versions. A deletion during an outage is not reported.
+    After a failure, or when the platform has come back from an older copy,
+    ``on_change`` gets every object again and must compare versions. Objects
+    that were reported before and are not listed any more are reported as
+    deleted, with the last known version and without content. After an older
+    copy such an object may only have been lost with the latest changes, and
+    its writer may write it again.
     """
 
     def __init__(
@@ -46,7 +51,8 @@
         self._on_change = on_change
         self._backoff = Backoff(rng, limit_s=backoff_limit_s)
         self._sleep = sleep
-        self._revision: int | None = None
+        self._point: StorePoint | None = None
+        self._reported: dict[str, int] = {}
 
     async def run(self) -> None:
         """Watch the objects until the task is cancelled."""
@@ -62,34 +68,51 @@
     async def poll(self) -> PlatformError | None:
         """Make one list or watch call and report its objects.
 
-        Returns the error of a failed call.
+        Returns the error of a failed call. A watch that meets a later era
+        reports nothing, as it lacks the changes up to the watched revision;
+        the next call lists.
         """
-        if self._revision is None:
-            listing = await self._client.list(self._prefix)
-            if listing.is_error():
-                return listing.error
-            self._revision = listing.ok.revision
-            self._report_changes(map(_as_change, listing.ok.objects))
-        else:
-            changes = await self._client.watch(
-                self._prefix,
-                self._revision,
-                self.watch_timeout_s,
-            )
-            if changes.is_error():
-                return changes.error
-            self._revision = changes.ok.revision
-            self._report_changes(changes.ok.objects)
+        if self._point is None:
+            return await self._list()
+        changes = await self._client.watch(
+            self._prefix, self._point.revision, self.watch_timeout_s
+        )
+        if changes.is_error():
+            return changes.error
+        if changes.ok.era != self._point.era:
+            self._point = None
+            return None
+        self._point = changes.ok.point
+        self._report_changes(changes.ok.objects)
         self._backoff.reset()
         return None
 
+    async def _list(self) -> PlatformError | None:
+        listing = await self._client.list(self._prefix)
+        if listing.is_error():
+            return listing.error
+        self._point = listing.ok.point
+        listed = {each.path for each in listing.ok.objects}
+        deleted = [
+            ObjectChange(path, version, None, True, listing.ok.revision)
+            for path, version in self._reported.items()
+            if path not in listed
+        ]
+        self._report_changes(map(_as_change, listing.ok.objects))
+        self._report_changes(deleted)
+        return None
+
     def _report_changes(self, changes: Iterable[ObjectChange]) -> None:
         for change in changes:
+            if change.deleted:
+                self._reported.pop(change.path, None)
+            else:
+                self._reported[change.path] = change.version
             self._on_change(change)
 
     async def _wait_after(self, error: PlatformError) -> None:
         self.failures += 1
-        self._revision = None
+        self._point = None
         wait_s = self._backoff.next_s()
         if isinstance(error, errors.RateLimited):
             wait_s = max(wait_s, error.retry_after_s)
