Compare the targets with a store that has come back older

After the return from an older copy the list of targets lacks the latest registrations and has objects of departed targets.

A live target that is recorded as left by mistake is asked for a later record.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/registrations.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/registrations.py
@@ -5,6 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from trefoilhaven_agent.sidecar.targets import TargetTracker
+from trefoilhaven_core.connections.restorations import (
+    RegistrationRequest,
+    identity_of,
+)
 from trefoilhaven_core.membership.messages import Member
 from trefoilhaven_core.membership.objects import (
     TARGETS_PREFIX,
@@ -45,6 +50,29 @@
         """Set the record to write, or None to delete the object."""
         self._registrar.set_desired(member_content(member) if member else None)
 
+    def on_request(
+        self, req: RegistrationRequest, tracker: TargetTracker
+    ) -> Member | None:
+        """Write the object again, as a balancer asks.
+
+        Returns a record to report when balancers have a wrong one that
+        supersedes the record of now.
+        """
+        member = tracker.member
+        if member is None or req.target != identity_of(member):
+            return None
+        logger.info(
+            'registration requested',
+            extra={'balancer': req.sender, 'sequence': req.sequence},
+        )
+        if req.sequence <= member.sequence:
+            self._registrar.write_again()
+            return None
+        renewed = tracker.renew(req.sequence)
+        if renewed is not None:
+            self.set_desired(renewed)
+        return renewed
+
     async def run(self) -> None:
         """Write the desired record after each change, until cancelled."""
         await self._registrar.run()
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -18,6 +18,7 @@
 from trefoilhaven_agent.sidecar.targets import TargetTracker, TargetUpdate
 from trefoilhaven_core.connections.connection_tracker import ConnectionTracker
 from trefoilhaven_core.connections.messages import BalancerHello
+from trefoilhaven_core.connections.restorations import RegistrationRequest
 from trefoilhaven_core.membership.messages import (
     Address,
     MemberState,
@@ -85,6 +86,7 @@
         self._departing = False
         self._is_end_reported = False
         endpoint.on(BalancerHello, self._on_hello)
+        endpoint.on(RegistrationRequest, self._on_request)
         self._balancers.on_seeds(
             monotonic(),
             [Address(seed.host, cfg.control.port) for seed in cfg.seeds],
@@ -153,6 +155,7 @@
         """
         if await self._is_target_gone():
             self._on_gone()
+            self._client.end_waits()
             if not await self._registration.write():
                 logger.info('object of the ended target was not deleted')
             return
@@ -202,6 +205,11 @@
             # Balancers delete the object of a host that seems to have failed.
             self._registration.set_desired(member)
 
+    def _on_request(self, req: RegistrationRequest, sender: Address) -> None:
+        member = self._registration.on_request(req, self._target_tracker)
+        if member is not None:
+            self._reports.send_all(member)
+
     async def _list_balancers(self) -> None:
         """List the balancers in the store after a registration.
 
--- a/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -111,6 +111,17 @@
         self._connections.accepts = announcement.state is MemberState.alive
         return TargetUpdate(is_current=True, is_changed=True)
 
+    def renew(self, sequence: int) -> Member | None:
+        """Return the record with the number of the latest heartbeat.
+
+        It is None unless that number is above ``sequence``, at which
+        balancers have another record of the target.
+        """
+        if self.member is None or self._sequence <= sequence:
+            return None
+        self.member = self.member._replace(sequence=self._sequence)
+        return self.member
+
     def on_departure(self, target: str) -> bool:
         """Stop new connections to a target that departs.
 
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -17,6 +17,7 @@
     TransferStateFetcher,
     log_changed_targets,
 )
+from trefoilhaven.gateway.restorations import RestorationTask
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.pacing import far_report_interval_s
@@ -57,6 +58,12 @@
 SHORT_WATCH_GATEWAYS: Final = 6
 SHORT_WATCH_TIMEOUT_S: Final = 3.0
 LONG_WATCH_TIMEOUT_S: Final = 24.0
+
+# Longest time in seconds between two probes of an unavailable store by the
+# gateways of the lowest ranks, so that one of them reads a new configuration
+# within a second of the store's return, and by the others.
+SHORT_PROBE_INTERVAL_S: Final = 0.5
+LONG_PROBE_INTERVAL_S: Final = 2.0
 WATCH_BACKOFF_LIMIT_S: Final = 0.5
 
 
@@ -115,6 +122,9 @@
             segments,
             rng,
         )
+        self.restorations = RestorationTask(
+            state, self.gossip, self._client, endpoint, rng
+        )
 
     async def run(self) -> None:
         """Discover and announce until cancelled."""
@@ -123,6 +133,7 @@
             self.membership.run(),
             self._registrar.run(),
             self._watch_routes(),
+            self.restorations.run(),
         )
 
     def _seed_addresses(self) -> Iterable[Address]:
@@ -155,6 +166,11 @@
             self._state.refresh_peers()
             report_s = far_report_interval_s(len(self._state.store.balancers))
             self._state.target_selector.failure_detector.report_s = report_s
+            self._client.limit_probe_interval(
+                SHORT_PROBE_INTERVAL_S
+                if self._is_early()
+                else LONG_PROBE_INTERVAL_S
+            )
             await asyncio.sleep(TICK_S)
 
     async def _watch_routes(self) -> None:
@@ -166,14 +182,19 @@
             backoff_limit_s=WATCH_BACKOFF_LIMIT_S,
         )
         while True:
-            name = self._state.cfg.name
-            rank = balancer_rank(name, self._state.store.balancers)
-            is_short = rank < SHORT_WATCH_GATEWAYS
             watcher.watch_timeout_s = (
-                SHORT_WATCH_TIMEOUT_S if is_short else LONG_WATCH_TIMEOUT_S
+                SHORT_WATCH_TIMEOUT_S
+                if self._is_early()
+                else LONG_WATCH_TIMEOUT_S
             )
             await watcher.poll_with_backoff()
 
+    def _is_early(self) -> bool:
+        """Return whether this gateway is to learn of a configuration first."""
+        name = self._state.cfg.name
+        rank = balancer_rank(name, self._state.store.balancers)
+        return rank < SHORT_WATCH_GATEWAYS
+
     def _on_routes(self, change: ObjectChange) -> None:
         if change.deleted or change.path != ROUTES_PATH:
             return
--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -26,6 +26,11 @@
     HelloSchedule,
     hello_interval_s,
 )
+from trefoilhaven_core.connections.restorations import (
+    RegistrationRequest,
+    identity_of,
+    is_contradicted,
+)
 from trefoilhaven_core.connections.target_lists import (
     answer_query,
     make_query,
@@ -250,6 +255,11 @@
             self._gossip.disseminate_changes(changes)
             changed = self._state.refresh([member.service])
             log_changed_targets(changed, 'its agent')
+        if known and is_contradicted(known, member):
+            request = RegistrationRequest(
+                self._state.cfg.name, identity_of(known), known.sequence
+            )
+            self._endpoint.send(request, sender)
         self._segments.on_report(report)
 
     def _on_state(self, req: StateRequest) -> State | None:
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -10,6 +10,7 @@
 from trefoilhaven_core.connections.messages import (
     ConnectionKey,
     ConnectionLoad,
+    TargetIdentity,
     TargetReport,
 )
 from trefoilhaven_core.connections.pacing import FAR_INTERVAL_FACTOR
@@ -194,6 +195,18 @@
             if self._find(member).seen_at == -math.inf
         ]
 
+    def heard_since(self, since: float) -> frozenset[TargetIdentity]:
+        """Return the present targets whose agents were heard since a time."""
+        return frozenset(
+            TargetIdentity(
+                target.member.service,
+                target.member.target,
+                target.member.incarnation,
+            )
+            for target in self._all()
+            if target.is_present and target.seen_at >= since
+        )
+
     def reported_share(self) -> float:
         """Return the share of targets that have reported; 1 without targets."""
         members = self.members(self.services)
--- a/packages/core/src/trefoilhaven_core/platform/availability.py
+++ b/packages/core/src/trefoilhaven_core/platform/availability.py
@@ -86,6 +86,10 @@
             self._backoff = self._make_backoff()
             self._probe_at = min(self._probe_at, self._now() + limit_s)
 
+    def count(self, outcome: CallOutcome) -> int:
+        """Return the number of calls with an outcome."""
+        return self.counts[outcome]
+
     def end_waits(self) -> None:
         """Admit all later calls at once."""
         self._is_waiting_allowed = False
--- a/packages/core/src/trefoilhaven_core/platform/registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/registrar.py
@@ -93,7 +93,8 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            delay_s, self._delay_s = self._delay_s, 0.0
+            delay_s = self._delay_s
+            self._delay_s = 0.0
             await asyncio.sleep(delay_s)
             while self._is_pending and not await self.write():
                 await asyncio.sleep(self._backoff.next_s())
--- a/packages/core/src/trefoilhaven_core/wire/http.py
+++ b/packages/core/src/trefoilhaven_core/wire/http.py
@@ -42,6 +42,7 @@
     status: int
     body: bytes = b''
     content_type: str = 'application/json'
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 HttpHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -134,6 +135,7 @@
     headers = [
         ('Content-Type', response.content_type),
         ('Content-Length', str(len(response.body))),
+        *response.headers,
     ]
     head = h11.Response(status_code=response.status, headers=headers)
     body = b'' if request.method == 'HEAD' else response.body
