--- a/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_registrar.py
@@ -1,5 +1,6 @@
 """Tests of the registrar."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -26,6 +27,20 @@
         self.version = 0
         self.errors: list[PlatformError] = []
         self.is_delete_answer_lost = False
+        self.writes = 0
+        self.expected: list[int] = []
+        self.handlers: list[Callable[[int], None]] = []
+
+    def on_new_era(self, handler: Callable[[int], None]) -> None:
+        """Store a handler."""
+        self.handlers.append(handler)
+
+    def restore(self, version: int, content: Any) -> None:
+        """Come back with another state of the object."""
+        self.version = version
+        self.content = content
+        for handler in self.handlers:
+            handler(1)
 
     async def get(self, path: str) -> Result[PlatformObject, PlatformError]:
         """Read the object."""
@@ -39,12 +54,14 @@
         self, path: str, content: Any, expected_version: int
     ) -> Result[int, PlatformError]:
         """Write if the version matches."""
+        self.expected.append(expected_version)
         if self.errors:
             return Error(self.errors.pop(0))
         if expected_version != self.version:
             found = errors.Conflict(path, self.version, self.content)
             return Error(found)
         self.version += 1
+        self.writes += 1
         self.content = content
         return Ok(self.version)
 
@@ -205,3 +222,75 @@
         registrar.set_desired('y')
         assert await registrar.write()
         assert platform.content == 'y'
+
+
+class TestNewEra:
+    """The platform has come back from an older copy."""
+
+    async def test_lost(self, platform: OneObject) -> None:
+        """Guards against an object that the copy lacks."""
+        replaced: list[Any] = []
+        registrar = Registrar(platform, PATH, Random(1), replaced.append)
+        registrar.set_desired('x')
+        await registrar.write()
+        platform.restore(0, None)
+        assert await registrar.write()
+        assert platform.content == 'x'
+        assert replaced == [None]
+
+    async def test_version_given_out_again(self, platform: OneObject) -> None:
+        """Guards against the overwriting of an object that is not known.
+
+        Another writer's object has the version that this one's had. The
+        write creates the object, and takes the version from the conflict.
+        """
+        registrar = Registrar(platform, PATH, Random(1))
+        registrar.set_desired('x')
+        await registrar.write()
+        platform.restore(1, 'theirs')
+        platform.expected.clear()
+        assert await registrar.write()
+        assert platform.expected == [0, 1]
+        assert platform.content == 'x'
+
+    async def test_kept(self, platform: OneObject) -> None:
+        """Guards against writes of what the copy has."""
+        registrar = Registrar(platform, PATH, Random(1))
+        registrar.set_desired('x')
+        await registrar.write()
+        platform.restore(1, 'x')
+        assert await registrar.write()
+        registrar.set_desired('y')
+        assert await registrar.write()
+        assert platform.writes == 2
+
+    async def test_deletion_lost(self, platform: OneObject) -> None:
+        """Guards against an ended target whose object is back."""
+        deleted: list[Any] = []
+        registrar = Registrar(
+            platform, PATH, Random(1), on_predecessor_deleted=deleted.append
+        )
+        registrar.set_desired('x')
+        await registrar.write()
+        registrar.set_desired(None)
+        await registrar.write()
+        platform.restore(1, 'x')
+        assert await registrar.write()
+        assert not platform.version
+        assert not deleted
+
+    async def test_deletion_kept(self, platform: OneObject) -> None:
+        """Guards against an error for an object that is not there."""
+        registrar = Registrar(platform, PATH, Random(1))
+        registrar.set_desired('x')
+        await registrar.write()
+        registrar.set_desired(None)
+        await registrar.write()
+        platform.restore(0, None)
+        assert await registrar.write()
+
+    async def test_nothing_desired(self, platform: OneObject) -> None:
+        """Guards against the deletion of an object before a first write."""
+        registrar = Registrar(platform, PATH, Random(1))
+        platform.restore(1, 'theirs')
+        assert not registrar._is_pending  # noqa: SLF001
