Test the comparison of targets after the return of the store

Replies of all peers now end the wait for them, and the waits of the task can be replaced in tests. The new messages join those with unusual values.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
@@ -11,6 +11,7 @@
     make_task,
 )
 from trefoilhaven_core.connections import messages as connections
+from trefoilhaven_core.connections import restorations
 from trefoilhaven_core.connections.tests.support import key_of, make_segment
 from trefoilhaven_core.membership.messages import MemberState
 from trefoilhaven_core.platform.adapters import TargetAnnouncement
@@ -27,6 +28,7 @@
     connections.SegmentForward,
     connections.HolderQuery,
     connections.BalancerHello,
+    restorations.RegistrationRequest,
 )
 
 
--- a/packages/balancer/src/trefoilhaven/gateway/restorations.py
+++ b/packages/balancer/src/trefoilhaven/gateway/restorations.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import random
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from trefoilhaven.balancer.gossip import GossipTask
@@ -73,8 +75,10 @@
         client: PlatformClient,
         endpoint: DatagramEndpoint,
         rng: random.Random,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         """Register the handlers of queries and of new eras."""
+        self._sleep = sleep
         self._state = state
         self._gossip = gossip
         self._client = client
@@ -83,6 +87,7 @@
         self._since = 0.0
         self._risen = asyncio.Event()
         self._poll: HeardPoll | None = None
+        self._replied = asyncio.Event()
         client.on_new_era(self.on_new_era)
         endpoint.on(HeardQuery, self._on_query)
         endpoint.on(HeardReply, self._on_reply)
@@ -105,14 +110,14 @@
                 SILENCE_TIMEOUT_INTERVALS
                 * self._state.target_selector.failure_detector.report_s,
             )
-            await asyncio.sleep(max(0.0, self._since + settle_s - monotonic()))
+            await self._sleep(max(0.0, self._since + settle_s - monotonic()))
             if self._rank() < LATE_LISTS and not self._risen.is_set():
                 await self._wait_for_turn()
                 await self._end_gone()
 
     async def _wait_for_turn(self) -> None:
         jitter_s = self._rng.uniform(0, JITTER_S)
-        await asyncio.sleep(self._rank() * RANK_DELAY_S + jitter_s)
+        await self._sleep(self._rank() * RANK_DELAY_S + jitter_s)
 
     async def _end_gone(self) -> None:
         """End the targets that no gateway has heard in the new era."""
@@ -132,7 +137,7 @@
                 self._end(gone)
                 if len(gone) == len(compared.silent):
                     return
-            await asyncio.sleep(ROUND_INTERVAL_S)
+            await self._sleep(ROUND_INTERVAL_S)
         logger.warning('targets are neither listed nor known to be gone')
 
     async def _compare(self) -> Comparison | None:
@@ -216,8 +221,12 @@
         )
         poll = HeardPoll(query, members, (record.name for record in peers))
         self._poll = poll
+        self._replied.clear()
         self._endpoint.send(query, *(record.control for record in peers))
-        await asyncio.sleep(REPLY_WAIT_S if peers else 0)
+        if peers:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REPLY_WAIT_S):
+                    await self._replied.wait()
         self._poll = None
         heard = self._state.target_selector.heard_since(self._since)
         return tuple(
@@ -254,6 +263,8 @@
     def _on_reply(self, reply: HeardReply, sender: Address) -> None:
         if self._poll is not None:
             self._poll.on_reply(reply)
+            if self._poll.is_complete:
+                self._replied.set()
 
     def _rank(self) -> int:
         return balancer_rank(self._state.cfg.name, self._state.store.balancers)
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from trefoilhaven.gateway.tests.test_membership import GatewayFixture
 from trefoilhaven_core.connections import messages as connections
+from trefoilhaven_core.connections import restorations
 from trefoilhaven_core.connections.tests.support import key_of, make_segment
 from trefoilhaven_core.membership import messages as membership
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -32,6 +33,8 @@
     connections.RouteReply,
     connections.TargetsQuery,
     connections.TargetsReply,
+    restorations.HeardQuery,
+    restorations.HeardReply,
 )
 
 
