--- a/packages/balancer/src/trefoilhaven/gateway/restorations.py
+++ b/packages/balancer/src/trefoilhaven/gateway/restorations.py
@@ -187,17 +187,17 @@
         self, listing: Listing, departed: tuple[Member, ...]
     ) -> None:
         """Delete objects that the copy has again, unless they have changed."""
-        versions = {each.path: each.version for each in listing.objects}
-        for member in departed:
-            path = f'{TARGETS_PREFIX}{member.host}'
-            if path not in versions:
+        identities = set(map(identity_of, departed))
+        for found in listing.objects:
+            read = read_member(found.content)
+            if read.is_error() or identity_of(read.ok) not in identities:
                 continue
-            deleted = await self._client.delete(path, versions[path])
+            deleted = await self._client.delete(found.path, found.version)
             logger.info(
                 'object of a departed target deleted again',
                 extra={
-                    'path': path,
-                    'target': member.target,
+                    'path': found.path,
+                    'target': read.ok.target,
                     'is_deleted': deleted.is_ok(),
                 },
             )
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import pytest
+from expression import Ok
 from trefoilhaven.gateway.discovery import DiscoveryTask
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import MAX_REPORT_WAIT_S, GatewayState
@@ -27,6 +28,7 @@
     StateRequest,
 )
 from trefoilhaven_core.platform.adapters import PlatformAdapter
+from trefoilhaven_core.platform.clients import ObjectChange
 from trefoilhaven_core.settings.types import GatewaySettings
 from trefoilhaven_core.telemetry.runtimes import make_runtime
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -209,6 +211,37 @@
         assert [each.target for each in state.targets()] == ['t3']
 
 
+class TestRoutes:
+    """Routes in a store that has come back older."""
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            ObjectChange('config/main', 3, {'version': 4}, False, 9),
+            ObjectChange('config/main', 3, None, True, 9),
+            ObjectChange('config/other', 9, {'version': 8}, False, 9),
+        ],
+    )
+    def test_older(self, change: ObjectChange) -> None:
+        """Guards against routes that go back or vanish with a copy.
+
+        The copy has an older configuration, or none; what is in force stays
+        until a higher version comes.
+        """
+        state, _, task = make_discovery()
+        adapter: Any = task._adapter  # noqa: SLF001
+        adapter.read_routes = lambda content: Ok(
+            RouteConfiguration(content['version'], (), 15)
+        )
+        newest = ObjectChange('config/main', 5, {'version': 7}, False, 9)
+        task._on_routes(newest)  # noqa: SLF001
+        task._on_routes(change)  # noqa: SLF001
+        assert state.routes.version == 7
+        later = newest._replace(content={'version': 8})
+        task._on_routes(later)  # noqa: SLF001
+        assert state.routes.version == 8
+
+
 class TestReadiness:
     """Readiness of a gateway for segments from the fabric."""
 
