--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_requests.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_requests.py
@@ -50,6 +50,12 @@
         endpoint.told.clear()
         return task, endpoint
 
+    def client(self, task: ReportingTask) -> Any:
+        """Return the client, without the calls so far."""
+        client: Any = task._client  # noqa: SLF001
+        client.put.reset_mock()
+        return client
+
     def request(self, task: ReportingTask, sequence: int) -> None:
         """Let a request about the target arrive."""
         member = task._target_tracker.member  # noqa: SLF001
@@ -60,8 +66,7 @@
     async def test_lost(self) -> None:
         """Guards against an object that a restored store has lost."""
         task, endpoint = await self.make_reporting()
-        client: Any = task._client  # noqa: SLF001
-        client.put.reset_mock()
+        client = self.client(task)
         self.request(task, 1)
         assert await task._registration.write()  # noqa: SLF001
         client.put.assert_awaited_once()
@@ -85,8 +90,6 @@
     async def test_other_target(self) -> None:
         """Guards against a registration for an earlier target's object."""
         task, _ = await self.make_reporting()
-        client: Any = task._client  # noqa: SLF001
-        client.put.reset_mock()
         other = TargetIdentity('certify', 't0', 5)
         req = RegistrationRequest('g8', other, 1)
         task._on_request(req, KNOWN)  # noqa: SLF001
@@ -96,7 +99,7 @@
     async def test_stop(self) -> None:
         """Guards against an agent that waits for the store when it stops."""
         task, _ = await self.make_reporting()
-        client: Any = task._client  # noqa: SLF001
+        client = self.client(task)
         with mock.patch.object(
             task, '_is_target_gone', mock.AsyncMock(return_value=True)
         ):
