--- a/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -114,10 +114,10 @@
     def renew(self, sequence: int) -> Member | None:
         """Return the record with the number of the latest heartbeat.
 
-        It is None unless that number is above ``sequence``, at which
-        balancers have another record of the target.
+        It is None if that number is below ``sequence``, from which on it
+        supersedes another record that balancers have of the target.
         """
-        if self.member is None or self._sequence <= sequence:
+        if self.member is None or self._sequence < sequence:
             return None
         self.member = self.member._replace(sequence=self._sequence)
         return self.member
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_requests.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_requests.py
@@ -81,10 +81,16 @@
         assert (member.sequence, balancer) == (9, KNOWN)
         assert member.state is MemberState.alive
 
+    async def test_tie(self) -> None:
+        """Guards against a record of equal number that is not superseded."""
+        task, endpoint = await self.make_reporting()
+        self.request(task, 9)
+        assert endpoint.told[0][0].sequence == 9
+
     async def test_later_record(self) -> None:
         """Guards against a report that would not supersede the record."""
         task, endpoint = await self.make_reporting()
-        self.request(task, 9)
+        self.request(task, 10)
         assert not endpoint.told
 
     async def test_other_target(self) -> None:
--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -257,7 +257,7 @@
             log_changed_targets(changed, 'its agent')
         if known and is_contradicted(known, member):
             request = RegistrationRequest(
-                self._state.cfg.name, identity_of(known), known.sequence
+                self._state.cfg.name, identity_of(known), known.sequence + 1
             )
             self._endpoint.send(request, sender)
         self._segments.on_report(report)
--- a/packages/balancer/src/trefoilhaven/gateway/removals.py
+++ b/packages/balancer/src/trefoilhaven/gateway/removals.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from typing import Final, NamedTuple
 
@@ -52,7 +53,10 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = monotonic()
             self._state.end_replaced(now, REMOVAL_TIMEOUT_S)
-            await self.remove_failed(now)
+            # The calls wait while the store is unavailable.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self.remove_failed(now)
 
     async def remove_failed(self, now: float) -> None:
         """Delete the objects of failed targets if this balancer ranks first."""
--- a/packages/balancer/src/trefoilhaven/gateway/restorations.py
+++ b/packages/balancer/src/trefoilhaven/gateway/restorations.py
@@ -61,7 +61,7 @@
 # rounds before a gateway that gets too few replies gives up. The object of a
 # failed host is removed later in any case.
 REPLY_WAIT_S: Final = 0.5
-MAX_ROUNDS: Final = 10
+MAX_ROUNDS: Final = 5
 ROUND_INTERVAL_S: Final = 1.0
 
 
@@ -129,13 +129,12 @@
             if compared and may_conclude(
                 self._state.targets(), selector.heard_since(self._since)
             ):
-                gone = await self._ask_peers(
-                    compared.silent[:MAX_QUERY_TARGETS]
-                )
+                asked = compared.silent[:MAX_QUERY_TARGETS]
+                gone = await self._ask_peers(asked)
                 if self._risen.is_set():
                     return
-                self._end(gone)
-                if len(gone) == len(compared.silent):
+                self._end(gone or ())
+                if gone is not None and asked == compared.silent:
                     return
             await self._sleep(ROUND_INTERVAL_S)
         logger.warning('targets are neither listed nor known to be gone')
@@ -204,8 +203,11 @@
 
     async def _ask_peers(
         self, members: tuple[Member, ...]
-    ) -> tuple[Member, ...]:
-        """Return the members that the other gateways have not heard either."""
+    ) -> tuple[Member, ...] | None:
+        """Return the members that the other gateways have not heard either.
+
+        The result is None when too few have replied.
+        """
         now = monotonic()
         peers = [
             record
@@ -228,6 +230,8 @@
                 async with asyncio.timeout(REPLY_WAIT_S):
                     await self._replied.wait()
         self._poll = None
+        if not poll.is_decided:
+            return None
         heard = self._state.target_selector.heard_since(self._since)
         return tuple(
             each for each in poll.gone() if identity_of(each) not in heard
--- a/packages/core/src/trefoilhaven_core/connections/restorations.py
+++ b/packages/core/src/trefoilhaven_core/connections/restorations.py
@@ -23,8 +23,9 @@
 class RegistrationRequest(NamedTuple):
     """Asks an agent to register its target again, from a balancer.
 
-    The store lacks the object, or balancers have recorded at ``sequence``
-    that the target has left, although its agent reports it.
+    The store lacks the object, or balancers have recorded that the target has
+    left, although its agent reports it. ``sequence`` is the lowest sequence
+    number that supersedes the record of the balancers.
     """
 
     sender: str
