--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -18,6 +18,7 @@
     TransferStateFetcher,
     log_changed_targets,
 )
+from trefoilhaven.gateway.restorations import RestorationTask
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven.gateway.target_policies import TargetPolicySender
@@ -64,6 +65,12 @@
 SHORT_WATCH_GATEWAYS: Final = 6
 SHORT_WATCH_TIMEOUT_S: Final = 3.0
 LONG_WATCH_TIMEOUT_S: Final = 24.0
+
+# Longest time in seconds between two probes of an unavailable store by the
+# gateways of the lowest ranks, so that one of them reads a new configuration
+# within a second of the store's return, and by the others.
+SHORT_PROBE_INTERVAL_S: Final = 0.5
+LONG_PROBE_INTERVAL_S: Final = 2.0
 WATCH_BACKOFF_LIMIT_S: Final = 0.5
 
 
@@ -127,6 +134,9 @@
             self._target_policies,
             rng,
         )
+        self.restorations = RestorationTask(
+            state, self.gossip, self._client, endpoint, rng
+        )
 
     async def run(self) -> None:
         """Discover and announce until cancelled."""
@@ -136,6 +146,7 @@
             self._registrar.run(),
             self._watch_routes(),
             self.evacuations.run(),
+            self.restorations.run(),
         )
 
     def _seed_addresses(self) -> Iterable[Address]:
@@ -176,6 +187,11 @@
             self._state.refresh_peers()
             report_s = far_report_interval_s(len(self._state.store.balancers))
             self._state.target_selector.failure_detector.report_s = report_s
+            self._client.limit_probe_interval(
+                SHORT_PROBE_INTERVAL_S
+                if self._is_early()
+                else LONG_PROBE_INTERVAL_S
+            )
             await asyncio.sleep(TICK_S)
 
     async def _watch_routes(self) -> None:
@@ -191,10 +207,15 @@
             await watcher.poll_with_backoff()
 
     def _watch_timeout_s(self) -> float:
+        return (
+            SHORT_WATCH_TIMEOUT_S if self._is_early() else LONG_WATCH_TIMEOUT_S
+        )
+
+    def _is_early(self) -> bool:
+        """Return whether this gateway is to learn of a change first."""
         name = self._state.cfg.name
         rank = balancer_rank(name, self._state.store.balancers)
-        is_short = rank < SHORT_WATCH_GATEWAYS
-        return SHORT_WATCH_TIMEOUT_S if is_short else LONG_WATCH_TIMEOUT_S
+        return rank < SHORT_WATCH_GATEWAYS
 
     def _on_routes(self, change: ObjectChange) -> None:
         if change.deleted or change.path != ROUTES_PATH:
--- a/packages/balancer/src/trefoilhaven/gateway/evacuations.py
+++ b/packages/balancer/src/trefoilhaven/gateway/evacuations.py
@@ -126,7 +126,7 @@
         for found in listing.objects:
             _check_content(found.path, found.content)
         domains = frozenset(_domain(found.path) for found in listing.objects)
-        listed = Evacuations(era_of(listing), listing.revision, domains)
+        listed = Evacuations(listing.era, listing.revision, domains)
         is_current = self._seen.on_listing(
             monotonic(), self._state.evacuations, listed
         )
@@ -142,16 +142,11 @@
                 DomainChange(_domain(change.path), not change.deleted)
             )
         is_applied = self._seen.on_changes(
-            monotonic(), era_of(answer), answer.revision, changes
+            monotonic(), answer.era, answer.revision, changes
         )
         self._revision = answer.revision if is_applied else None
 
 
-def era_of(answer: Listing | Changes) -> int:
-    """Return the era of an answer, 0 where the platform has none."""
-    return getattr(answer, 'era', 0)
-
-
 def _domain(path: str) -> str:
     return path.removeprefix(EVACUATIONS_PREFIX)
 
