--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -13,6 +13,7 @@
     ConnectionLoad,
     TargetReport,
 )
+from trefoilhaven_core.connections.policies import Policies
 from trefoilhaven_core.connections.route_codec import ROUTES_NAME, encode_routes
 from trefoilhaven_core.connections.routes import (
     AddressRoute,
@@ -233,6 +234,7 @@
         adapter.read_routes = lambda content: Ok(
             RouteConfiguration(content['version'], (), 15)
         )
+        adapter.read_policies = lambda _: Policies()
         newest = ObjectChange('config/main', 5, {'version': 7}, False, 9)
         task._on_routes(newest)  # noqa: SLF001
         task._on_routes(change)  # noqa: SLF001
