Limit new connections to cold targets at the agent

Targets are slow after a start, and no limit bounded their new connections; evacuated failure domains got connections of gateways that had not heard of the evacuation. It learns the rate and the evacuation by TargetPolicy. Gateways leave a cold target alone for 1 s after a return. Without the setting warm_up there is no limit.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -6,10 +6,12 @@
 from pathlib import Path
 from typing import Final
 
+from trefoilhaven_agent.sidecar.policies import PolicyReceiver
 from trefoilhaven_agent.sidecar.reporting import ReportingTask
 from trefoilhaven_agent.sidecar.segments import SegmentTask
 from trefoilhaven_agent.sidecar.targets import Location, TargetTracker
 from trefoilhaven_core.connections.connection_tracker import ConnectionTracker
+from trefoilhaven_core.connections.warm_up import WarmUp
 from trefoilhaven_core.platform.adapters import PlatformAdapter
 from trefoilhaven_core.settings.loader import load_sidecar_settings
 from trefoilhaven_core.settings.types import SidecarSettings
@@ -20,6 +22,7 @@
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
 from trefoilhaven_core.telemetry.scrapes import serve_metrics
 from trefoilhaven_core.telemetry.starts import run_process
+from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.codec import make_codec
 from trefoilhaven_core.wire.endpoints import (
     open_endpoint,
@@ -46,7 +49,9 @@
         self._runtime = runtime
         self._adapter = adapter
         self._connections = ConnectionTracker(
-            cfg.service, CONNECTION_IDLE_TIMEOUT_S
+            cfg.service,
+            CONNECTION_IDLE_TIMEOUT_S,
+            WarmUp(cfg.warm_up, monotonic()),
         )
         location = Location(cfg.host, cfg.failure_domain, cfg.advertise_control)
         self._target_tracker = TargetTracker(
@@ -73,6 +78,13 @@
             self._adapter,
             endpoint,
         )
+        PolicyReceiver(
+            cfg,
+            self._runtime,
+            self._connections,
+            self._target_tracker,
+            endpoint,
+        )
         segments.open()
         register_endpoint_metrics(self._runtime.metrics, 'control', endpoint)
         await reporting.check_start()
--- a/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/segments.py
@@ -10,6 +10,7 @@
     DeliverToTarget,
     DropSegment,
     Effect,
+    OpeningRefused,
     ResetClient,
     SendMessage,
     SendToClient,
@@ -22,6 +23,7 @@
     Verdict,
 )
 from trefoilhaven_core.connections.texts import connection_text
+from trefoilhaven_core.connections.warm_up import RefusalCause
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.platform.adapters import PlatformAdapter
 from trefoilhaven_core.settings.types import SidecarSettings
@@ -61,6 +63,10 @@
         metrics = runtime.metrics
         self._delivered = metrics.counter('segments_delivered')
         self._returned = metrics.counter('segments_returned')
+        self._refused = {
+            cause: metrics.counter('openings_refused', reason=cause.name)
+            for cause in RefusalCause
+        }
         self._dropped = metrics.counter('segments_dropped')
         self._resets = metrics.counter('connections_reset')
         metrics.gauge('connections', lambda: len(connections))
@@ -106,6 +112,8 @@
                 self._endpoint.send(effect.message, effect.address)
             elif isinstance(effect, ResetClient):
                 self._reset(effect)
+            elif isinstance(effect, OpeningRefused):
+                self._log_refused(effect)
             elif isinstance(effect, DropSegment):
                 self._drop(effect)
 
@@ -175,6 +183,18 @@
                 },
             )
 
+    def _log_refused(self, effect: OpeningRefused) -> None:
+        self._refused[effect.cause].add()
+        warm_up = self._connections.warm_up
+        self._log.warn(
+            monotonic(),
+            effect.cause.name,
+            'opening refused',
+            connection=connection_text(effect.key),
+            reason=effect.cause.value,
+            limit=warm_up.limit,
+        )
+
     def _drop(self, effect: DropSegment) -> None:
         self._dropped.add()
         self._log.warn(
--- a/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -64,14 +64,13 @@
         self._location = location
         self._connections = connections
         self._announced_incarnation = 0
-        self._cold_until = 0.0
         self._heard_at = 0.0
         self._only_heard_since = 0.0
         self._sequence = 0
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the target is still warming up after its start."""
-        return now < self._cold_until
+        return self._connections.warm_up.is_cold(now)
 
     def silent_s(self, now: float) -> float:
         """Return the seconds since the last heartbeat, 0 without a target."""
@@ -90,12 +89,15 @@
         member = self.member
         if member is not None and self._is_other(member, announcement):
             if now - self._heard_at < REPLACEMENT_SILENCE_S:
+                self._connections.warm_up.on_heartbeat(
+                    now, announcement.cold_s, is_current=False
+                )
                 return self._discard_other(now, announcement)
         elif member is not None and announcement.sequence <= self._sequence:
             return TargetUpdate(is_current=False)
         self._heard_at = now
         self._sequence = announcement.sequence
-        self._cold_until = now + announcement.cold_s
+        self._connections.warm_up.on_heartbeat(now, announcement.cold_s)
         if member is None or self._is_other(member, announcement):
             self._only_heard_since = now
             return self._replace(member, announcement)
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from hypothesis import given
+from trefoilhaven_agent.sidecar.policies import PolicyReceiver
+from trefoilhaven_agent.sidecar.reporting import ReportingTask
 from trefoilhaven_agent.sidecar.tests.test_reporting import (
     EndpointFixture,
     StoreFixture,
@@ -14,6 +16,7 @@
 from trefoilhaven_core.connections.tests.support import key_of, make_segment
 from trefoilhaven_core.membership.messages import MemberState
 from trefoilhaven_core.platform.adapters import TargetAnnouncement
+from trefoilhaven_core.telemetry.runtimes import make_runtime
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.codec import Codec, make_codec
 from trefoilhaven_core.wire.tests.message_strategies import (
@@ -27,9 +30,23 @@
     connections.SegmentForward,
     connections.HolderQuery,
     connections.BalancerHello,
+    connections.TargetPolicy,
 )
 
 
+def add_policies(
+    task: ReportingTask, endpoint: EndpointFixture
+) -> PolicyReceiver:
+    """Return the receiver of policies for the target of a task."""
+    return PolicyReceiver(
+        task._cfg,  # noqa: SLF001
+        make_runtime('s1'),
+        task._connections,  # noqa: SLF001
+        task._target_tracker,  # noqa: SLF001
+        endpoint,
+    )
+
+
 class CodecEndpoint(EndpointFixture):
     """An endpoint that decodes datagrams and encodes what is sent."""
 
@@ -55,6 +72,7 @@
         """Let datagrams arrive, and run a turn of each task."""
         endpoint = CodecEndpoint()
         task = make_task(StoreFixture(), endpoint)
+        add_policies(task, endpoint)
         segments = task._segments  # noqa: SLF001
         codec: Any = segments._adapter.codec  # noqa: SLF001
         codec.decode_from_client.return_value = make_segment(key_of(1))
--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -12,6 +12,7 @@
     DropCause,
     DropSegment,
     Effect,
+    OpeningRefused,
     ResetCause,
     ResetClient,
     SendMessage,
@@ -40,6 +41,7 @@
 from trefoilhaven_core.connections.tracked_connections import (
     TrackedConnection,
 )
+from trefoilhaven_core.connections.warm_up import WarmUp
 from trefoilhaven_core.membership.messages import Address
 
 
@@ -50,12 +52,18 @@
     does not know. Times are monotonic, in seconds.
     """
 
-    def __init__(self, service: str, idle_timeout_s: float) -> None:
+    def __init__(
+        self,
+        service: str,
+        idle_timeout_s: float,
+        warm_up: WarmUp | None = None,
+    ) -> None:
         """Start without a target; connections expire when idle."""
         self.service = service
         self.accepts = False
         self.evidence = TargetEvidence()
         self.responsiveness = TargetResponsiveness()
+        self.warm_up = warm_up or WarmUp()
         self._table = ConnectionTable(idle_timeout_s)
         self._probes = ProbeTable()
 
@@ -128,6 +136,8 @@
         if entry is not None and entry.includes(segment):
             entry.balancer = balancer
             self._table.on_client(now, entry, segment)
+            if segment.is_opening and not entry.is_accepted:
+                self.warm_up.on_delivered(now, segment)
             return self._deliver(now, segment)
         if segment.is_opening:
             return self._open(now, forward, segment, balancer)
@@ -213,31 +223,24 @@
         segment: Segment,
         balancer: Address,
     ) -> list[Effect]:
+        effects: list[Effect] = []
         identity = self.evidence.identity
         is_open = self.accepts and self.responsiveness.may_open(now)
         if identity is not None and is_open and forward.destination == identity:
-            self._add_opening(now, segment, balancer)
-            return self._deliver(now, segment)
+            cause = self.warm_up.refusal(
+                now, segment, saw_start=self.evidence.saw_start
+            )
+            if cause is None:
+                self.warm_up.on_delivered(now, segment)
+                self._table.add_opening(now, segment, balancer)
+                return self._deliver(now, segment)
+            effects.append(OpeningRefused(segment.key, cause))
+            is_open = False
         reason = ReturnReason.other_target
         if identity is None or not is_open:
             reason = ReturnReason.not_accepted
-        return [return_segment(balancer, forward.destination, reason, segment)]
-
-    def _add_opening(
-        self, now: float, segment: Segment, balancer: Address
-    ) -> None:
-        """Track a new connection.
-
-        An open one from the same port stays until the target accepts the new
-        one, since the opening segment may be late.
-        """
-        entry = self._table.get(segment.key)
-        if entry is not None and entry.is_open and entry.closed_at is None:
-            entry.balancer = balancer
-            return
-        self._table.remove(segment.key)
-        entry = self._table.add(now, segment.key, balancer)
-        entry.opening_sequence = segment.sequence
+        back = return_segment(balancer, forward.destination, reason, segment)
+        return [*effects, back]
 
     def _probe(
         self,
@@ -280,11 +283,8 @@
             # The target had accepted the connection and dropped it since.
             cause = ResetCause.target_gone
             return [ResetClient(segment.key, segment.acknowledged, cause)]
-        return [
-            return_segment(
-                entry.balancer, self.evidence.identity, reason, segment
-            )
-        ]
+        identity = self.evidence.identity
+        return [return_segment(entry.balancer, identity, reason, segment)]
 
     def _on_accepting(
         self, now: float, segment: Segment, entry: TrackedConnection
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -13,6 +13,7 @@
     SegmentReturn,
     TargetIdentity,
 )
+from trefoilhaven_core.connections.warm_up import RefusalCause
 from trefoilhaven_core.membership.messages import Address, Member
 
 
@@ -97,6 +98,13 @@
     tried: tuple[str, ...]
 
 
+class OpeningRefused(NamedTuple):
+    """Log and count an opening segment that an agent returns."""
+
+    key: ConnectionKey
+    cause: RefusalCause
+
+
 class HolderFound(NamedTuple):
     """Log that a search found the holder.
 
@@ -138,6 +146,7 @@
     | SendToClient
     | ResetClient
     | Placed
+    | OpeningRefused
     | HolderFound
     | UnknownTarget
     | ConfirmMembership
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -121,6 +121,10 @@
             known.target == returned.target or not returned.target
         )
         if segment.is_opening:
+            if returned.reason is ReturnReason.not_accepted:
+                self._selector.on_refused_opening(
+                    now, returned.service, returned.target
+                )
             if known is None or known.is_accepted or not is_from_known:
                 return []
             if known.opening_sequence != segment.sequence:
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -56,6 +56,22 @@
         self._open += 1
         return entry
 
+    def add_opening(
+        self, now: float, segment: Segment, balancer: Address
+    ) -> None:
+        """Add the connection of an opening segment.
+
+        An open one from the same port stays until the target accepts the new
+        one, since the opening segment may be late.
+        """
+        entry = self.get(segment.key)
+        if entry is not None and entry.is_open and entry.closed_at is None:
+            entry.balancer = balancer
+            return
+        self.remove(segment.key)
+        entry = self.add(now, segment.key, balancer)
+        entry.opening_sequence = segment.sequence
+
     def remove(self, key: ConnectionKey) -> TrackedConnection | None:
         """Remove and return a connection, None if it is unknown."""
         entry = self._connections.pop(key, None)
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -24,6 +24,11 @@
 SILENCE_TIMEOUT_INTERVALS: Final = 2.2
 
 
+# A cold target that returned an opening gets no further one for this time, in
+# seconds, which is about the window in which its agent counts them.
+REFUSAL_PAUSE_S: Final = 1.0
+
+
 class TargetSelector:
     """Targets of all services, with their load, as one balancer sees them.
 
@@ -93,6 +98,12 @@
             target.load = load
             target.placed = max(0, target.placed - 1)
 
+    def on_refused_opening(self, now: float, service: str, name: str) -> None:
+        """Record that an agent returned an opening, which matters if cold."""
+        target = self._targets.get(service, {}).get(name)
+        if target is not None and target.is_cold:
+            target.refused_until = now + REFUSAL_PAUSE_S
+
     def on_query(self, now: float, member: Member) -> None:
         """Record a repeated query to an agent that has not answered."""
         target = self._targets.get(member.service, {}).get(member.target)
@@ -236,6 +247,7 @@
             for target in self._targets.get(service, {}).values()
             if target.member.state is MemberState.alive
             and target.is_present
+            and now >= target.refused_until
             and target.member.target not in excluded
         ]
         heard = [
--- a/packages/core/src/trefoilhaven_core/connections/target_states.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_states.py
@@ -22,7 +22,8 @@
 
     ``placed`` counts the connections placed since the last report that the
     target has not accepted yet. ``is_replaced`` means that a later target of
-    its host has been heard. Times are monotonic, in seconds.
+    its host has been heard. Before ``refused_until`` the target, which is cold,
+    gets no openings, since it returned one. Times are monotonic, in seconds.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         'load',
         'member',
         'placed',
+        'refused_until',
         'seen_at',
     )
 
@@ -47,6 +49,7 @@
         self.load = ConnectionLoad()
         self.member = member
         self.placed = 0
+        self.refused_until = -math.inf
         self.seen_at = -math.inf
         self._queried_at = -math.inf
         self._unanswered_since = math.inf
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
@@ -5,6 +5,7 @@
 from trefoilhaven_core.connections.effects import (
     DeliverToTarget,
     DropSegment,
+    OpeningRefused,
     ResetClient,
     SendMessage,
     SendToClient,
@@ -19,6 +20,7 @@
     SegmentFlag,
     SegmentReturn,
     TargetIdentity,
+    TargetPolicy,
     Verdict,
 )
 from trefoilhaven_core.connections.probes import REFUSAL_TIMEOUT_S
@@ -38,11 +40,14 @@
     opening,
     refused,
 )
+from trefoilhaven_core.connections.warm_up import RefusalCause, WarmUp
+from trefoilhaven_core.settings.types import WarmUpLimits
 
 MEMBER = make_member('t1')
 KEY = key_of(1)
 FIRST = 5000
 CHOSEN = FIRST + 1
+EVACUATED = TargetPolicy('certify', 'a', 1, 0.0, 0.0, 1, is_evacuated=True)
 
 
 def make_tracker(*, saw_start: bool = True) -> ConnectionTracker:
@@ -118,6 +123,38 @@
         assert back.reason is ReturnReason.not_accepted
         assert back.target == 't1'
 
+    def test_evacuated(self) -> None:
+        """Guards against new connections in an evacuated failure domain.
+
+        A copy of a delivered opening segment, and the segments of an open
+        connection, are delivered as before.
+        """
+        tracker = make_tracker()
+        open_connection(tracker)
+        pending = opening(key_of(2))
+        forward(tracker, pending)
+        tracker.warm_up.on_policy(1, EVACUATED)
+        effects = forward(tracker, opening(key_of(3)))
+        assert effects[0] == OpeningRefused(key_of(3), RefusalCause.evacuated)
+        back = returned(effects[1:])
+        assert back.reason is ReturnReason.not_accepted
+        for segment in (pending, data()):
+            effect = only(forward(tracker, segment, now=3))
+            assert effect == DeliverToTarget(segment.raw)
+
+    def test_cold(self) -> None:
+        """Guards against a cold target that gets all openings."""
+        warm_up = WarmUp(WarmUpLimits(1, 2))
+        tracker = ConnectionTracker('certify', 60.0, warm_up)
+        tracker.set_target(TargetIdentity('certify', 't1', 1))
+        tracker.accepts = True
+        warm_up.on_heartbeat(0, 9)
+        effects = [
+            forward(tracker, opening(key_of(number)))[0] for number in range(3)
+        ]
+        assert effects[1] == DeliverToTarget(opening(key_of(1)).raw)
+        assert effects[2] == OpeningRefused(key_of(2), RefusalCause.cold)
+
     def test_other_service(self) -> None:
         """Guards against segments for an earlier service of the host."""
         tracker = ConnectionTracker('collect', 60.0)
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -297,3 +297,35 @@
         routes.offer(empty)
         assert routes.choose((1, 443), random.Random(1)) is None
         assert not routes.holder_services((1, 443))
+
+
+class TestColdTargets:
+    """Cold targets that return opening segments."""
+
+    def test_refused(self) -> None:
+        """Guards against openings that a cold target returns again.
+
+        Another target gets them for a second, even if its slots are busy.
+        """
+        fixture = RouterFixture()
+        fixture.report(0, t2=9, t3=9)
+        member = fixture.members['t1']
+        report = make_report(member)._replace(is_cold=True)
+        fixture.router.on_report(0, report)
+        assert fixture.open(0.1) == 't1'
+        fixture.return_opening(0.2, 't1')
+        choose = fixture.selector.choose
+        rng = random.Random(1)
+        early = {choose(1.1, rng, 'certify') for _ in range(20)}
+        assert member not in early
+        fixture.report(1.2, t2=9, t3=9)
+        assert choose(1.2, rng, 'certify') == member
+
+    def test_warm(self) -> None:
+        """Guards against a pause of a target that refused one connection."""
+        fixture = RouterFixture()
+        fixture.report(0, t2=9, t3=9)
+        assert fixture.open(0.1) == 't1'
+        fixture.return_opening(0.2, 't1')
+        chosen = fixture.selector.choose(0.3, random.Random(1), 'certify')
+        assert chosen == fixture.members['t1']
--- a/packages/core/src/trefoilhaven_core/settings/loader.py
+++ b/packages/core/src/trefoilhaven_core/settings/loader.py
@@ -29,6 +29,7 @@
     ServiceConfiguration,
     SidecarSettings,
     TargetAddresses,
+    WarmUpLimits,
     Witness,
 )
 
@@ -82,7 +83,7 @@
     """Load and validate the settings file of a sidecar."""
     return read_document(path).bind(
         lambda document: read_fields(document, SIDECAR_FIELDS).map(
-            lambda values: SidecarSettings(**_derive_values(values)),
+            lambda values: _build_sidecar(_derive_values(values)),
         ),
     )
 
@@ -133,6 +134,12 @@
     }
 
 
+def _build_sidecar(values: _Values) -> SidecarSettings:
+    warm_up = values.get('warm_up')
+    limits = WarmUpLimits(**warm_up) if warm_up else None
+    return SidecarSettings(**(values | {'warm_up': limits}))
+
+
 def _build_balancer(values: _Values) -> BalancerSettings:
     seeds = tuple(Seed(**seed) for seed in values['seeds'])
     return BalancerSettings(**(values | _advertised(values) | {'seeds': seeds}))
--- a/packages/core/src/trefoilhaven_core/settings/readers.py
+++ b/packages/core/src/trefoilhaven_core/settings/readers.py
@@ -112,7 +112,7 @@
                 )
             elif field.required:
                 self._add_finding(path, f'the key "{key}" is missing')
-            elif field.kind is FieldKind.section:
+            elif field.kind is FieldKind.section and not field.optional:
                 values[key] = self.section(field_path, {}, field.fields)
             elif not field.optional:
                 values[key] = field.default
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -255,4 +255,27 @@
     ),
     _address('target', 'UDP and TCP address of the target.'),
     _address('fabric', 'Address whose port all clients take segments at.'),
+    Field(
+        'warm_up',
+        FieldKind.section,
+        'Limit of the new connections of a cold target; no limit if absent.',
+        optional=True,
+        fields=(
+            Field(
+                'overage',
+                FieldKind.number,
+                'Factor on the rate that the service bears while cold.',
+                minimum=0,
+                maximum=1000,
+            ),
+            Field(
+                'slack',
+                FieldKind.number,
+                'Openings a second in addition.',
+                default=0,
+                minimum=0,
+                maximum=_MAX_COUNT,
+            ),
+        ),
+    ),
 )
--- a/packages/core/src/trefoilhaven_core/settings/tests/test_loader.py
+++ b/packages/core/src/trefoilhaven_core/settings/tests/test_loader.py
@@ -13,6 +13,7 @@
 from trefoilhaven_core.settings import loader, schemas
 from trefoilhaven_core.settings.documents import parse_document
 from trefoilhaven_core.settings.printing import format_settings
+from trefoilhaven_core.settings.types import WarmUpLimits
 
 _BALANCER = {
     'name': 'entry-1',
@@ -28,6 +29,25 @@
     'witnesses': ['entry-1', 'entry-2', 'entry-3'],
     'fabric': '127.0.0.1:6000',
 }
+_SIDECAR = {
+    'name': 'server-1',
+    'host': 'host-1',
+    'failure_domain': 'tainan-a',
+    'platform': '127.0.0.1:8000',
+    'service': 'classroom-desk',
+    **{
+        key: '127.0.1.1:9000'
+        for key in (
+            'readiness',
+            'control',
+            'metrics',
+            'segments',
+            'announcements',
+            'target',
+            'fabric',
+        )
+    },
+}
 _SERVICE = {
     'service': 'classroom-desk',
     'address': '127.1.0.1:7000',
@@ -182,3 +202,25 @@
                 content,
                 json.loads(schemas.format_schema(kind)),
             )
+
+
+class TestWarmUp:
+    """The limit of an agent's cold target."""
+
+    def test_absent(self, tmp_path: Path) -> None:
+        """Guards against a limit where the settings have none."""
+        path = _write(tmp_path / 's.json', _SIDECAR)
+        assert loader.load_sidecar_settings(path).ok.warm_up is None
+
+    def test_present(self, tmp_path: Path) -> None:
+        """Guards against a limit that is not read, or lacks its default."""
+        content = _SIDECAR | {'warm_up': {'overage': 1.5}}
+        path = _write(tmp_path / 's.json', content)
+        loaded = loader.load_sidecar_settings(path).ok
+        assert loaded.warm_up == WarmUpLimits(1.5, 0)
+
+    def test_faulty(self, tmp_path: Path) -> None:
+        """Guards against a section without its factor."""
+        content = _SIDECAR | {'warm_up': {'slack': 5}}
+        path = _write(tmp_path / 's.json', content)
+        assert loader.load_sidecar_settings(path).is_error()
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -136,10 +136,22 @@
         return self.processor_share * self.processor_speed
 
 
+class WarmUpLimits(NamedTuple):
+    """Bounds on the openings of a cold target.
+
+    It gets at most the rate of its service times ``overage``, plus ``slack``
+    openings, in any second.
+    """
+
+    overage: float
+    slack: float
+
+
 class SidecarSettings(NamedTuple):
     """Settings of a sidecar, an agent of a target that exchanges segments.
 
-    All clients receive segments at the port of ``fabric``.
+    All clients receive segments at the port of ``fabric``. Without
+    ``warm_up``, cold targets get any number of new connections.
     """
 
     name: str
@@ -157,3 +169,4 @@
     announcements: Address
     target: Address
     fabric: Address
+    warm_up: WarmUpLimits | None = None
