Offer the state to gateways that have restarted

A gateway that restarts while its seeds have restarted too and the store is down knows nobody, although other gateways and all agents know its address.

A copy makes a gateway usable and never its list complete, so that searches end without resets.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
@@ -1,6 +1,7 @@
 """Balancers that an agent reports to."""
 
 import math
+from collections import deque
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -41,6 +42,7 @@
         self._domain = failure_domain
         self._hello_at = -math.inf
         self._known: dict[Address, _Balancer] = {}
+        self._lost: deque[Address] = deque()
 
     def __len__(self) -> int:
         """Return the number of balancers."""
@@ -94,12 +96,29 @@
         return now - self._hello_at > HELLO_TIMEOUT_S
 
     def expire(self, now: float) -> None:
-        """Remove balancers that have not been heard in time."""
-        self._known = {
+        """Remove balancers that have not been heard in time.
+
+        The addresses of the last ones are kept for ``next_lost``.
+        """
+        live = {
             address: balancer
             for address, balancer in self._known.items()
             if balancer.expires_at >= now
         }
+        if self._known and not live:
+            self._lost = deque(self._known)
+        self._known = live
+
+    def next_lost(self) -> list[Address]:
+        """Return the next address to try while no balancer is known.
+
+        All balancers may have restarted and know nobody, while the store is
+        down: then they can only answer.
+        """
+        if self._known or not self._lost:
+            return []
+        self._lost.rotate(-1)
+        return [self._lost[-1]]
 
     def addresses(self, *, near_only: bool = False) -> list[Address]:
         """Return the addresses to report to; near is the same domain."""
--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -25,6 +25,7 @@
     open_endpoint,
     register_endpoint_metrics,
 )
+from trefoilhaven_core.wire.transfers import TransferEndpoint
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +62,7 @@
         cfg = self._cfg
         codec = make_codec()
         endpoint = await open_endpoint(cfg.control, codec, self._runtime.clock)
+        transfers = TransferEndpoint(codec, self._runtime.clock)
         segments = SegmentTask(
             cfg, self._runtime, self._connections, self._adapter, endpoint
         )
@@ -72,8 +74,10 @@
             segments,
             self._adapter,
             endpoint,
+            transfers,
         )
         segments.open()
+        await transfers.start(cfg.control)
         register_endpoint_metrics(self._runtime.metrics, 'control', endpoint)
         await reporting.check_start()
         await self._adapter.serve_announcements(reporting.on_announcement)
@@ -89,6 +93,7 @@
         await reporting.stop()
         await end_tasks(tasks)
         segments.close()
+        transfers.close()
         endpoint.close()
         self._adapter.close()
         logger.info('sidecar stopped')
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -8,6 +8,7 @@
 
 from trefoilhaven_agent.sidecar.balancers import KnownBalancers
 from trefoilhaven_agent.sidecar.checks import CheckSchedule
+from trefoilhaven_agent.sidecar.copies import CopyTask
 from trefoilhaven_agent.sidecar.listeners import (
     is_unused,
     make_loading_time,
@@ -37,6 +38,7 @@
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.transfers import TransferEndpoint
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +62,7 @@
         segments: SegmentTask,
         adapter: PlatformAdapter,
         endpoint: DatagramEndpoint,
+        transfers: TransferEndpoint,
     ) -> None:
         """Register the handlers of the control socket."""
         rng = random.Random(f'{cfg.name}/{runtime.incarnation}')
@@ -70,6 +73,9 @@
         self._client = adapter.make_client()
         self._backoff = Backoff(rng, LIST_BACKOFF_S, LIST_BACKOFF_LIMIT_S)
         self._balancers = KnownBalancers(cfg.failure_domain)
+        self._copies = CopyTask(
+            cfg, runtime, self._balancers, endpoint, transfers
+        )
         self._reports = ReportSender(
             connections, target_tracker, self._balancers, endpoint
         )
@@ -97,6 +103,7 @@
             self._list_balancers(),
             self._registration.run(),
             self._check_target(),
+            self._copies.run(),
         )
 
     async def on_announcement(
@@ -194,6 +201,7 @@
         is_new = self._balancers.on_hello(now, hello, sender)
         if is_new:
             logger.info('balancer found', extra={'balancer': hello.name})
+        self._copies.on_hello(hello, sender)
         if member is None:
             self._reports.send_left(sender)
         elif is_new:
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reports.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reports.py
@@ -98,7 +98,7 @@
                 is_far_due = report_number % FAR_INTERVAL_FACTOR == 0
                 near_only = not is_far_due
                 addresses = self._balancers.addresses(near_only=near_only)
-                self._send_to(member, addresses)
+                self._send_to(member, addresses or self._balancers.next_lost())
             self._repeat_left()
 
     async def _report_changes(self) -> None:
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
@@ -99,3 +99,18 @@
         assert known.addresses() == [NEAR]
         known.expire(BALANCER_TIMEOUT_INTERVALS * slow_s + 1)
         assert not len(known)
+
+    def test_all_silent(self) -> None:
+        """Guards against an agent that forgets where the balancers are.
+
+        All have restarted while the store is down, and know nobody.
+        """
+        known = KnownBalancers('a')
+        known.on_hello(0, hello(), NEAR)
+        known.on_hello(0, hello('b'), FAR)
+        assert not known.next_lost()
+        known.expire(BALANCER_TIMEOUT_S + 1)
+        tried = [known.next_lost() for _ in range(4)]
+        assert tried == [[NEAR], [FAR], [NEAR], [FAR]]
+        known.on_hello(BALANCER_TIMEOUT_S + 2, hello(), NEAR)
+        assert not known.next_lost()
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
@@ -36,6 +36,7 @@
 from trefoilhaven_core.settings.types import SidecarSettings
 from trefoilhaven_core.telemetry.runtimes import make_runtime
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.transfers import TransferEndpoint
 
 CONTROL = Address('127.0.0.1', 7000)
 KNOWN = Address('10.0.0.8', 7000)
@@ -113,7 +114,14 @@
     adapter.make_client.return_value = store.client
     segments = SegmentTask(cfg, runtime, connections, adapter, endpoint)
     return ReportingTask(
-        cfg, runtime, connections, tracker, segments, adapter, endpoint
+        cfg,
+        runtime,
+        connections,
+        tracker,
+        segments,
+        adapter,
+        endpoint,
+        TransferEndpoint(mock.Mock(), runtime.clock),
     )
 
 
--- a/packages/balancer/src/trefoilhaven/balancer/gossip.py
+++ b/packages/balancer/src/trefoilhaven/balancer/gossip.py
@@ -81,11 +81,16 @@
         # Peers that are not known yet are answered at their source address.
         self._source_addresses: dict[str, Address] = {}
         self._fetches: set[asyncio.Task[bool]] = set()
+        self._digest_listener: Callable[[Digest], None] | None = None
         endpoint.on(Changes, self._on_changes)
         endpoint.on(Digest, self._on_digest)
         endpoint.on(ConfigurationNotice, self._on_configuration)
         endpoint.on(RegistryNotice, self._on_registry)
 
+    def on_digest(self, listener: Callable[[Digest], None]) -> None:
+        """Call ``listener`` with each received digest, before it is used."""
+        self._digest_listener = listener
+
     def apply(self, effects: Iterable[Effect]) -> None:
         """Apply effects: send messages and start to fetch states."""
         for effect in effects:
@@ -120,6 +125,11 @@
         self.apply(self.disseminator.on_registry(monotonic(), notice))
         self._on_change([notice.service])
 
+    def merge_state(self, state: State) -> None:
+        """Merge a state that was fetched from another process."""
+        self.apply(self.disseminator.on_state(monotonic(), state))
+        self._on_change(self._store.services)
+
     async def fetch_from_seeds(self) -> bool:
         """Fetch the full state from a seed; return whether one answered."""
         for seed in self._seeds.values():
@@ -145,6 +155,8 @@
         now = monotonic()
         self.detector.on_peer_message(now, digest.sender)
         self._record_source(digest.sender, sender)
+        if self._digest_listener is not None:
+            self._digest_listener(digest)
         self.apply(self.disseminator.on_digest(now, digest))
 
     def _on_configuration(
@@ -191,6 +203,5 @@
                 'could not fetch the state', extra={'peer': str(address)}
             )
             return False
-        self.apply(self.disseminator.on_state(monotonic(), state))
-        self._on_change(self._store.services)
+        self.merge_state(state)
         return True
--- a/packages/balancer/src/trefoilhaven/gateway/membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/membership.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from trefoilhaven.balancer.gossip import GossipTask, StateFetcher
+from trefoilhaven.gateway.recovery import UNASKED_AT, RecoveryTask
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.messages import (
@@ -124,6 +125,9 @@
         endpoint.on(TargetsQuery, self._on_targets_query)
         endpoint.on(TargetsReply, self._on_targets_reply)
         segments.on_confirm(self._ask_peers)
+        self._recovery = RecoveryTask(
+            state, gossip, endpoint, transfers, rng, self._on_fetched
+        )
 
     async def run(self) -> None:
         """Find and tell targets until cancelled."""
@@ -131,6 +135,7 @@
             self._send_hellos(),
             self._read_members(),
             self._fetch_from_seeds(),
+            self._recovery.run(),
         )
 
     async def _send_hellos(self) -> None:
@@ -197,7 +202,22 @@
         self._state.refresh({member.service for member in known})
         self._set_membership_complete('the store')
 
+    def _on_fetched(self, source: str, is_complete: bool) -> None:
+        """Use a state that was offered; an agent's is not complete."""
+        if self._state.router.searches.is_membership_complete:
+            return
+        if is_complete:
+            self._set_membership_complete('a peer')
+            return
+        self._state.set_usable(monotonic())
+        self._send_hello(self._state.targets())
+        logger.info(
+            'some targets are known',
+            extra={'source': source, 'targets': len(self._state.targets())},
+        )
+
     def _set_membership_complete(self, source: str) -> None:
+        self._recovery.on_complete()
         self._state.set_membership_complete(monotonic())
         self._send_hello(self._state.targets())
         logger.info(
@@ -237,12 +257,17 @@
             )
             services = {member.service for member in reply.members}
             log_changed_targets(self._state.refresh(services), 'a peer')
+        if not reply.is_partial:
+            self._recovery.on_complete_peer(reply.sender)
+        if reply.sent_at == UNASKED_AT:
+            return
         self._state.confirmation.on_reply(
             reply.sender, reply.sent_at, is_partial=reply.is_partial
         )
         self._segments.on_confirmation()
 
     def _on_report(self, report: TargetReport, sender: Address) -> None:
+        self._recovery.on_report(sender)
         member = report.member
         known = self._state.store.member(member.service, member.target)
         if known != member:
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -58,6 +58,7 @@
         )
         self.is_stopping = False
         self._complete_at: float | None = None
+        self._usable_at: float | None = None
 
     def not_ready_reason(self, now: float) -> str:
         """Return why this process must not get traffic, '' when ready."""
@@ -65,14 +66,17 @@
             return 'the process is stopping'
         if not self.routes.version:
             return 'no configuration is known'
-        if self._complete_at is None:
+        known_at = self._complete_at
+        if known_at is None:
+            known_at = self._usable_at
+        if known_at is None:
             return 'the list of targets is not known'
-        waited_s = now - self._complete_at
-        if (
-            self.target_selector.reported_share() < MIN_REPORTED_SHARE
-            and waited_s < MAX_REPORT_WAIT_S
-        ):
+        share = self.target_selector.reported_share()
+        if share < MIN_REPORTED_SHARE and now - known_at < MAX_REPORT_WAIT_S:
             return 'few targets have reported'
+        if self._complete_at is None and not self._has_report():
+            # A copy may name only targets that have ended.
+            return 'no target has reported'
         return ''
 
     def targets(self) -> list[Member]:
@@ -104,6 +108,16 @@
         if self._complete_at is None:
             self._complete_at = now
 
+    def set_usable(self, now: float) -> None:
+        """Record that targets are known from an agent's copy of the state.
+
+        Connections can be placed then. The list may lack targets, so that a
+        search that finds no holder ends without a reset.
+        """
+        self.refresh_peers()
+        if self._usable_at is None:
+            self._usable_at = now
+
     def refresh(self, services: Iterable[str]) -> list[Member]:
         """Update the routes and targets of services from the store.
 
@@ -129,6 +143,10 @@
         merged = self.store.merge(map(mark_left, replaced))
         self.refresh({member.service for member in merged.members})
 
+    def _has_report(self) -> bool:
+        targets = self.targets()
+        return len(self.target_selector.unheard_members()) < len(targets)
+
     def _apply_routes(self) -> None:
         stored = self.store.configuration(ROUTES_NAME)
         if stored.version <= self.routes.version:
