Let agents name a gateway that knows the state

An agent that has just started has no copy, and its copy is never complete. Beside the copy it now offers a gateway that has greeted it as one that knows targets. A gateway that starts uses one copy first, which makes it usable, then the gateways that were offered, then further copies.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
@@ -32,6 +32,15 @@
     is_near: bool
     expires_at: float
     incarnation: int = NO_HELLO
+    name: str = ''
+    knows_targets: bool = False
+
+
+class InformedBalancer(NamedTuple):
+    """A balancer that knew targets when it sent its latest hello."""
+
+    name: str
+    address: Address
 
 
 class KnownBalancers:
@@ -63,7 +72,11 @@
         is_near = hello.failure_domain == self._domain
         self._hello_at = now
         self._known[sender] = _Balancer(
-            is_near, now + silent_s, hello.incarnation
+            is_near,
+            now + silent_s,
+            hello.incarnation,
+            hello.name,
+            hello.interval_s > 0,
         )
         return is_new
 
@@ -74,9 +87,9 @@
             is_near = record.failure_domain == self._domain
             listed = _Balancer(is_near, expires_at)
             known = self._known.get(record.control, listed)
-            self._known[record.control] = listed._replace(
+            self._known[record.control] = known._replace(
+                is_near=is_near,
                 expires_at=max(expires_at, known.expires_at),
-                incarnation=known.incarnation,
             )
 
     def on_seeds(self, now: float, addresses: Iterable[Address]) -> None:
@@ -127,3 +140,13 @@
             for address, balancer in self._known.items()
             if balancer.is_near or not near_only
         ]
+
+    def informed(self) -> list[InformedBalancer]:
+        """Return the balancers that know targets; near ones if there are."""
+        informed = [
+            (balancer.is_near, InformedBalancer(balancer.name, address))
+            for address, balancer in self._known.items()
+            if balancer.knows_targets
+        ]
+        near = [each for is_near, each in informed if is_near]
+        return near or [each for _, each in informed]
--- a/packages/agent/src/trefoilhaven_agent/sidecar/copies.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/copies.py
@@ -33,8 +33,8 @@
 # Time in which a gateway has to answer, in seconds.
 FETCH_TIMEOUT_S: Final = 1.0
 
-# Offers that an agent sends within a second.
-MAX_OFFERS_PER_S: Final = 20
+# Gateways that an agent answers within a second, with two offers each.
+MAX_ANSWERS_PER_S: Final = 20
 
 
 class CopyTask:
@@ -57,7 +57,7 @@
         self._endpoint = endpoint
         self._transfers = transfers
         self._second_started_at = 0.0
-        self._second_offers = 0
+        self._second_answers = 0
         metrics = runtime.metrics
         self._offers = metrics.counter('state_offers_sent')
         self._fetches = metrics.counter('states_fetched', source='gateway')
@@ -74,33 +74,48 @@
             await asyncio.sleep(TICK_S)
 
     def on_hello(self, hello: BalancerHello, sender: Address) -> None:
-        """Offer the copy to a gateway that knows no targets.
+        """Answer a gateway that knows no targets by offers.
 
         Such a gateway sends a hello with an interval of 0, and limits itself
-        how many agents it asks.
+        how many agents it asks. Besides the copy, it is offered the state of
+        a gateway that greeted this agent, which is complete if that gateway
+        has not restarted since.
         """
         now = monotonic()
         if hello.interval_s > 0:
             self._copy.on_hello(now)
-        elif self._copy.state is not None and self._may_offer(now):
-            self._offers.add()
-            self._endpoint.send(self._offer, sender)
-            logger.info(
-                'state offered',
-                extra={'balancer': hello.name, 'bytes': self._copy.size},
-            )
+            return
+        if not self._may_answer(now):
+            return
+        if self._copy.state is not None:
+            self._send_offer(self._offer, sender)
+        informed = self._balancers.informed()
+        if informed:
+            self._send_offer(StateOffer(*self._rng.choice(informed)), sender)
 
     def on_policy(self, policy: TargetPolicy) -> None:
         """Fetch soon if the copy is older than what a gateway announces."""
         self._copy.on_version(POLICIES_NAME, policy.version)
         self._copy.on_version(EVACUATIONS_NAME, policy.evacuations_version)
 
-    def _may_offer(self, now: float) -> bool:
+    def _may_answer(self, now: float) -> bool:
         if now - self._second_started_at >= 1:
             self._second_started_at = now
-            self._second_offers = 0
-        self._second_offers += 1
-        return self._second_offers <= MAX_OFFERS_PER_S
+            self._second_answers = 0
+        self._second_answers += 1
+        return self._second_answers <= MAX_ANSWERS_PER_S
+
+    def _send_offer(self, offer: StateOffer, balancer: Address) -> None:
+        self._offers.add()
+        self._endpoint.send(offer, balancer)
+        logger.info(
+            'state offered',
+            extra={
+                'to': str(balancer),
+                'source': offer.sender,
+                'bytes': self._copy.size,
+            },
+        )
 
     def _on_request(self, req: StateRequest) -> State | None:
         """Return the copy; None for single services, as it may be old."""
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
@@ -114,3 +114,16 @@
         assert tried == [[NEAR], [FAR], [NEAR], [FAR]]
         known.on_hello(BALANCER_TIMEOUT_S + 2, hello(), NEAR)
         assert not known.next_lost()
+
+    def test_informed(self) -> None:
+        """Guards against a restarted balancer that is named as a source."""
+        known = KnownBalancers('a')
+        known.on_seeds(0, [NEAR])
+        assert not known.informed()
+        known.on_hello(0, hello('b'), FAR)
+        assert [each.address for each in known.informed()] == [FAR]
+        known.on_hello(0, hello(), NEAR)
+        known.on_listed(1, [make_record()])
+        assert known.informed() == [('b1', NEAR)]
+        known.on_hello(2, hello(interval_s=0.0, incarnation=2), NEAR)
+        assert [each.address for each in known.informed()] == [FAR]
--- a/packages/core/src/trefoilhaven_core/membership/sources.py
+++ b/packages/core/src/trefoilhaven_core/membership/sources.py
@@ -113,7 +113,8 @@
     ) -> Source | None:
         """Return the source to use next, None if there is none now.
 
-        Balancers that offered come first, then agents until
+        A first copy of an agent makes this balancer usable. Then the
+        balancers that offered come first, then further copies until
         ``MAX_COPIES`` were used, then the balancers that are known.
         """
         if self.is_complete:
@@ -123,10 +124,10 @@
             for offer in self._offers.values()
             if self._is_usable(now, offer)
         ]
-        for is_agent in (False, True):
-            for offer in offers:
-                if offer.is_agent is is_agent:
-                    return offer
+        is_first = not self._copies
+        offers.sort(key=lambda offer: offer.is_agent is not is_first)
+        if offers:
+            return offers[0]
         known = [
             Source(record.name, record.rpc)
             for record in balancers
