--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
@@ -86,9 +86,9 @@
                 self.is_joined_told.set()
 
 
-def make_task(store: StoreFixture, endpoint: EndpointFixture) -> ReportingTask:
-    """Return the task of an agent beside a target."""
-    cfg = SidecarSettings(
+def make_settings() -> SidecarSettings:
+    """Return the settings of an agent."""
+    return SidecarSettings(
         's1',
         'host-1',
         'a',
@@ -105,6 +105,11 @@
         CONTROL,
         CONTROL,
     )
+
+
+def make_task(store: StoreFixture, endpoint: EndpointFixture) -> ReportingTask:
+    """Return the task of an agent beside a target."""
+    cfg = make_settings()
     runtime = make_runtime('s1')
     connections = ConnectionTracker('certify', 60.0)
     tracker = TargetTracker(
--- a/packages/balancer/src/trefoilhaven/gateway/recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/recovery.py
@@ -22,6 +22,7 @@
 from trefoilhaven_core.membership.messages import (
     Address,
     Digest,
+    MemberState,
     State,
     StateRequest,
 )
@@ -47,7 +48,10 @@
 
 
 class RecoveryTask:
-    """Fetches the state after a start, and offers it to others."""
+    """Fetches the state after a start, and offers it to others.
+
+    ``sources`` decides about the former and ``schedule`` about the latter.
+    """
 
     def __init__(
         self,
@@ -71,8 +75,8 @@
         self._transfers = transfers
         self._on_fetched = on_fetched
         self._offer = StateOffer(cfg.name, cfg.advertise_control)
-        self._schedule = OfferSchedule(cfg.name, rng)
-        self._sources = StateSources(cfg.name, rng)
+        self.schedule = OfferSchedule(cfg.name, rng)
+        self.sources = StateSources(cfg.name, rng)
         self._offered = asyncio.Event()
         self._asking_hello = BalancerHello(
             cfg.name,
@@ -95,34 +99,41 @@
 
     def on_report(self, agent: Address) -> None:
         """Ask an agent that has reported for its copy, if that is due."""
-        if self._sources.should_ask(monotonic()):
+        if self.sources.should_ask(monotonic()):
             self._endpoint.send(self._asking_hello, agent)
 
     def on_complete(self) -> None:
-        """Stop fetching, since the list of targets is complete."""
-        self._sources.on_complete()
+        """Stop fetching, since the list of targets is complete.
+
+        The announcement tells all peers, so that they end their offers.
+        """
+        if self.sources.is_complete:
+            return
+        self.sources.on_complete()
         self._offered.set()
+        if not self._state.is_stopping:
+            self._gossip.announce(MemberState.alive)
 
     def on_complete_peer(self, peer: str) -> None:
         """Stop offering to a peer whose list of targets is complete."""
-        self._schedule.on_complete(monotonic(), peer)
+        self.schedule.on_complete(monotonic(), peer)
 
     def _on_offer(self, offer: StateOffer, sender: Address) -> None:
-        if self._sources.is_complete:
+        if self.sources.is_complete:
             name = self._state.cfg.name
             reply = TargetsReply(name, UNASKED_AT, (), is_partial=False)
             self._endpoint.send(reply, sender)
             return
-        self._sources.on_offer(offer.sender, offer.address)
+        self.sources.on_offer(offer.sender, offer.address)
         self._offered.set()
 
     def _on_digest(self, digest: Digest) -> None:
-        self._schedule.on_digest(monotonic(), digest)
+        self.schedule.on_digest(monotonic(), digest)
 
     async def _fetch_until_complete(self) -> None:
-        while not self._sources.is_complete:
+        while not self.sources.is_complete:
             balancers = self._state.store.balancers
-            source = self._sources.next_source(monotonic(), balancers)
+            source = self.sources.next_source(monotonic(), balancers)
             if source is not None:
                 await self._fetch(source)
                 continue
@@ -134,13 +145,13 @@
     async def _fetch(self, source: Source) -> None:
         req = StateRequest(self._state.cfg.name)
         called = await self._transfers.call(
-            source.address, req, self._sources.timeout_s(source)
+            source.address, req, self.sources.timeout_s(source)
         )
-        if self._sources.is_complete:
+        if self.sources.is_complete:
             return
         if called.is_error() or not isinstance(called.ok, State):
             self._failures.add()
-            self._sources.on_failure(monotonic(), source)
+            self.sources.on_failure(monotonic(), source)
             return
         is_complete = is_whole(called.ok)
         kind = 'gateway' if is_complete else 'agent'
@@ -160,16 +171,16 @@
         )
         self._gossip.merge_state(called.ok)
         if not is_complete:
-            self._sources.on_copy(source)
+            self.sources.on_copy(source)
         self._on_fetched(kind, is_complete)
 
     async def _send_offers(self) -> None:
         while True:
             now = monotonic()
             balancers = self._state.store.balancers
-            self._schedule.observe(now, balancers)
-            if self._sources.is_complete:
-                for peer in self._schedule.due(now, balancers):
+            self.schedule.observe(now, balancers)
+            if self.sources.is_complete:
+                for peer in self.schedule.due(now, balancers):
                     self._send_offer(peer)
             await asyncio.sleep(TICK_S)
 
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_membership.py
@@ -51,8 +51,8 @@
 class GatewayFixture:
     """A gateway that knows one target and one peer."""
 
-    def __init__(self) -> None:
-        """Start with a complete list of targets."""
+    def __init__(self, *, is_complete: bool = True) -> None:
+        """Start with a complete list of targets, or without any record."""
         self.state = make_state()
         self.endpoint = RecordingEndpoint(self.state)
         clock = self.state.runtime.clock
@@ -67,6 +67,8 @@
             segments,
             random.Random(1),
         )
+        if not is_complete:
+            return
         peer = BalancerRecord('g2', 'a', 1, 1, MemberState.alive, PEER, PEER)
         self.state.store.merge([make_member('t1')], [peer])
         self.state.refresh(['certify'])
--- a/packages/core/src/trefoilhaven_core/membership/offers.py
+++ b/packages/core/src/trefoilhaven_core/membership/offers.py
@@ -46,15 +46,28 @@
 # Offers after one restart. A balancer that needs more does not process them.
 MAX_OFFERS: Final = 12
 
+# A balancer starts with this sequence number. It raises the number when its
+# list of targets is complete, so that all peers learn of it by gossip.
+_FIRST_SEQUENCE: Final = 1
+
 # A balancer that knows nobody has a digest of its own record only.
 MAX_EMPTY_GROUPS: Final = 1
 
 
+# Incarnation and sequence number of a record.
+_Version = tuple[int, int]
+_UNKNOWN: Final = (0, 0)
+
+
 class _Pending(NamedTuple):
-    """A peer that needs offers; ``due`` is a monotonic time in seconds."""
+    """A peer that needs offers; ``due`` is a monotonic time in seconds.
+
+    ``version`` is that of its record when the need was seen.
+    """
 
     due: float
     is_silent: bool
+    version: _Version
     sent: int = 0
     is_ranked: bool = False
 
@@ -91,7 +104,7 @@
         """Start without peers; ``name`` is that of the balancer itself."""
         self._name = name
         self._rng = rng
-        self._incarnations: dict[str, int] = {}
+        self._versions: dict[str, _Version] = {}
         self._pending: dict[str, _Pending] = {}
         self._sent_at: deque[float] = deque(maxlen=MAX_OFFERS_PER_S)
 
@@ -103,26 +116,18 @@
     def observe(self, now: float, balancers: Iterable[BalancerRecord]) -> None:
         """Compare the records of the peers with those seen before.
 
-        A higher incarnation shows a restart. A peer that is suspect or dead
+        A higher incarnation shows a restart, and a higher sequence number
+        that the peer's list of targets is complete since. A peer that is suspect or dead
         may have restarted, or may be lost.
         """
-        known: dict[str, int] = {}
+        known: dict[str, _Version] = {}
         for record in balancers:
             if record.name == self._name:
                 continue
-            name = record.name
-            known[name] = record.incarnation
-            if record.state is MemberState.left:
-                self._pending.pop(name, None)
-            elif self._incarnations.get(name, record.incarnation) < (
-                record.incarnation
-            ):
-                self.on_restarted(now, name)
-            elif record.state >= MemberState.suspect:
-                self._on_silent(now, name)
-            else:
-                self._on_heard(name)
-        self._incarnations = known
+            version = (record.incarnation, record.sequence)
+            known[record.name] = version
+            self._observe(now, record, version)
+        self._versions = known
         for name in self._pending.keys() - known.keys():
             del self._pending[name]
 
@@ -136,7 +141,8 @@
         known = self._pending.get(peer)
         if known is None or known.is_silent:
             due = now + self._rng.uniform(0, OFFER_JITTER_S)
-            self._pending[peer] = _Pending(due, is_silent=False)
+            version = self._versions.get(peer, _UNKNOWN)
+            self._pending[peer] = _Pending(due, False, version)
 
     def on_complete(self, now: float, peer: str) -> None:
         """Record that a peer knows a complete list of targets.
@@ -180,10 +186,34 @@
             chosen.append(peer)
         return chosen
 
+    def _observe(
+        self, now: float, record: BalancerRecord, version: _Version
+    ) -> None:
+        name = record.name
+        before = self._versions.get(name, version)
+        self._versions[name] = version
+        if record.state is MemberState.left:
+            self._pending.pop(name, None)
+        elif record.state >= MemberState.suspect:
+            self._on_silent(now, name)
+        elif record.sequence > _FIRST_SEQUENCE:
+            self._on_announced(name, version)
+        elif before[0] < record.incarnation:
+            self.on_restarted(now, name)
+        else:
+            self._on_heard(name)
+
+    def _on_announced(self, peer: str, version: _Version) -> None:
+        """End the offers if the record is later than their cause."""
+        known = self._pending.get(peer)
+        if known is not None and (known.is_silent or known.version < version):
+            del self._pending[peer]
+
     def _on_silent(self, now: float, peer: str) -> None:
         if peer not in self._pending:
             due = now + self._rng.uniform(0, OFFER_JITTER_S)
-            self._pending[peer] = _Pending(due, is_silent=True)
+            version = self._versions.get(peer, _UNKNOWN)
+            self._pending[peer] = _Pending(due, True, version)
 
     def _on_heard(self, peer: str) -> None:
         known = self._pending.get(peer)
--- a/packages/core/src/trefoilhaven_core/membership/sources.py
+++ b/packages/core/src/trefoilhaven_core/membership/sources.py
@@ -36,12 +36,13 @@
 MAX_RETRY_S: Final = 8.0
 
 # Time in which a source has to answer, in seconds. It doubles with each
-# failure, since a large state takes longer.
-FETCH_TIMEOUT_S: Final = 0.3
+# failure, since a large state takes longer. With 0.3 s, two hosts without
+# power among the sources delay the start by more than its 0.3 s.
+FETCH_TIMEOUT_S: Final = 0.1
 MAX_FETCH_TIMEOUT_S: Final = 2.0
 
 # Both limits are reached after at most this number of failures.
-_MAX_DOUBLINGS: Final = 4
+_MAX_DOUBLINGS: Final = 5
 
 
 class Source(NamedTuple):
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_offers.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_offers.py
@@ -25,7 +25,10 @@
 
 
 def make_balancers(
-    count: int, incarnation: int = 1, state: MemberState = MemberState.alive
+    count: int,
+    incarnation: int = 1,
+    state: MemberState = MemberState.alive,
+    sequence: int = 1,
 ) -> list[BalancerRecord]:
     """Return the records of balancers; the first has the given fields."""
     return [
@@ -33,7 +36,7 @@
             f'g{number}',
             'a',
             1 if number else incarnation,
-            1,
+            1 if number else sequence,
             MemberState.alive if number else state,
             Address('10.0.0.1', number),
             Address('10.0.0.1', number),
@@ -79,7 +82,7 @@
     )
     def test_digest(self, groups: tuple[int, ...], is_offered: bool) -> None:
         """Guards against a peer that knows nobody and is taken for known."""
-        balancers = make_balancers(2)
+        balancers = make_balancers(2, sequence=2)
         schedule = make_schedule('g1', balancers)
         schedule.on_digest(0, Digest(PEER, 1, groups))
         assert bool(times_of_offers(schedule, balancers, 0.5)) is is_offered
@@ -116,6 +119,17 @@
         schedule.on_complete(OFFER_JITTER_S, PEER)
         assert not times_of_offers(schedule, balancers, 10)
 
+    def test_announced(self) -> None:
+        """Guards against offers of all others to a peer that has the state.
+
+        It has announced this to some of them, which spread it.
+        """
+        schedule = make_schedule('g1', make_balancers(2))
+        schedule.observe(0, make_balancers(2, incarnation=2))
+        assert schedule.pending == {PEER}
+        schedule.observe(1, make_balancers(2, incarnation=2, sequence=2))
+        assert not schedule.pending
+
     def test_complete_and_silent(self) -> None:
         """Guards against offers at the highest rate to a peer that answers.
 
