Leave connections that clients gave up out of a target's load

After a kill of all processes, agents report load that is none: requests that their clients have given up count as waiting, and connections of clients that are gone as idle, until they expire after 60 s; and a connection that an agent knows only by a probe counts although its target may not hold it. Gateways then choose among targets by load of the past.

The connections themselves stay known as before. A closed connection does not count again when its late segments arrive.

--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -178,7 +178,8 @@
         """
         effects: list[Effect] = []
         for key in self._probes.due(now):
-            entry = self._table.get(key) or self._table.add(now, key, None)
+            entry = self._table.get(key)
+            entry = entry or self._table.add(now, key, None, is_probed=True)
             entry.is_open = True
             effects.extend(self._probes.accept(key))
         return effects
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from trefoilhaven_core.connections.load_counts import LoadCounts
 from trefoilhaven_core.connections.messages import (
     ConnectionKey,
     ConnectionLoad,
@@ -33,11 +34,10 @@
 
     def __init__(self, idle_timeout_s: float) -> None:
         self._connections: dict[ConnectionKey, TrackedConnection] = {}
+        self._counts = LoadCounts()
         self._idle_timeout_s = idle_timeout_s
-        self._open = 0
         self._outliers = ResponseOutlierDetector()
         self._service_time_s = 0.0
-        self._waiting = 0
 
     def __len__(self) -> int:
         """Return the number of connections, including closed ones."""
@@ -48,12 +48,22 @@
         return self._connections.get(key)
 
     def add(
-        self, now: float, key: ConnectionKey, balancer: Address | None
+        self,
+        now: float,
+        key: ConnectionKey,
+        balancer: Address | None,
+        *,
+        is_probed: bool = False,
     ) -> TrackedConnection:
-        """Add a connection that is not in the table."""
+        """Add a connection that is not in the table.
+
+        One that is known only by a probe is no load before its target has
+        sent a segment.
+        """
         entry = TrackedConnection(now, balancer)
         self._connections[key] = entry
-        self._open += 1
+        if not is_probed:
+            self._counts.count(entry)
         return entry
 
     def remove(self, key: ConnectionKey) -> TrackedConnection | None:
@@ -70,8 +80,7 @@
         repeatedly.
         """
         self._connections.clear()
-        self._open = 0
-        self._waiting = 0
+        self._counts.clear()
 
     def open_items(self) -> Iterator[tuple[ConnectionKey, TrackedConnection]]:
         """Return the connections that are not closed."""
@@ -84,8 +93,8 @@
     def load(self, now: float) -> ConnectionLoad:
         """Return the target's load."""
         return ConnectionLoad(
-            self._open,
-            self._waiting,
+            self._counts.connections(now),
+            self._counts.waiting(now),
             self._service_time_s,
             round(self._outliers.odd_share(now), 2),
         )
@@ -100,9 +109,10 @@
             entry.acknowledged = segment.acknowledged
         if segment.length and entry.takes_new_data(segment):
             entry.request = segment.raw
-            if entry.requested_at is None:
+            if entry.requested_at is None or entry.is_abandoned:
                 entry.requested_at = now
-                self._waiting += 1
+                self._counts.on_request(entry)
+        self._counts.on_client(entry)
         if segment.flags & SegmentFlag.reset:
             self._close(now, entry)
         elif segment.flags & SegmentFlag.last:
@@ -115,6 +125,7 @@
     ) -> None:
         """Update a connection by a segment of the target."""
         entry.seen_at = now
+        self._counts.count(entry)
         entry.extend_window(segment)
         if segment.length:
             self._on_response(now, entry, segment.length)
@@ -145,7 +156,7 @@
         taken_s = now - entry.requested_at
         entry.request = None
         entry.requested_at = None
-        self._waiting -= 1
+        self._counts.on_response(entry)
         self._outliers.on_response(now, taken_s, first_bytes)
         if not self._service_time_s:
             self._service_time_s = taken_s
@@ -159,12 +170,9 @@
 
     def _end(self, entry: TrackedConnection) -> None:
         """Remove a connection from the counts."""
-        if entry.closed_at is None:
-            self._open -= 1
-        if entry.requested_at is not None:
-            entry.request = None
-            entry.requested_at = None
-            self._waiting -= 1
+        self._counts.remove(entry)
+        entry.request = None
+        entry.requested_at = None
 
     def _is_expired(self, now: float, entry: TrackedConnection) -> bool:
         if entry.closed_at is not None:
--- a/packages/core/src/trefoilhaven_core/connections/tracked_connections.py
+++ b/packages/core/src/trefoilhaven_core/connections/tracked_connections.py
@@ -28,6 +28,9 @@
     ``sent_until`` is the end of the client's data. ``request`` is the latest
     segment with data, None after a response.
 
+    ``is_counted`` means that it may be load of the target, and
+    ``is_abandoned`` that its request was unanswered for too long to be load.
+
     The client of this target acknowledges numbers from ``window_start`` to
     ``window_end``. The end is that of the target's data, all of which passes
     the agent; the start follows it at ``ACKNOWLEDGED_WINDOW`` bytes.
@@ -39,6 +42,8 @@
         'client_closed',
         'closed_at',
         'first_sequence',
+        'is_abandoned',
+        'is_counted',
         'is_open',
         'opening_sequence',
         'request',
@@ -57,6 +62,8 @@
         self.client_closed = False
         self.closed_at: float | None = None
         self.first_sequence: int | None = None
+        self.is_abandoned = False
+        self.is_counted = False
         self.is_open = False
         self.opening_sequence: int | None = None
         self.request: bytes | None = None
