--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -260,7 +260,7 @@
         entry = self._table.get(segment.key)
         if entry is None or not (segment.is_opening and entry.is_accepted):
             self._table.remove(segment.key)
-        probe = self._probes.refuse(segment.key)
+        probe = self._probes.refuse(now, segment.key)
         if not segment.is_opening:
             self._probes.note_absent(now, segment.key)
         if probe is not None:
