--- a/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
@@ -1,6 +1,7 @@
 """Balancers that an agent reports to."""
 
 import math
+from collections import deque
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -31,6 +32,15 @@
     is_near: bool
     expires_at: float
     incarnation: int = NO_HELLO
+    name: str = ''
+    knows_targets: bool = False
+
+
+class InformedBalancer(NamedTuple):
+    """A balancer that knew targets when it sent its latest hello."""
+
+    name: str
+    address: Address
 
 
 class KnownBalancers:
@@ -41,6 +51,7 @@
         self._domain = failure_domain
         self._hello_at = -math.inf
         self._known: dict[Address, _Balancer] = {}
+        self._lost: deque[Address] = deque()
 
     def __len__(self) -> int:
         """Return the number of balancers."""
@@ -61,7 +72,11 @@
         is_near = hello.failure_domain == self._domain
         self._hello_at = now
         self._known[sender] = _Balancer(
-            is_near, now + silent_s, hello.incarnation
+            is_near,
+            now + silent_s,
+            hello.incarnation,
+            hello.name,
+            hello.interval_s > 0,
         )
         return is_new
 
@@ -72,9 +87,9 @@
             is_near = record.failure_domain == self._domain
             listed = _Balancer(is_near, expires_at)
             known = self._known.get(record.control, listed)
-            self._known[record.control] = listed._replace(
+            self._known[record.control] = known._replace(
+                is_near=is_near,
                 expires_at=max(expires_at, known.expires_at),
-                incarnation=known.incarnation,
             )
 
     def on_seeds(self, now: float, addresses: Iterable[Address]) -> None:
@@ -94,12 +109,29 @@
         return now - self._hello_at > HELLO_TIMEOUT_S
 
     def expire(self, now: float) -> None:
-        """Remove balancers that have not been heard in time."""
-        self._known = {
+        """Remove balancers that have not been heard in time.
+
+        The addresses of the last ones are kept for ``next_lost``.
+        """
+        live = {
             address: balancer
             for address, balancer in self._known.items()
             if balancer.expires_at >= now
         }
+        if self._known and not live:
+            self._lost = deque(self._known)
+        self._known = live
+
+    def next_lost(self) -> list[Address]:
+        """Return the next address to try while no balancer is known.
+
+        All balancers may have restarted and know nobody, while the store is
+        down: then they can only answer.
+        """
+        if self._known or not self._lost:
+            return []
+        self._lost.rotate(-1)
+        return [self._lost[-1]]
 
     def addresses(self, *, near_only: bool = False) -> list[Address]:
         """Return the addresses to report to; near is the same domain."""
@@ -108,3 +140,13 @@
             for address, balancer in self._known.items()
             if balancer.is_near or not near_only
         ]
+
+    def informed(self) -> list[InformedBalancer]:
+        """Return the balancers that know targets; near ones if there are."""
+        informed = [
+            (balancer.is_near, InformedBalancer(balancer.name, address))
+            for address, balancer in self._known.items()
+            if balancer.knows_targets
+        ]
+        near = [each for is_near, each in informed if is_near]
+        return near or [each for _, each in informed]
--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -28,6 +28,7 @@
     open_endpoint,
     register_endpoint_metrics,
 )
+from trefoilhaven_core.wire.transfers import TransferEndpoint
 
 logger = logging.getLogger(__name__)
 
@@ -66,6 +67,7 @@
         cfg = self._cfg
         codec = make_codec()
         endpoint = await open_endpoint(cfg.control, codec, self._runtime.clock)
+        transfers = TransferEndpoint(codec, self._runtime.clock)
         segments = SegmentTask(
             cfg, self._runtime, self._connections, self._adapter, endpoint
         )
@@ -77,6 +79,7 @@
             segments,
             self._adapter,
             endpoint,
+            transfers,
         )
         PolicyReceiver(
             cfg,
@@ -86,6 +89,7 @@
             endpoint,
         )
         segments.open()
+        await transfers.start(cfg.control)
         register_endpoint_metrics(self._runtime.metrics, 'control', endpoint)
         self._adapter.register_metrics(self._runtime.metrics)
         await reporting.check_start()
@@ -102,6 +106,7 @@
         await reporting.stop()
         await end_tasks(tasks)
         segments.close()
+        transfers.close()
         endpoint.close()
         self._adapter.close()
         logger.info('sidecar stopped')
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
@@ -99,3 +99,31 @@
         assert known.addresses() == [NEAR]
         known.expire(BALANCER_TIMEOUT_INTERVALS * slow_s + 1)
         assert not len(known)
+
+    def test_all_silent(self) -> None:
+        """Guards against an agent that forgets where the balancers are.
+
+        All have restarted while the store is down, and know nobody.
+        """
+        known = KnownBalancers('a')
+        known.on_hello(0, hello(), NEAR)
+        known.on_hello(0, hello('b'), FAR)
+        assert not known.next_lost()
+        known.expire(BALANCER_TIMEOUT_S + 1)
+        tried = [known.next_lost() for _ in range(4)]
+        assert tried == [[NEAR], [FAR], [NEAR], [FAR]]
+        known.on_hello(BALANCER_TIMEOUT_S + 2, hello(), NEAR)
+        assert not known.next_lost()
+
+    def test_informed(self) -> None:
+        """Guards against a restarted balancer that is named as a source."""
+        known = KnownBalancers('a')
+        known.on_seeds(0, [NEAR])
+        assert not known.informed()
+        known.on_hello(0, hello('b'), FAR)
+        assert [each.address for each in known.informed()] == [FAR]
+        known.on_hello(0, hello(), NEAR)
+        known.on_listed(1, [make_record()])
+        assert known.informed() == [('b1', NEAR)]
+        known.on_hello(2, hello(interval_s=0.0, incarnation=2), NEAR)
+        assert [each.address for each in known.informed()] == [FAR]
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_reporting.py
@@ -36,6 +36,7 @@
 from trefoilhaven_core.settings.types import SidecarSettings
 from trefoilhaven_core.telemetry.runtimes import make_runtime
 from trefoilhaven_core.wire.endpoints import DatagramEndpoint
+from trefoilhaven_core.wire.transfers import TransferEndpoint
 
 CONTROL = Address('127.0.0.1', 7000)
 KNOWN = Address('10.0.0.8', 7000)
@@ -85,9 +86,9 @@
                 self.is_joined_told.set()
 
 
-def make_task(store: StoreFixture, endpoint: EndpointFixture) -> ReportingTask:
-    """Return the task of an agent beside a target."""
-    cfg = SidecarSettings(
+def make_settings() -> SidecarSettings:
+    """Return the settings of an agent."""
+    return SidecarSettings(
         's1',
         'host-1',
         'a',
@@ -104,6 +105,11 @@
         CONTROL,
         CONTROL,
     )
+
+
+def make_task(store: StoreFixture, endpoint: EndpointFixture) -> ReportingTask:
+    """Return the task of an agent beside a target."""
+    cfg = make_settings()
     runtime = make_runtime('s1')
     connections = ConnectionTracker('certify', 60.0)
     tracker = TargetTracker(
@@ -113,7 +119,14 @@
     adapter.make_client.return_value = store.client
     segments = SegmentTask(cfg, runtime, connections, adapter, endpoint)
     return ReportingTask(
-        cfg, runtime, connections, tracker, segments, adapter, endpoint
+        cfg,
+        runtime,
+        connections,
+        tracker,
+        segments,
+        adapter,
+        endpoint,
+        TransferEndpoint(mock.Mock(), runtime.clock),
     )
 
 
--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -15,12 +15,12 @@
 from trefoilhaven.gateway.evacuations import EvacuationTask
 from trefoilhaven.gateway.membership import (
     MembershipTask,
-    TransferStateFetcher,
     log_changed_targets,
 )
 from trefoilhaven.gateway.restorations import RestorationTask
 from trefoilhaven.gateway.segments import SegmentTask
 from trefoilhaven.gateway.state import GatewayState
+from trefoilhaven.gateway.state_fetches import TransferStateFetcher
 from trefoilhaven.gateway.target_policies import TargetPolicySender
 from trefoilhaven_core.connections.evacuations import EVACUATIONS_NAME
 from trefoilhaven_core.connections.pacing import far_report_interval_s
--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -188,7 +188,8 @@
         """
         effects: list[Effect] = []
         for key in self._probes.due(now):
-            entry = self._table.get(key) or self._table.add(now, key, None)
+            entry = self._table.get(key)
+            entry = entry or self._table.add(now, key, None, is_probed=True)
             entry.is_open = True
             effects.extend(self._probes.accept(key))
         return effects
@@ -262,7 +263,7 @@
         entry = self._table.get(segment.key)
         if entry is None or not (segment.is_opening and entry.is_accepted):
             self._table.remove(segment.key)
-        probe = self._probes.refuse(segment.key)
+        probe = self._probes.refuse(now, segment.key)
         if not segment.is_opening:
             self._probes.note_absent(now, segment.key)
         if probe is not None:
