--- a/packages/agent/src/trefoilhaven_agent/sidecar/copies.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/copies.py
@@ -64,11 +64,13 @@
         self._failures = metrics.counter('state_fetches_failed')
         self._served = metrics.counter('states_served')
         metrics.gauge('state_copy_bytes', lambda: self._copy.size)
-        transfers.on(StateRequest, self._on_request)
+        self._is_enabled = cfg.has_state_offers
+        if self._is_enabled:
+            transfers.on(StateRequest, self._on_request)
 
     async def run(self) -> None:
-        """Keep the copy up to date until cancelled."""
-        while True:
+        """Keep the copy up to date until cancelled, unless disabled."""
+        while self._is_enabled:
             if self._copy.is_due(monotonic()):
                 await self._fetch()
             await asyncio.sleep(TICK_S)
@@ -85,7 +87,7 @@
         if hello.interval_s > 0:
             self._copy.on_hello(now)
             return
-        if not self._may_answer(now):
+        if not (self._is_enabled and self._may_answer(now)):
             return
         if self._copy.state is not None:
             self._send_offer(self._offer, sender)
--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -77,7 +77,8 @@
             transfers,
         )
         segments.open()
-        await transfers.start(cfg.control)
+        if cfg.has_state_offers:
+            await transfers.start(cfg.control)
         register_endpoint_metrics(self._runtime.metrics, 'control', endpoint)
         await reporting.check_start()
         await self._adapter.serve_announcements(reporting.on_announcement)
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_copies.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_copies.py
@@ -37,7 +37,7 @@
 class CopyFixture:
     """An agent that one balancer has greeted."""
 
-    def __init__(self) -> None:
+    def __init__(self, state_offers: str = 'on') -> None:
         """Start without a copy."""
         runtime = make_runtime('s1')
         self.sent: list[tuple[Any, Address]] = []
@@ -46,7 +46,7 @@
         self.transfers = mock.Mock(spec=TransferEndpoint)
         self.balancers = KnownBalancers('a')
         self.task = CopyTask(
-            make_settings(),
+            make_settings()._replace(state_offers=state_offers),
             runtime,
             self.balancers,
             endpoint,
@@ -107,6 +107,18 @@
         assert len(agent.sent) <= 4 * MAX_ANSWERS_PER_S
 
 
+class TestDisabled:
+    """An agent whose settings do not enable offers."""
+
+    async def test_silent(self) -> None:
+        """Guards against changes where they are not enabled."""
+        agent = CopyFixture('off')
+        agent.hear(ASKING, JOINED)
+        await agent.task.run()
+        assert not agent.sent
+        agent.transfers.on.assert_not_called()
+
+
 class TestServing:
     """The state that an agent gives."""
 
--- a/packages/balancer/src/trefoilhaven/gateway/recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/recovery.py
@@ -90,16 +90,20 @@
             for source in ('agent', 'gateway')
         }
         self._failures = metrics.counter('state_fetches_failed')
-        endpoint.on(StateOffer, self._on_offer)
-        gossip.on_digest(self._on_digest)
+        self._is_enabled = cfg.has_state_offers
+        if self._is_enabled:
+            endpoint.on(StateOffer, self._on_offer)
+            gossip.on_digest(self._on_digest)
 
     async def run(self) -> None:
-        """Fetch and offer the state until cancelled."""
+        """Fetch and offer the state until cancelled, unless disabled."""
+        if not self._is_enabled:
+            return
         await asyncio.gather(self._fetch_until_complete(), self._send_offers())
 
     def on_report(self, agent: Address) -> None:
         """Ask an agent that has reported for its copy, if that is due."""
-        if self.sources.should_ask(monotonic()):
+        if self._is_enabled and self.sources.should_ask(monotonic()):
             self._endpoint.send(self._asking_hello, agent)
 
     def on_complete(self) -> None:
@@ -107,7 +111,7 @@
 
         The announcement tells all peers, so that they end their offers.
         """
-        if self.sources.is_complete:
+        if self.sources.is_complete or not self._is_enabled:
             return
         self.sources.on_complete()
         self._offered.set()
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_discovery.py
@@ -49,7 +49,7 @@
         self.by_type[kind] = handler
 
 
-def make_state() -> GatewayState:
+def make_state(state_offers: str = 'off') -> GatewayState:
     """Return the state of a gateway that has just started."""
     cfg = GatewaySettings(
         'g1',
@@ -63,6 +63,7 @@
         (),
         'info',
         CONTROL,
+        state_offers=state_offers,
     )
     return GatewayState(cfg, make_runtime('g1'), random.Random(1))
 
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_membership.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_membership.py
@@ -51,9 +51,11 @@
 class GatewayFixture:
     """A gateway that knows one target and one peer."""
 
-    def __init__(self, *, is_complete: bool = True) -> None:
+    def __init__(
+        self, *, is_complete: bool = True, state_offers: str = 'on'
+    ) -> None:
         """Start with a complete list of targets, or without any record."""
-        self.state = make_state()
+        self.state = make_state(state_offers)
         self.endpoint = RecordingEndpoint(self.state)
         clock = self.state.runtime.clock
         transfers = HandlerRecorder(codec=make_codec(), clock=clock)
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
@@ -129,6 +129,27 @@
         assert sources.next_source(monotonic(), ()) is None
 
 
+class TestDisabled:
+    """A gateway whose settings do not enable offers."""
+
+    async def test_silent(self) -> None:
+        """Guards against changes where they are not enabled."""
+        gateway = GatewayFixture(is_complete=False, state_offers='off')
+        report(gateway)
+        await recovery(gateway).run()
+        gateway.task.membership._set_membership_complete(  # noqa: SLF001
+            'the store'
+        )
+        sent = [each.message for each in gateway.endpoint.sent]
+        assert all(
+            isinstance(each, BalancerHello) and each.interval_s > 0
+            for each in sent
+        )
+        own = gateway.state.store.balancer('g1')
+        assert own is not None
+        assert own.sequence == 1
+
+
 class TestOffers:
     """A gateway that knows the state."""
 
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -10,6 +10,7 @@
 _MAX_TIME_S: Final = 604_800.0
 _MAX_COUNT: Final = 1_000_000
 _LOG_LEVELS: Final = ('debug', 'info', 'warning', 'error')
+_SWITCH: Final = ('off', 'on')
 
 
 def _address(key: str, description: str) -> Field:
@@ -222,6 +223,13 @@
         maximum=64,
         fields=(_address('address', 'Any address of the balancer.'),),
     ),
+    Field(
+        'state_offers',
+        FieldKind.choice,
+        'Whether the state is offered to balancers that have restarted.',
+        default='off',
+        choices=_SWITCH,
+    ),
     _LOG_LEVEL,
 )
 
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -129,6 +129,12 @@
     segments: Address
     processor_share: float = PROCESSOR_SHARE
     processor_speed: float = PROCESSOR_SPEED
+    state_offers: str = 'off'
+
+    @property
+    def has_state_offers(self) -> bool:
+        """Whether to take part in offers of the state."""
+        return self.state_offers == 'on'
 
     @property
     def processor_cores(self) -> float:
@@ -157,3 +163,9 @@
     announcements: Address
     target: Address
     fabric: Address
+    state_offers: str = 'off'
+
+    @property
+    def has_state_offers(self) -> bool:
+        """Whether to keep and offer a copy of the state."""
+        return self.state_offers == 'on'
