Compare the records of peers only when they have changed

A gateway would go through all records 20 times a second. A test shows that a restart that is seen in them leads to an offer.

--- a/packages/balancer/src/trefoilhaven/gateway/recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/recovery.py
@@ -179,12 +179,15 @@
         self._on_fetched(kind, is_complete)
 
     async def _send_offers(self) -> None:
+        store = self._state.store
+        revision = -1
         while True:
             now = monotonic()
-            balancers = self._state.store.balancers
-            self.schedule.observe(now, balancers)
+            if revision != store.balancers_revision:
+                revision = store.balancers_revision
+                self.schedule.observe(now, store.balancers)
             if self.sources.is_complete:
-                for peer in self.schedule.due(now, balancers):
+                for peer in self.schedule.due(now, store.balancers):
                     self._send_offer(peer)
             await asyncio.sleep(TICK_S)
 
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
@@ -1,5 +1,6 @@
 """Tests of a gateway that starts without the store, and of its peers."""
 
+import asyncio
 from typing import Any
 from unittest import mock
 
@@ -7,7 +8,7 @@
 from expression import Error, Ok, Result
 from trefoilhaven.gateway.recovery import ASKING_INTERVAL_S, RecoveryTask
 from trefoilhaven.gateway.state import MAX_REPORT_WAIT_S
-from trefoilhaven.gateway.tests.test_discovery import make_member
+from trefoilhaven.gateway.tests.test_discovery import CONTROL, make_member
 from trefoilhaven.gateway.tests.test_membership import (
     PEER,
     GatewayFixture,
@@ -34,6 +35,8 @@
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.transfers import TransferError
 
+TIMEOUT_S = 5.0
+POLL_S = 0.02
 AGENT = Address('127.0.0.9', 7000)
 COPY = Source(agent_sender('s1'), AGENT)
 RECORD = BalancerRecord('g2', 'a', 1, 1, MemberState.alive, PEER, PEER)
@@ -181,3 +184,15 @@
         message, address = informed.endpoint.sent[-1]
         assert isinstance(message, StateOffer)
         assert address == PEER
+
+    async def test_restarted_peer(self, informed: GatewayFixture) -> None:
+        """Guards against a restart that is seen and leads to no offer."""
+        store = informed.state.store
+        recovery(informed).schedule.observe(0, store.balancers)
+        store.merge(balancers=[RECORD._replace(incarnation=2)])
+        running = asyncio.create_task(recovery(informed).run())
+        offer = Sent(StateOffer('g1', CONTROL), PEER)
+        async with asyncio.timeout(TIMEOUT_S):
+            while offer not in informed.endpoint.sent:
+                await asyncio.sleep(POLL_S)
+        running.cancel()
