Keep a usable gateway ready when its list becomes complete

The wait for reports began again with the complete list, so that a gateway with an agent's copy could leave the rotation for up to 1.5 s. The test failed before. Ran: gateway tests and the platform's test_recovery.py.

--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -57,7 +57,6 @@
             self.routes, self.target_selector, rng, self.confirmation
         )
         self.is_stopping = False
-        self._complete_at: float | None = None
         self._usable_at: float | None = None
 
     def not_ready_reason(self, now: float) -> str:
@@ -66,15 +65,14 @@
             return 'the process is stopping'
         if not self.routes.version:
             return 'no configuration is known'
-        known_at = self._complete_at
-        if known_at is None:
-            known_at = self._usable_at
-        if known_at is None:
+        if self._usable_at is None:
             return 'the list of targets is not known'
         share = self.target_selector.reported_share()
-        if share < MIN_REPORTED_SHARE and now - known_at < MAX_REPORT_WAIT_S:
+        waited_s = now - self._usable_at
+        if share < MIN_REPORTED_SHARE and waited_s < MAX_REPORT_WAIT_S:
             return 'few targets have reported'
-        if self._complete_at is None and not self._has_report():
+        is_complete = self.router.searches.is_membership_complete
+        if not (is_complete or self._has_report()):
             # A copy may name only targets that have ended.
             return 'no target has reported'
         return ''
@@ -105,8 +103,8 @@
         """Record that all targets are known since the monotonic ``now``."""
         self.refresh_peers()
         self.router.searches.is_membership_complete = True
-        if self._complete_at is None:
-            self._complete_at = now
+        if self._usable_at is None:
+            self._usable_at = now
 
     def set_usable(self, now: float) -> None:
         """Record that targets are known from an agent's copy of the state.
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
@@ -123,6 +123,19 @@
         assert empty.state.router.searches.is_membership_complete
         assert not empty.state.not_ready_reason(monotonic() + MAX_REPORT_WAIT_S)
 
+    async def test_stays_ready(self, empty: GatewayFixture) -> None:
+        """Guards against a gateway that leaves the rotation again.
+
+        Its list becomes complete, and most targets in it have ended.
+        """
+        await fetch(empty, COPY, Ok(make_copy()))
+        report(empty)
+        ended = [make_member(f'u{number}') for number in range(9)]
+        later = monotonic() + MAX_REPORT_WAIT_S
+        state = make_copy()._replace(sender='g2', members=tuple(ended))
+        await fetch(empty, Source('g2', PEER), Ok(state))
+        assert not empty.state.not_ready_reason(later)
+
     async def test_failure(self, empty: GatewayFixture) -> None:
         """Guards against a gateway that asks a lost host again at once."""
         task = recovery(empty)
