--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -89,7 +89,8 @@
             endpoint,
         )
         segments.open()
-        await transfers.start(cfg.control)
+        if cfg.state_offers:
+            await transfers.start(cfg.control)
         register_endpoint_metrics(self._runtime.metrics, 'control', endpoint)
         self._adapter.register_metrics(self._runtime.metrics)
         await reporting.check_start()
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
@@ -1,5 +1,6 @@
 """Tests of a gateway that starts without the store, and of its peers."""
 
+import asyncio
 from typing import Any
 from unittest import mock
 
@@ -7,7 +8,7 @@
 from expression import Error, Ok, Result
 from trefoilhaven.gateway.recovery import ASKING_INTERVAL_S, RecoveryTask
 from trefoilhaven.gateway.state import MAX_REPORT_WAIT_S
-from trefoilhaven.gateway.tests.test_discovery import make_member
+from trefoilhaven.gateway.tests.test_discovery import CONTROL, make_member
 from trefoilhaven.gateway.tests.test_membership import (
     PEER,
     GatewayFixture,
@@ -34,6 +35,8 @@
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.transfers import TransferError
 
+TIMEOUT_S = 5.0
+POLL_S = 0.02
 AGENT = Address('127.0.0.9', 7000)
 COPY = Source(agent_sender('s1'), AGENT)
 RECORD = BalancerRecord('g2', 'a', 1, 1, MemberState.alive, PEER, PEER)
@@ -120,6 +123,19 @@
         assert empty.state.router.searches.is_membership_complete
         assert not empty.state.not_ready_reason(monotonic() + MAX_REPORT_WAIT_S)
 
+    async def test_stays_ready(self, empty: GatewayFixture) -> None:
+        """Guards against a gateway that leaves the rotation again.
+
+        Its list becomes complete, and most targets in it have ended.
+        """
+        await fetch(empty, COPY, Ok(make_copy()))
+        report(empty)
+        ended = [make_member(f'u{number}') for number in range(9)]
+        later = monotonic() + MAX_REPORT_WAIT_S
+        state = make_copy()._replace(sender='g2', members=tuple(ended))
+        await fetch(empty, Source('g2', PEER), Ok(state))
+        assert not empty.state.not_ready_reason(later)
+
     async def test_failure(self, empty: GatewayFixture) -> None:
         """Guards against a gateway that asks a lost host again at once."""
         task = recovery(empty)
@@ -129,6 +145,27 @@
         assert sources.next_source(monotonic(), ()) is None
 
 
+class TestDisabled:
+    """A gateway whose settings do not enable offers."""
+
+    async def test_silent(self) -> None:
+        """Guards against changes where they are not enabled."""
+        gateway = GatewayFixture(is_complete=False, state_offers=False)
+        report(gateway)
+        await recovery(gateway).run()
+        gateway.task.membership._set_membership_complete(  # noqa: SLF001
+            'the store'
+        )
+        sent = [each.message for each in gateway.endpoint.sent]
+        assert all(
+            isinstance(each, BalancerHello) and each.interval_s > 0
+            for each in sent
+        )
+        own = gateway.state.store.balancer('g1')
+        assert own is not None
+        assert own.sequence == 1
+
+
 class TestOffers:
     """A gateway that knows the state."""
 
@@ -160,3 +197,15 @@
         message, address = informed.endpoint.sent[-1]
         assert isinstance(message, StateOffer)
         assert address == PEER
+
+    async def test_restarted_peer(self, informed: GatewayFixture) -> None:
+        """Guards against a restart that is seen and leads to no offer."""
+        store = informed.state.store
+        recovery(informed).schedule.observe(0, store.balancers)
+        store.merge(balancers=[RECORD._replace(incarnation=2)])
+        running = asyncio.create_task(recovery(informed).run())
+        offer = Sent(StateOffer('g1', CONTROL), PEER)
+        async with asyncio.timeout(TIMEOUT_S):
+            while offer not in informed.endpoint.sent:
+                await asyncio.sleep(POLL_S)
+        running.cancel()
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -16,6 +16,7 @@
 PROCESSOR_SHARE: Final = 0.15
 PROCESSOR_SPEED: Final = 1.0
 EVACUATIONS: Final = False
+STATE_OFFERS: Final = False
 
 # Service files.
 IDLE_TIMEOUT_S: Final = 3600.0
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -222,6 +222,12 @@
         maximum=64,
         fields=(_address('address', 'Any address of the balancer.'),),
     ),
+    Field(
+        'state_offers',
+        FieldKind.boolean,
+        'Whether the state is offered to balancers that have restarted.',
+        default=defaults.STATE_OFFERS,
+    ),
     _LOG_LEVEL,
 )
 
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -7,6 +7,7 @@
     EVACUATIONS,
     PROCESSOR_SHARE,
     PROCESSOR_SPEED,
+    STATE_OFFERS,
 )
 
 
@@ -115,7 +116,8 @@
     a TCP address. ``processor_share`` is the share of a core that the process
     may use, and ``processor_speed`` the speed of this core relative to a usual
     one. With ``evacuations``, the evacuated failure domains are read from the
-    platform.
+    platform, and with ``state_offers`` the state is offered to balancers that
+    have restarted.
     """
 
     name: str
@@ -132,6 +134,7 @@
     processor_share: float = PROCESSOR_SHARE
     processor_speed: float = PROCESSOR_SPEED
     evacuations: bool = EVACUATIONS
+    state_offers: bool = STATE_OFFERS
 
     @property
     def processor_cores(self) -> float:
@@ -154,7 +157,9 @@
     """Settings of a sidecar, an agent of a target that exchanges segments.
 
     All clients receive segments at the port of ``fabric``. Without
-    ``warm_up``, cold targets get any number of new connections.
+    ``warm_up``, cold targets get any number of new connections. With
+    ``state_offers``, the agent keeps a copy of the state for balancers that
+    have restarted.
     """
 
     name: str
@@ -173,3 +178,4 @@
     target: Address
     fabric: Address
     warm_up: WarmUpLimits | None = None
+    state_offers: bool = STATE_OFFERS
