Refuse new connections when a service is short of room

In an overload all routes waited alike until their clients gave up, and no request was served in time. Gateways now refuse, by a reset before the connection is open, less urgent routes first and a burst before the usual openings of its priority, from the expected wait at the best usable target. Nothing is refused without policies, while a known target has a free slot, or if another gateway may have placed the opening. Each route keeps a tenth.

--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -16,9 +16,11 @@
     DropSegment,
     Effect,
     HolderFound,
+    OverloadRefused,
     Placed,
     QueryMember,
     QueryPeer,
+    ResetCause,
     ResetClient,
     SendMessage,
     UnknownTarget,
@@ -32,7 +34,10 @@
     SegmentReturn,
     TargetReport,
 )
-from trefoilhaven_core.connections.texts import connection_text
+from trefoilhaven_core.connections.texts import (
+    connection_text,
+    host_text,
+)
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.platform.adapters import PlatformAdapter
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
@@ -72,6 +77,9 @@
             for cause in DropCause
         }
         self._resets = metrics.counter('connections_reset')
+        self._overloads = metrics.counter(
+            'openings_refused', reason=ResetCause.overloaded.name
+        )
         self._forwards = metrics.counter('segments_forwarded')
         self._placed = metrics.counter('connections_placed')
         self._search_time = metrics.histogram('holder_search')
@@ -174,6 +182,8 @@
             self._log_placed(effect)
         elif isinstance(effect, HolderFound):
             self._log_found(effect)
+        elif isinstance(effect, OverloadRefused):
+            self._log_overload(effect)
         elif isinstance(effect, UnknownTarget):
             self._log_unknown_target(effect)
 
@@ -193,6 +203,22 @@
             },
         )
 
+    def _log_overload(self, effect: OverloadRefused) -> None:
+        self._overloads.add()
+        policy, wait_s, share = effect.refusal
+        host, port = policy.address
+        self._log.warn(
+            monotonic(),
+            f'{ResetCause.overloaded.name} {host}:{port}',
+            'connection refused in an overload',
+            route=f'{host_text(host)}:{port}',
+            service=effect.service,
+            priority=policy.priority,
+            expected_wait_s=round(wait_s, 3),
+            objective_s=policy.objective_s,
+            accepted_share=round(share, 2),
+        )
+
     def _log_found(self, effect: HolderFound) -> None:
         self._search_time.observe(effect.searched_s)
         logger.info(
@@ -255,6 +281,9 @@
         raw = self._adapter.codec.encode_reset(effect.key, effect.sequence)
         self._raw_endpoint.send(raw, self._adapter.client_address(effect.key))
         self._resets.add()
+        if effect.cause is ResetCause.overloaded:
+            # ``OverloadRefused`` is logged, at a limited rate.
+            return
         logger.info(
             'connection reset',
             extra={
--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -13,6 +13,7 @@
     SegmentReturn,
     TargetIdentity,
 )
+from trefoilhaven_core.connections.overload import Refusal
 from trefoilhaven_core.connections.warm_up import RefusalCause
 from trefoilhaven_core.membership.messages import Address, Member
 
@@ -23,6 +24,7 @@
     no_route = 'no route for the address'
     not_held = 'no target holds the connection'
     target_gone = 'the target has ended'
+    overloaded = 'the service is short of room'
 
 
 class DropCause(Enum):
@@ -105,6 +107,13 @@
     cause: RefusalCause
 
 
+class OverloadRefused(NamedTuple):
+    """Log and count a new connection that an overloaded service refuses."""
+
+    service: str
+    refusal: Refusal
+
+
 class HolderFound(NamedTuple):
     """Log that a search found the holder.
 
@@ -147,6 +156,7 @@
     | ResetClient
     | Placed
     | OpeningRefused
+    | OverloadRefused
     | HolderFound
     | UnknownTarget
     | ConfirmMembership
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -18,6 +18,7 @@
     DropSegment,
     Effect,
     HolderFound,
+    OverloadRefused,
     ResetCause,
     ResetClient,
     SendMessage,
@@ -35,6 +36,8 @@
     SegmentReturn,
     TargetReport,
 )
+from trefoilhaven_core.connections.overload import OverloadControl
+from trefoilhaven_core.connections.policies import Policies
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.searches import SearchTable
 from trefoilhaven_core.connections.target_selection import TargetSelector
@@ -74,6 +77,7 @@
             self._settle,
         )
         self._routes = routes
+        self._overload = OverloadControl(routes)
         self._selector = selector
         self._rng = rng
         self._cache = RouteCache()
@@ -82,6 +86,10 @@
         """Return the number of cached connections."""
         return len(self._cache)
 
+    def set_policies(self, policies: Policies) -> None:
+        """Refuse new connections by these policies in an overload."""
+        self._overload.set_policies(policies)
+
     def on_segment(self, now: float, segment: Segment) -> list[Effect]:
         """Route a client's segment, or search for its target."""
         address = segment.key[2:]
@@ -214,7 +222,9 @@
         self, now: float, segment: Segment, known: CachedRoute | None
     ) -> list[Effect]:
         if known is None:
-            return self._place(now, segment, ())
+            # Another balancer may have placed a retransmitted one.
+            may_refuse = not segment.acknowledged
+            return self._place(now, segment, (), may_refuse=may_refuse)
         is_retransmission = segment.acknowledged > len(known.tried)
         if is_retransmission and not known.is_accepted:
             tried = (*known.tried, known.target)
@@ -224,15 +234,23 @@
         return [self._forward(known, segment)]
 
     def _place(
-        self, now: float, segment: Segment, tried: tuple[str, ...]
+        self,
+        now: float,
+        segment: Segment,
+        tried: tuple[str, ...],
+        *,
+        may_refuse: bool = False,
     ) -> list[Effect]:
-        """Choose a target for a new connection."""
+        """Choose a target for a new connection, or refuse it."""
         if len(tried) >= OPENING_TRIES:
             return [DropSegment(segment, DropCause.no_target)]
         address = segment.key[2:]
         services = self._routes.ordered_services(address, self._rng)
         if not services:
             return self._on_no_route(segment)
+        refused = self._refuse(now, segment, services) if may_refuse else []
+        if refused:
+            return refused
         chosen = (
             self._selector.choose(now, self._rng, service, tried)
             for service in services
@@ -246,6 +264,25 @@
         placed = self._selector.placement(now, segment.key, member, tried)
         return [placed, self._forward(route, segment)]
 
+    def _refuse(
+        self, now: float, segment: Segment, services: list[str]
+    ) -> list[Effect]:
+        """Reset a connection that no target can serve in time, if any."""
+        address = segment.key[2:]
+        if not self._overload.has_policy(address):
+            return []
+        rooms = {each: self._selector.room(now, each) for each in services}
+        usable = [service for service in services if rooms[service]]
+        service = usable[0] if usable else services[0]
+        refusal = self._overload.decide(now, address, service, rooms[service])
+        if refusal is None:
+            return []
+        cause = ResetCause.overloaded
+        return [
+            OverloadRefused(service, refusal),
+            ResetClient(segment.key, segment.acknowledged, cause),
+        ]
+
     def _forward(self, route: CachedRoute, segment: Segment) -> SendMessage:
         member = self._selector.member(route.service, route.target)
         forward = SegmentForward(
--- a/packages/core/src/trefoilhaven_core/connections/target_costs.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_costs.py
@@ -40,6 +40,15 @@
     )
 
 
+def expected_wait_s(target: TargetState) -> float:
+    """Return the expected wait of a new connection's request, in seconds.
+
+    Connections without a request do not count.
+    """
+    busy = target.load.waiting + target.placed
+    return busy * target.load.service_time_s / max(1, target.member.slots)
+
+
 def _cost(target: TargetState, failure_domain: str, usual_odd: float) -> float:
     cost = target.busy_share()
     excess = target.load.odd_share - usual_odd
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -12,9 +12,13 @@
     ConnectionLoad,
     TargetReport,
 )
+from trefoilhaven_core.connections.overload import ServiceRoom
 from trefoilhaven_core.connections.pacing import FAR_INTERVAL_FACTOR
 from trefoilhaven_core.connections.replacements import HostTable
-from trefoilhaven_core.connections.target_costs import select_cheapest
+from trefoilhaven_core.connections.target_costs import (
+    expected_wait_s,
+    select_cheapest,
+)
 from trefoilhaven_core.connections.target_states import TargetState
 from trefoilhaven_core.membership.messages import Member, MemberState
 
@@ -242,6 +246,27 @@
         Unresponsive targets and those with a silent agent are selected only
         if there are no others. The result is None without a usable target.
         """
+        candidates = self._candidates(now, service, excluded)
+        if not candidates:
+            return None
+        chosen = select_cheapest(candidates, self._domain, rng)
+        chosen.placed += 1
+        return chosen.member
+
+    def room(self, now: float, service: str) -> ServiceRoom | None:
+        """Return the room of a service, None without a usable target."""
+        candidates = self._candidates(now, service)
+        if not candidates:
+            return None
+        return ServiceRoom(
+            min(expected_wait_s(target) for target in candidates),
+            any(target.has_free_slot for target in candidates),
+        )
+
+    def _candidates(
+        self, now: float, service: str, excluded: Collection[str] = ()
+    ) -> list[TargetState]:
+        """Return the targets that are usable, best without the silent."""
         usable = [
             target
             for target in self._targets.get(service, {}).values()
@@ -256,12 +281,7 @@
             if not target.is_unresponsive
             and now - target.seen_at < self._silent_limit_s(target)
         ]
-        candidates = heard or usable
-        if not candidates:
-            return None
-        chosen = select_cheapest(candidates, self._domain, rng)
-        chosen.placed += 1
-        return chosen.member
+        return heard or usable
 
     def _silent_limit_s(self, target: TargetState) -> float:
         """Return the time without reports after which an agent is silent."""
--- a/packages/core/src/trefoilhaven_core/connections/target_states.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_states.py
@@ -59,6 +59,11 @@
         """Whether the target has neither left nor been replaced."""
         return self.member.state < MemberState.left and not self.is_replaced
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a new connection's request would not wait."""
+        return self.load.waiting + self.placed < self.member.slots
+
     def on_heard(self, now: float) -> None:
         """Record a report of the agent, or an accepted connection."""
         self.seen_at = now
