--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -13,6 +13,7 @@
     SegmentReturn,
     TargetIdentity,
 )
+from trefoilhaven_core.connections.overload import Refusal
 from trefoilhaven_core.connections.warm_up import RefusalCause
 from trefoilhaven_core.membership.messages import Address, Member
 
@@ -24,6 +25,7 @@
     not_held = 'no target holds the connection'
     target_gone = 'the target has ended'
     evacuated = 'all failure domains with targets are evacuated'
+    overloaded = 'the service is short of room'
 
 
 class DropCause(Enum):
@@ -106,6 +108,13 @@
     cause: RefusalCause
 
 
+class OverloadRefused(NamedTuple):
+    """Log and count a new connection that an overloaded service refuses."""
+
+    service: str
+    refusal: Refusal
+
+
 class HolderFound(NamedTuple):
     """Log that a search found the holder.
 
@@ -148,6 +157,7 @@
     | ResetClient
     | Placed
     | OpeningRefused
+    | OverloadRefused
     | HolderFound
     | UnknownTarget
     | ConfirmMembership
