Learn a target's service time without waiting and long requests

ConnectionLoad.service_time_s was a moving average of the time until a response, so that it grew with the queue of a target and with each of the few requests that take many times longer.

Odd responses end a request but are not learned from.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/targets.py
@@ -177,7 +177,7 @@
         identity = TargetIdentity(
             self._service, announcement.target, incarnation
         )
-        self._connections.set_target(identity)
+        self._connections.set_target(identity, announcement.slots)
         self._connections.accepts = announcement.state is MemberState.alive
         self._announced_incarnation = announcement.incarnation
         return TargetUpdate(
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_targets.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_targets.py
@@ -61,6 +61,23 @@
         assert tracker.member is not None
         assert tracker.member.incarnation == BORN
 
+    def test_slots(self) -> None:
+        """Guards against parallel work that is taken for a queue."""
+        tracker, connections = make_tracker()
+        tracker.on_announcement(0, heartbeat())
+        for port in (1, 2):
+            key = key_of(port)
+            request = make_segment(key, SegmentFlag.acknowledges, 8, 1, 100)
+            connections.on_target_segment(0, accepting(key, 1))
+            assert tracker.member is not None
+            forward = make_forward(tracker.member, request)
+            connections.on_forward(0, forward, request, BALANCER)
+        for port in (1, 2):
+            answer = make_segment(key_of(port), sequence=2, length=50)
+            connections.on_target_segment(0.04 + port / 1e6, answer)
+        learned_s = connections.load(1.0).service_time_s
+        assert abs(learned_s - 0.04) < 1e-4
+
     def test_draining_is_in_force(self) -> None:
         """Guards against an acknowledged drain that is not in force."""
         tracker, connections = make_tracker()
--- a/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/connection_tracker.py
@@ -76,13 +76,14 @@
         """Return the target's load."""
         return self._table.load(now)
 
-    def set_target(self, identity: TargetIdentity) -> None:
+    def set_target(self, identity: TargetIdentity, slots: int = 1) -> None:
         """Set the target that announced itself.
 
         Known connections stay, as a heartbeat does not show that the target
         has restarted. If it has, it refuses their segments.
         """
         self.evidence.on_announced(identity)
+        self._table.set_slots(slots)
 
     def repeat_requests(self) -> list[Effect]:
         """Deliver the latest segments without a response again.
@@ -164,7 +165,7 @@
             effects.extend(self._probes.accept(segment.key))
         if segment.is_accepting:
             if entry.is_replaced_by(segment):
-                self._table.remove(segment.key)
+                self._table.remove(now, segment.key)
                 entry = self._table.add(now, segment.key, entry.balancer)
             effects.extend(self._on_accepting(now, segment, entry))
         self._table.on_target(now, entry, segment)
@@ -235,7 +236,7 @@
         if entry is not None and entry.is_open and entry.closed_at is None:
             entry.balancer = balancer
             return
-        self._table.remove(segment.key)
+        self._table.remove(now, segment.key)
         entry = self._table.add(now, segment.key, balancer)
         entry.opening_sequence = segment.sequence
 
@@ -258,7 +259,7 @@
     def _on_refused(self, now: float, segment: Segment) -> list[Effect]:
         entry = self._table.get(segment.key)
         if entry is None or not (segment.is_opening and entry.is_accepted):
-            self._table.remove(segment.key)
+            self._table.remove(now, segment.key)
         probe = self._probes.refuse(segment.key)
         if not segment.is_opening:
             self._probes.note_absent(now, segment.key)
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -108,8 +108,8 @@
     """Load of a target, measured by its agent from the segments it passes.
 
     ``waiting`` counts the connections with a request that has no response
-    yet; ``service_time_s`` is the mean time until a response begins, and
-    ``odd_share`` the share of the latest responses that look like failures.
+    yet; ``service_time_s`` is the expected time that the target works on one
+    request, without waiting, 0 if unknown. ``odd_share`` is the share of the latest responses that look like failures.
     """
 
     connections: int = 0
--- a/packages/core/src/trefoilhaven_core/connections/response_outliers.py
+++ b/packages/core/src/trefoilhaven_core/connections/response_outliers.py
@@ -57,8 +57,11 @@
             (now - self._recorded_at) / ODD_SHARE_HALF_LIFE_S
         )
 
-    def on_response(self, now: float, taken_s: float, first_bytes: int) -> None:
-        """Record a response: its time and the bytes of its first segment."""
+    def on_response(self, now: float, taken_s: float, first_bytes: int) -> bool:
+        """Record a response: its time and the bytes of its first segment.
+
+        Returns whether it is odd.
+        """
         self._responses += 1
         is_odd = (
             self._responses > MIN_RESPONSES
@@ -70,6 +73,7 @@
         weight = max(weight, 1 / self._responses)
         self._mean_bytes += weight * (first_bytes - self._mean_bytes)
         self._record(now, is_odd=is_odd)
+        return is_odd
 
     def on_request_aborted(self, now: float) -> None:
         """Record a request whose connection the target reset unanswered."""
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -12,6 +12,7 @@
 from trefoilhaven_core.connections.response_outliers import (
     ResponseOutlierDetector,
 )
+from trefoilhaven_core.connections.service_times import ServiceTimeEstimator
 from trefoilhaven_core.connections.tracked_connections import (
     TrackedConnection,
 )
@@ -21,9 +22,6 @@
 # segments, in seconds.
 CLOSED_RETENTION_S: Final = 10.0
 
-# Weight of a new service time in the exponential moving average.
-_SERVICE_TIME_WEIGHT: Final = 0.1
-
 
 class ConnectionTable:
     """Connections by key, with running counts of the target's load.
@@ -36,7 +34,7 @@
         self._idle_timeout_s = idle_timeout_s
         self._open = 0
         self._outliers = ResponseOutlierDetector()
-        self._service_time_s = 0.0
+        self._service_times = ServiceTimeEstimator()
         self._waiting = 0
 
     def __len__(self) -> int:
@@ -47,6 +45,10 @@
         """Return a connection, None if it is unknown."""
         return self._connections.get(key)
 
+    def set_slots(self, slots: int) -> None:
+        """Set the number of requests that the target works on at a time."""
+        self._service_times.slots = max(1, slots)
+
     def add(
         self, now: float, key: ConnectionKey, balancer: Address | None
     ) -> TrackedConnection:
@@ -56,11 +58,13 @@
         self._open += 1
         return entry
 
-    def remove(self, key: ConnectionKey) -> TrackedConnection | None:
+    def remove(
+        self, now: float, key: ConnectionKey
+    ) -> TrackedConnection | None:
         """Remove and return a connection, None if it is unknown."""
         entry = self._connections.pop(key, None)
         if entry is not None:
-            self._end(entry)
+            self._end(now, entry)
         return entry
 
     def clear(self) -> None:
@@ -70,6 +74,7 @@
         repeatedly.
         """
         self._connections.clear()
+        self._service_times.clear()
         self._open = 0
         self._waiting = 0
 
@@ -86,7 +91,7 @@
         return ConnectionLoad(
             self._open,
             self._waiting,
-            self._service_time_s,
+            self._service_times.estimate_s(),
             round(self._outliers.odd_share(now), 2),
         )
 
@@ -102,6 +107,7 @@
             entry.request = segment.raw
             if entry.requested_at is None:
                 entry.requested_at = now
+                self._service_times.on_request(now, entry)
                 self._waiting += 1
         if segment.flags & SegmentFlag.reset:
             self._close(now, entry)
@@ -135,7 +141,7 @@
             if self._is_expired(now, entry)
         ]
         for key in expired:
-            self.remove(key)
+            self.remove(now, key)
 
     def _on_response(
         self, now: float, entry: TrackedConnection, first_bytes: int
@@ -146,24 +152,22 @@
         entry.request = None
         entry.requested_at = None
         self._waiting -= 1
-        self._outliers.on_response(now, taken_s, first_bytes)
-        if not self._service_time_s:
-            self._service_time_s = taken_s
-        difference_s = taken_s - self._service_time_s
-        self._service_time_s += _SERVICE_TIME_WEIGHT * difference_s
+        is_odd = self._outliers.on_response(now, taken_s, first_bytes)
+        self._service_times.on_response(now, entry, is_odd=is_odd)
 
     def _close(self, now: float, entry: TrackedConnection) -> None:
         if entry.closed_at is None:
-            self._end(entry)
+            self._end(now, entry)
             entry.closed_at = now
 
-    def _end(self, entry: TrackedConnection) -> None:
+    def _end(self, now: float, entry: TrackedConnection) -> None:
         """Remove a connection from the counts."""
         if entry.closed_at is None:
             self._open -= 1
         if entry.requested_at is not None:
             entry.request = None
             entry.requested_at = None
+            self._service_times.on_aborted(now, entry)
             self._waiting -= 1
 
     def _is_expired(self, now: float, entry: TrackedConnection) -> bool:
