Select targets by expected wait, and domains by a share

With a crossing cost, a gateway compares expected waits in seconds among the targets of one failure domain, in proportion to their rates, and decides by a share of the new connections whether they leave the own domain. Without one, it selects as before: the fixed penalty of other domains stays.

Idle connections count by the learned share of a target's connections that are busy, at most 0.05: with 2,000 rarely used connections the expected wait would otherwise be 100 service times.

--- a/packages/core/src/trefoilhaven_core/connections/effects.py
+++ b/packages/core/src/trefoilhaven_core/connections/effects.py
@@ -88,6 +88,9 @@
     counted, with the penalty of a target that has just started.
     ``report_age_s`` is the age of the report that it is based on. ``tried``
     names the targets at which the connection was tried before.
+    ``expected_wait_s`` is how long its first request was expected to wait, and
+    ``service_time_s`` the learned service time of the target, 0 if unknown;
+    both in seconds.
     """
 
     key: ConnectionKey
@@ -95,6 +98,8 @@
     busy_share: float
     report_age_s: float
     tried: tuple[str, ...]
+    expected_wait_s: float = 0
+    service_time_s: float = 0
 
 
 class HolderFound(NamedTuple):
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -153,6 +153,7 @@
         self._selector.on_accepted(
             now, accepted.service, accepted.target, accepted.load
         )
+        self._selector.on_round_trip(now, accepted)
         route = self._cache.get(accepted.key)
         if route is not None and route.target == accepted.target:
             route.is_accepted = True
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -3,26 +3,26 @@
 import math
 import random
 from collections.abc import Collection, Iterable, Iterator
-from typing import Final
 
+from trefoilhaven_core.connections.domain_shares import DomainShares
 from trefoilhaven_core.connections.effects import Placed
 from trefoilhaven_core.connections.failure_detector import AgentFailureDetector
 from trefoilhaven_core.connections.messages import (
+    ConnectionAccepted,
     ConnectionKey,
     ConnectionLoad,
     TargetReport,
 )
-from trefoilhaven_core.connections.pacing import FAR_INTERVAL_FACTOR
 from trefoilhaven_core.connections.replacements import HostTable
-from trefoilhaven_core.connections.target_costs import select_cheapest
+from trefoilhaven_core.connections.silences import heard_targets
+from trefoilhaven_core.connections.target_costs import (
+    expected_wait_s,
+    select_cheapest,
+    select_quickest,
+)
 from trefoilhaven_core.connections.target_states import TargetState
 from trefoilhaven_core.membership.messages import Member, MemberState
 
-# A target whose agent sent nothing for this time, in seconds, and for this
-# many report intervals gets no new connections while others are available.
-SILENCE_TIMEOUT_S: Final = 0.8
-SILENCE_TIMEOUT_INTERVALS: Final = 2.2
-
 
 class TargetSelector:
     """Targets of all services, with their load, as one balancer sees them.
@@ -30,11 +30,19 @@
     Times are monotonic, in seconds.
     """
 
-    def __init__(self, failure_domain: str) -> None:
+    def __init__(
+        self, failure_domain: str, crossing_cost_s: float | None = None
+    ) -> None:
         """Start without targets; ``failure_domain`` is the balancer's own.
 
-        ``revision`` increases with each change of the members.
+        Without ``crossing_cost_s``, the wait in seconds that is accepted to
+        keep a request in its domain, a fixed penalty keeps connections there,
+        and ``domain_shares`` is None. ``revision`` increases with each change
+        of the members.
         """
+        self.domain_shares: DomainShares | None = None
+        if crossing_cost_s is not None:
+            self.domain_shares = DomainShares(failure_domain, crossing_cost_s)
         self.failure_detector = AgentFailureDetector()
         self.revision = 0
         self._domain = failure_domain
@@ -79,7 +87,7 @@
         target.is_cold = report.is_cold
         target.is_unresponsive = report.is_silent
         target.on_heard(now)
-        target.load = report.load
+        target.on_load(report.load)
         target.placed = 0
         self.revision += self._hosts.on_report(target, self._all())
 
@@ -90,9 +98,17 @@
         target = self._targets.get(service, {}).get(name)
         if target is not None:
             target.on_heard(now)
-            target.load = load
+            target.on_load(load)
             target.placed = max(0, target.placed - 1)
 
+    def on_round_trip(self, now: float, accepted: ConnectionAccepted) -> None:
+        """Record when an agent told that a connection was accepted."""
+        member = self.member(accepted.service, accepted.target)
+        if self.domain_shares is not None and member is not None:
+            self.domain_shares.round_trips.on_accepted(
+                now, accepted.key, member.failure_domain
+            )
+
     def on_query(self, now: float, member: Member) -> None:
         """Record a repeated query to an agent that has not answered."""
         target = self._targets.get(member.service, {}).get(member.target)
@@ -215,8 +231,18 @@
     ) -> Placed:
         """Return the log entry of a selection that ``choose`` has counted."""
         target = self._find(member)
+        if self.domain_shares is not None:
+            self.domain_shares.round_trips.on_placed(
+                now, key, member.failure_domain
+            )
         return Placed(
-            key, member, target.busy_share(), now - target.seen_at, tried
+            key,
+            member,
+            target.busy_share(),
+            now - target.seen_at,
+            tried,
+            expected_wait_s(target),
+            target.load.service_time_s,
         )
 
     def choose(
@@ -235,31 +261,23 @@
             target
             for target in self._targets.get(service, {}).values()
             if target.member.state is MemberState.alive
-            and target.is_present
+            and not target.is_replaced
             and target.member.target not in excluded
         ]
-        heard = [
-            target
-            for target in usable
-            if not target.is_unresponsive
-            and now - target.seen_at < self._silent_limit_s(target)
-        ]
+        report_s = self.failure_detector.report_s
+        heard = heard_targets(now, usable, self._domain, report_s)
         candidates = heard or usable
         if not candidates:
             return None
-        chosen = select_cheapest(candidates, self._domain, rng)
+        if self.domain_shares is None:
+            chosen = select_cheapest(candidates, self._domain, rng)
+        else:
+            chosen = select_quickest(
+                self.domain_shares.narrow(now, service, candidates, rng), rng
+            )
         chosen.placed += 1
         return chosen.member
 
-    def _silent_limit_s(self, target: TargetState) -> float:
-        """Return the time without reports after which an agent is silent."""
-        is_near = target.member.failure_domain == self._domain
-        far_report_s = self.failure_detector.report_s
-        report_s = (
-            far_report_s / FAR_INTERVAL_FACTOR if is_near else far_report_s
-        )
-        return max(SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_INTERVALS * report_s)
-
     def _all(self) -> Iterator[TargetState]:
         for known in self._targets.values():
             yield from known.values()
--- a/packages/core/src/trefoilhaven_core/connections/target_states.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_states.py
@@ -9,9 +9,14 @@
 # Share of the slots by which a target that has just started counts as busier.
 COLD_PENALTY: Final = 0.5
 
-# Weight of an open connection without a request, relative to a busy one.
+# Weight of an open connection without a request, relative to a busy one. It
+# is the upper limit where the share is learned.
 IDLE_WEIGHT: Final = 0.05
 
+# Weight of one report in the moving average of the share of a target's open
+# connections that have a request. A target reports 2 to 12 times per second.
+BUSY_WEIGHT: Final = 0.05
+
 # Unanswered queries to an agent that are further apart than this, in seconds,
 # are not counted together: one of them may have been lost.
 MAX_QUERY_GAP_S: Final = 2.0
@@ -21,11 +26,13 @@
     """Record and load of a target, and what was heard of its agent.
 
     ``placed`` counts the connections placed since the last report that the
-    target has not accepted yet. ``is_replaced`` means that a later target of
+    target has not accepted yet. ``pending`` counts the requests that the
+    target has to be expected to work on besides them, by its last load. ``is_replaced`` means that a later target of
     its host has been heard. Times are monotonic, in seconds.
     """
 
     __slots__ = (
+        '_busy_connections_share',
         '_queried_at',
         '_unanswered_since',
         'is_cold',
@@ -34,6 +41,7 @@
         'listed_at',
         'load',
         'member',
+        'pending',
         'placed',
         'seen_at',
     )
@@ -46,8 +54,10 @@
         self.listed_at: float | None = None
         self.load = ConnectionLoad()
         self.member = member
+        self.pending = 0.0
         self.placed = 0
         self.seen_at = -math.inf
+        self._busy_connections_share = IDLE_WEIGHT
         self._queried_at = -math.inf
         self._unanswered_since = math.inf
 
@@ -61,6 +71,21 @@
         self.seen_at = now
         self.on_answer()
 
+    def on_load(self, load: ConnectionLoad) -> None:
+        """Record the load that came with a report or a connection.
+
+        Idle connections count by the share of this target's connections that
+        usually have a request. Long-lived connections differ widely in it.
+        """
+        self.load = load
+        if load.connections:
+            share = min(1.0, load.waiting / load.connections)
+            change = share - self._busy_connections_share
+            self._busy_connections_share += BUSY_WEIGHT * change
+        idle = max(0, load.connections - load.waiting)
+        weight = min(IDLE_WEIGHT, self._busy_connections_share)
+        self.pending = load.waiting + weight * idle
+
     def on_query(self, now: float) -> None:
         """Record a query to the agent while an earlier one is unanswered."""
         if now - self._queried_at > MAX_QUERY_GAP_S:
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_routers.py
@@ -21,10 +21,8 @@
     AddressRoutes,
     RouteConfiguration,
 )
-from trefoilhaven_core.connections.target_selection import (
-    SILENCE_TIMEOUT_S,
-    TargetSelector,
-)
+from trefoilhaven_core.connections.silences import SILENCE_TIMEOUT_S
+from trefoilhaven_core.connections.target_selection import TargetSelector
 from trefoilhaven_core.connections.tests.router_fixture import (
     KEY,
     RouterFixture,
