--- a/packages/balancer/src/trefoilhaven/gateway/segments.py
+++ b/packages/balancer/src/trefoilhaven/gateway/segments.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from trefoilhaven.gateway.crossings import CrossingObserver
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.batches import (
     QuestionBatch,
@@ -74,6 +75,7 @@
         self._resets = metrics.counter('connections_reset')
         self._forwards = metrics.counter('segments_forwarded')
         self._placed = metrics.counter('connections_placed')
+        self._crossings = CrossingObserver(state)
         self._search_time = metrics.histogram('holder_search')
         metrics.gauge('cached_connections', lambda: len(state.router))
         metrics.gauge('searches', lambda: len(state.router.searches))
@@ -179,6 +181,7 @@
 
     def _log_placed(self, effect: Placed) -> None:
         self._placed.add()
+        self._crossings.on_placed(effect)
         logger.info(
             'connection placed',
             extra={
@@ -187,6 +190,9 @@
                 'target': effect.member.target,
                 'incarnation': effect.member.incarnation,
                 'busy_share': round(effect.busy_share, 2),
+                'expected_wait_s': round(effect.expected_wait_s, 4),
+                'service_time_s': round(effect.service_time_s, 4),
+                'failure_domain': effect.member.failure_domain,
                 'report_age_s': round(effect.report_age_s, 3),
                 'tried': effect.tried,
                 'version': self._state.routes.version,
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -49,7 +49,9 @@
         self.runtime = runtime
         self.store = ViewStore()
         self.routes = AddressRoutes()
-        self.target_selector = TargetSelector(cfg.failure_domain)
+        self.target_selector = TargetSelector(
+            cfg.failure_domain, cfg.domain_crossing_cost_s
+        )
         self.confirmation = MembershipConfirmation(
             Origin(cfg.failure_domain, runtime.incarnation)
         )
--- a/packages/core/src/trefoilhaven_core/connections/domain_loads.py
+++ b/packages/core/src/trefoilhaven_core/connections/domain_loads.py
@@ -42,7 +42,7 @@
         weight = COLD_ROOM if target.is_cold else 1.0
         speed = weight / bounded_service_time_s(target, usual_s)
         slots = max(1, target.member.slots)
-        pending = target.load.waiting + target.placed
+        pending = target.reported_waiting
         sums[target.member.failure_domain] = [
             queued + max(0, pending - slots),
             free + max(0, slots - pending) * speed,
--- a/packages/core/src/trefoilhaven_core/connections/round_trips.py
+++ b/packages/core/src/trefoilhaven_core/connections/round_trips.py
@@ -84,3 +84,7 @@
         known = 0.5 ** (age_s / HALF_LIFE_S)
         difference_s = average.time_s - DEFAULT_ROUND_TRIP_S
         return DEFAULT_ROUND_TRIP_S + known * difference_s
+
+    def measured_s(self) -> dict[str, float]:
+        """Return the last averages in seconds of the measured domains."""
+        return {key: each.time_s for key, each in self._averages.items()}
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -88,6 +88,7 @@
         target.is_unresponsive = report.is_silent
         target.on_heard(now)
         target.on_load(report.load)
+        target.reported_waiting = report.load.waiting
         target.placed = 0
         self.revision += self._hosts.on_report(target, self._all())
 
--- a/packages/core/src/trefoilhaven_core/connections/target_states.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_states.py
@@ -27,7 +27,10 @@
 
     ``placed`` counts the connections placed since the last report that the
     target has not accepted yet. ``pending`` counts the requests that the
-    target has to be expected to work on besides them, by its last load. ``is_replaced`` means that a later target of
+    target has to be expected to work on besides them, by its last load.
+    ``reported_waiting`` is from the last regular report: the load that comes
+    with an accepted connection shows the target at the moment at which it got
+    this connection, and so as busier than it usually is. ``is_replaced`` means that a later target of
     its host has been heard. Times are monotonic, in seconds.
     """
 
@@ -43,6 +46,7 @@
         'member',
         'pending',
         'placed',
+        'reported_waiting',
         'seen_at',
     )
 
@@ -56,6 +60,7 @@
         self.member = member
         self.pending = 0.0
         self.placed = 0
+        self.reported_waiting = 0
         self.seen_at = -math.inf
         self._busy_connections_share = IDLE_WEIGHT
         self._queried_at = -math.inf
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -16,6 +16,12 @@
 PROCESSOR_SHARE: Final = 0.15
 PROCESSOR_SPEED: Final = 1.0
 
+# Additional wait in seconds that an operator accepts to keep a request, with
+# its bytes, inside the failure domain. Waits are means over a domain, and
+# 5 ms of queue mean that hardly a slot is free: a higher figure saves few
+# bytes and lets more requests wait. Used only where the settings name it.
+DOMAIN_CROSSING_COST_S: Final = 0.005
+
 # Service files.
 IDLE_TIMEOUT_S: Final = 3600.0
 CONNECTION_LIMIT: Final = 2000
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -244,6 +244,16 @@
         minimum=0.001,
         maximum=100,
     ),
+    Field(
+        'domain_crossing_cost_s',
+        FieldKind.number,
+        'Additional wait that is accepted to keep a request inside the '
+        'failure domain, in seconds. Without it, a fixed penalty applies. '
+        f'A usual value is {defaults.DOMAIN_CROSSING_COST_S}.',
+        optional=True,
+        minimum=0,
+        maximum=_MAX_TIME_S,
+    ),
 )
 
 SIDECAR_FIELDS: Final[FieldTable] = (
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -113,7 +113,9 @@
     ``seeds`` holds addresses of other balancers. ``control`` is a UDP and
     a TCP address. ``processor_share`` is the share of a core that the process
     may use, and ``processor_speed`` the speed of this core relative to a usual
-    one.
+    one. ``domain_crossing_cost_s`` is the additional wait in seconds that is
+    accepted to keep a request inside the failure domain, None where a fixed
+    penalty applies.
     """
 
     name: str
@@ -129,6 +131,7 @@
     segments: Address
     processor_share: float = PROCESSOR_SHARE
     processor_speed: float = PROCESSOR_SPEED
+    domain_crossing_cost_s: float | None = None
 
     @property
     def processor_cores(self) -> float:
