--- a/packages/core/src/trefoilhaven_core/connections/domain_loads.py
+++ b/packages/core/src/trefoilhaven_core/connections/domain_loads.py
@@ -34,20 +34,23 @@
     odd = odd_excesses(targets)
     sums: dict[str, list[float]] = {}
     for number, target in enumerate(targets):
-        queued, free, rate = sums.setdefault(
-            target.member.failure_domain, [0.0, 0.0, 0.0]
-        )
+        member = target.member
+        domain = member.failure_domain
+        if domain not in sums:
+            sums[domain] = [0.0, 0.0, 0.0]
+        domain_sums = sums[domain]
         if number in odd:
             continue
-        weight = COLD_ROOM if target.is_cold else 1.0
-        speed = weight / bounded_service_time_s(target, usual_s)
-        slots = max(1, target.member.slots)
-        pending = target.reported_waiting
-        sums[target.member.failure_domain] = [
-            queued + max(0, pending - slots),
-            free + max(0, slots - pending) * speed,
-            rate + slots * speed,
-        ]
+        speed = 1 / bounded_service_time_s(target, usual_s)
+        if target.is_cold:
+            speed *= COLD_ROOM
+        slots = member.slots or 1
+        free = slots - target.reported_waiting
+        if free < 0:
+            domain_sums[0] -= free
+        else:
+            domain_sums[1] += free * speed
+        domain_sums[2] += slots * speed
     return {
         domain: DomainLoad(
             queued / rate if rate else 0.0, free / rate if rate else 0.0, rate
--- a/packages/core/src/trefoilhaven_core/connections/target_costs.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_costs.py
@@ -66,9 +66,9 @@
     It is bounded by ``MAX_SPEED_RATIO``.
     """
     service_s = target.load.service_time_s or usual_s
-    return min(
-        max(service_s, usual_s / MAX_SPEED_RATIO), usual_s * MAX_SPEED_RATIO
-    )
+    if service_s * MAX_SPEED_RATIO < usual_s:
+        return usual_s / MAX_SPEED_RATIO
+    return min(service_s, usual_s * MAX_SPEED_RATIO)
 
 
 def select_quickest(
--- a/packages/core/src/trefoilhaven_core/settings/tests/test_loader.py
+++ b/packages/core/src/trefoilhaven_core/settings/tests/test_loader.py
@@ -28,6 +28,16 @@
     'witnesses': ['entry-1', 'entry-2', 'entry-3'],
     'fabric': '127.0.0.1:6000',
 }
+_GATEWAY = {
+    'name': 'entry-1',
+    'host': 'host-1',
+    'failure_domain': 'tainan-a',
+    'readiness': '127.0.1.1:9000',
+    'control': '127.0.1.1:9001',
+    'metrics': '127.0.1.1:9003',
+    'platform': '127.0.0.1:8000',
+    'segments': '127.0.1.1:9004',
+}
 _SERVICE = {
     'service': 'classroom-desk',
     'address': '127.1.0.1:7000',
@@ -138,6 +148,26 @@
 _repeatable = settings(derandomize=True, deadline=None)
 
 
+class TestGateway:
+    """Settings of a gateway."""
+
+    def test_without_crossing_cost(self, tmp_path: Path) -> None:
+        """Guards against an earlier deployment that is served otherwise."""
+        path = _write(tmp_path / 'g.json', _GATEWAY)
+        loaded = loader.load_gateway_settings(path).ok
+        assert loaded.domain_crossing_cost_s is None
+
+    def test_crossing_cost(self, tmp_path: Path) -> None:
+        """Guards against a cost that is ignored, or below 0."""
+        content = _GATEWAY | {'domain_crossing_cost_s': 0}
+        path = _write(tmp_path / 'g.json', content)
+        loaded = loader.load_gateway_settings(path).ok
+        assert loaded.domain_crossing_cost_s == 0
+        _write(path, _GATEWAY | {'domain_crossing_cost_s': -1})
+        findings = loader.load_gateway_settings(path).error
+        assert 'domain_crossing_cost_s' in str(findings[0])
+
+
 class TestProperties:
     """The loader with generated content."""
 
