Merge placement by expected wait and shares of failure domains

The targets and what was heard of them move to target_registry, and the refusals of openings to opening_refusals, as both modules had grown.

--- a/packages/balancer/src/trefoilhaven/gateway/restorations.py
+++ b/packages/balancer/src/trefoilhaven/gateway/restorations.py
@@ -24,9 +24,7 @@
     identity_of,
     may_conclude,
 )
-from trefoilhaven_core.connections.target_selection import (
-    SILENCE_TIMEOUT_INTERVALS,
-)
+from trefoilhaven_core.connections.silences import SILENCE_TIMEOUT_INTERVALS
 from trefoilhaven_core.membership.messages import (
     Address,
     Changes,
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -70,7 +70,9 @@
         self.routes = AddressRoutes()
         self.policies = Policies()
         self.evacuations = UNKNOWN_EVACUATIONS
-        self.target_selector = TargetSelector(cfg.failure_domain)
+        self.target_selector = TargetSelector(
+            cfg.failure_domain, cfg.domain_crossing_cost_s
+        )
         self.confirmation = MembershipConfirmation(
             Origin(cfg.failure_domain, runtime.incarnation)
         )
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Iterable
 from typing import Final
 
 from trefoilhaven_core.connections.caches import (
@@ -19,7 +18,6 @@
     DropSegment,
     Effect,
     HolderFound,
-    OverloadRefused,
     ResetCause,
     ResetClient,
     SendMessage,
@@ -37,7 +35,7 @@
     SegmentReturn,
     TargetReport,
 )
-from trefoilhaven_core.connections.overload import OverloadControl
+from trefoilhaven_core.connections.opening_refusals import OpeningRefusals
 from trefoilhaven_core.connections.policies import Policies
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.searches import SearchTable
@@ -78,7 +76,7 @@
             self._settle,
         )
         self._routes = routes
-        self._overload = OverloadControl(routes)
+        self._overload = OpeningRefusals(routes, selector)
         self._selector = selector
         self._rng = rng
         self._cache = RouteCache()
@@ -169,6 +167,7 @@
         self._selector.on_accepted(
             now, accepted.service, accepted.target, accepted.load
         )
+        self._selector.on_round_trip(now, accepted)
         route = self._cache.get(accepted.key)
         if route is not None and route.target == accepted.target:
             route.is_accepted = True
@@ -258,7 +257,7 @@
         services = self._routes.ordered_services(address, self._rng)
         if not services:
             return self._on_no_route(segment)
-        refused = self._refuse(now, segment, services) if may_refuse else []
+        refused = may_refuse and self._overload.refuse(now, segment, services)
         if refused:
             return refused
         chosen = (
@@ -267,7 +266,9 @@
         )
         member = next(filter(None, chosen), None)
         if member is None:
-            if not is_unanswered and self._is_evacuated(services):
+            is_complete = self.searches.is_membership_complete
+            is_evacuated = is_complete and self._selector.is_evacuated(services)
+            if is_evacuated and not is_unanswered:
                 cause = ResetCause.evacuated
                 return [ResetClient(segment.key, segment.acknowledged, cause)]
             return [DropSegment(segment, DropCause.no_target)]
@@ -278,30 +279,6 @@
         placed = self._selector.placement(now, segment.key, member, tried)
         return [placed, self._forward(route, segment)]
 
-    def _is_evacuated(self, services: Iterable[str]) -> bool:
-        """Return whether evacuations leave no target, as far as is known."""
-        is_complete = self.searches.is_membership_complete
-        return is_complete and self._selector.is_evacuated(services)
-
-    def _refuse(
-        self, now: float, segment: Segment, services: list[str]
-    ) -> list[Effect]:
-        """Reset a connection that no target can serve in time, if any."""
-        address = segment.key[2:]
-        if not self._overload.has_policy(address):
-            return []
-        rooms = {each: self._selector.room(now, each) for each in services}
-        usable = [service for service in services if rooms[service]]
-        service = usable[0] if usable else services[0]
-        refusal = self._overload.decide(now, address, service, rooms[service])
-        if refusal is None:
-            return []
-        cause = ResetCause.overloaded
-        return [
-            OverloadRefused(service, refusal),
-            ResetClient(segment.key, segment.acknowledged, cause),
-        ]
-
     def _forward(self, route: CachedRoute, segment: Segment) -> SendMessage:
         member = self._selector.member(route.service, route.target)
         forward = SegmentForward(
--- a/packages/core/src/trefoilhaven_core/connections/tables.py
+++ b/packages/core/src/trefoilhaven_core/connections/tables.py
@@ -13,6 +13,7 @@
 from trefoilhaven_core.connections.response_outliers import (
     ResponseOutlierDetector,
 )
+from trefoilhaven_core.connections.service_times import ServiceTimeEstimator
 from trefoilhaven_core.connections.tracked_connections import (
     TrackedConnection,
 )
@@ -22,9 +23,6 @@
 # segments, in seconds.
 CLOSED_RETENTION_S: Final = 10.0
 
-# Weight of a new service time in the exponential moving average.
-_SERVICE_TIME_WEIGHT: Final = 0.1
-
 
 class ConnectionTable:
     """Connections by key, with running counts of the target's load.
@@ -37,7 +35,7 @@
         self._counts = LoadCounts()
         self._idle_timeout_s = idle_timeout_s
         self._outliers = ResponseOutlierDetector()
-        self._service_time_s = 0.0
+        self._service_times = ServiceTimeEstimator()
 
     def __len__(self) -> int:
         """Return the number of connections, including closed ones."""
@@ -47,6 +45,10 @@
         """Return a connection, None if it is unknown."""
         return self._connections.get(key)
 
+    def set_slots(self, slots: int) -> None:
+        """Set the number of requests that the target works on at a time."""
+        self._service_times.slots = max(1, slots)
+
     def add(
         self,
         now: float,
@@ -78,15 +80,17 @@
         if entry is not None and entry.is_open and entry.closed_at is None:
             entry.balancer = balancer
             return
-        self.remove(segment.key)
+        self.remove(now, segment.key)
         entry = self.add(now, segment.key, balancer)
         entry.opening_sequence = segment.sequence
 
-    def remove(self, key: ConnectionKey) -> TrackedConnection | None:
+    def remove(
+        self, now: float, key: ConnectionKey
+    ) -> TrackedConnection | None:
         """Remove and return a connection, None if it is unknown."""
         entry = self._connections.pop(key, None)
         if entry is not None:
-            self._end(entry)
+            self._end(now, entry)
         return entry
 
     def clear(self) -> None:
@@ -97,6 +101,7 @@
         """
         self._connections.clear()
         self._counts.clear()
+        self._service_times.clear()
 
     def open_items(self) -> Iterator[tuple[ConnectionKey, TrackedConnection]]:
         """Return the connections that are not closed."""
@@ -111,7 +116,7 @@
         return ConnectionLoad(
             self._counts.connections(now),
             self._counts.waiting(now),
-            self._service_time_s,
+            self._service_times.estimate_s(),
             round(self._outliers.odd_share(now), 2),
         )
 
@@ -127,6 +132,8 @@
             entry.request = segment.raw
             if entry.requested_at is None or entry.is_abandoned:
                 entry.requested_at = now
+                self._service_times.on_aborted(now, entry)
+                self._service_times.on_request(now, entry)
                 self._counts.on_request(entry)
         self._counts.on_client(entry)
         if segment.flags & SegmentFlag.reset:
@@ -162,7 +169,7 @@
             if self._is_expired(now, entry)
         ]
         for key in expired:
-            self.remove(key)
+            self.remove(now, key)
 
     def _on_response(
         self, now: float, entry: TrackedConnection, first_bytes: int
@@ -173,19 +180,17 @@
         entry.request = None
         entry.requested_at = None
         self._counts.on_response(entry)
-        self._outliers.on_response(now, taken_s, first_bytes)
-        if not self._service_time_s:
-            self._service_time_s = taken_s
-        difference_s = taken_s - self._service_time_s
-        self._service_time_s += _SERVICE_TIME_WEIGHT * difference_s
+        is_odd = self._outliers.on_response(now, taken_s, first_bytes)
+        self._service_times.on_response(now, entry, is_odd=is_odd)
 
     def _close(self, now: float, entry: TrackedConnection) -> None:
         if entry.closed_at is None:
-            self._end(entry)
+            self._end(now, entry)
             entry.closed_at = now
 
-    def _end(self, entry: TrackedConnection) -> None:
+    def _end(self, now: float, entry: TrackedConnection) -> None:
         """Remove a connection from the counts."""
+        self._service_times.on_aborted(now, entry)
         self._counts.remove(entry)
         entry.request = None
         entry.requested_at = None
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -1,99 +1,53 @@
 """Selection of the target of a new connection, from agents' reports."""
 
-import math
 import random
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable
 from typing import Final
 
+from trefoilhaven_core.connections.domain_shares import DomainShares
 from trefoilhaven_core.connections.effects import Placed
-from trefoilhaven_core.connections.failure_detector import AgentFailureDetector
 from trefoilhaven_core.connections.messages import (
+    ConnectionAccepted,
     ConnectionKey,
     ConnectionLoad,
-    TargetIdentity,
-    TargetReport,
 )
 from trefoilhaven_core.connections.overload import ServiceRoom
-from trefoilhaven_core.connections.pacing import FAR_INTERVAL_FACTOR
-from trefoilhaven_core.connections.replacements import HostTable
+from trefoilhaven_core.connections.silences import heard_targets
 from trefoilhaven_core.connections.target_costs import (
     expected_wait_s,
     select_cheapest,
 )
+from trefoilhaven_core.connections.target_registry import TargetRegistry
 from trefoilhaven_core.connections.target_states import TargetState
 from trefoilhaven_core.membership.messages import Member, MemberState
 
-# A target whose agent sent nothing for this time, in seconds, and for this
-# many report intervals gets no new connections while others are available.
-SILENCE_TIMEOUT_S: Final = 0.8
-SILENCE_TIMEOUT_INTERVALS: Final = 2.2
-
-
 # A cold target that returned an opening gets no further one for this time, in
 # seconds, which is about the window in which its agent counts them.
 REFUSAL_PAUSE_S: Final = 1.0
 
 
-class TargetSelector:
-    """Targets of all services, with their load, as one balancer sees them.
+class TargetSelector(TargetRegistry):
+    """Selects targets by their load, as one balancer sees them.
 
     Times are monotonic, in seconds.
     """
 
-    def __init__(self, failure_domain: str) -> None:
+    def __init__(
+        self, failure_domain: str, crossing_cost_s: float | None = None
+    ) -> None:
         """Start without targets; ``failure_domain`` is the balancer's own.
 
-        ``revision`` increases with each change of the members. Targets in
-        ``evacuated_domains`` get no new connections.
+        Without ``crossing_cost_s``, the wait in seconds that is accepted to
+        keep a request in its domain, a fixed penalty keeps connections there,
+        and ``domain_shares`` is None. Targets in ``evacuated_domains`` get no
+        new connections.
         """
+        super().__init__()
+        self.domain_shares: DomainShares | None = None
+        if crossing_cost_s is not None:
+            self.domain_shares = DomainShares(failure_domain, crossing_cost_s)
         self.evacuated_domains: frozenset[str] = frozenset()
-        self.failure_detector = AgentFailureDetector()
-        self.revision = 0
         self._domain = failure_domain
-        self._hosts = HostTable()
-        self._targets: dict[str, dict[str, TargetState]] = {}
-
-    def set_members(
-        self, service: str, members: Iterable[Member]
-    ) -> list[Member]:
-        """Replace the members of a service; known incarnations keep loads.
-
-        Returns the members that are new or whose incarnation or state
-        changed.
-        """
-        known = self._targets.get(service, {})
-        targets = {}
-        changed = []
-        for member in members:
-            target = known.get(member.target)
-            if target is None or (
-                target.member.incarnation != member.incarnation
-            ):
-                target = TargetState(member)
-                self._hosts.on_added(target)
-                changed.append(member)
-            elif target.member.state is not member.state:
-                changed.append(member)
-            target.member = member
-            targets[member.target] = target
-        self._targets[service] = targets
-        self.revision += bool(changed)
-        if not targets.keys() >= known.keys():
-            self._hosts.keep(each.member.host for each in self._all())
-        return changed
-
-    def on_report(self, now: float, report: TargetReport) -> None:
-        """Record an agent's report, unless it is of another incarnation."""
-        member = report.member
-        target = self._targets.get(member.service, {}).get(member.target)
-        if target is None or target.member.incarnation != member.incarnation:
-            return
-        target.is_cold = report.is_cold
-        target.is_unresponsive = report.is_silent
-        target.on_heard(now)
-        target.load = report.load
-        target.placed = 0
-        self.revision += self._hosts.on_report(target, self._all())
 
     def on_accepted(
         self, now: float, service: str, name: str, load: ConnectionLoad
@@ -102,7 +56,7 @@
         target = self._targets.get(service, {}).get(name)
         if target is not None:
             target.on_heard(now)
-            target.load = load
+            target.on_load(load)
             target.placed = max(0, target.placed - 1)
 
     def on_refused_opening(self, now: float, service: str, name: str) -> None:
@@ -111,130 +65,13 @@
         if target is not None and target.is_cold:
             target.refused_until = now + REFUSAL_PAUSE_S
 
-    def on_query(self, now: float, member: Member) -> None:
-        """Record a repeated query to an agent that has not answered."""
-        target = self._targets.get(member.service, {}).get(member.target)
-        if target is not None:
-            target.on_query(now)
-
-    def on_answer(self, service: str, name: str) -> None:
-        """Record that an agent has answered a query."""
-        target = self._targets.get(service, {}).get(name)
-        if target is not None:
-            target.on_answer()
-
-    @property
-    def services(self) -> frozenset[str]:
-        """Names of all services with members."""
-        return frozenset(self._targets)
-
-    def members(self, services: Iterable[str]) -> list[Member]:
-        """Return the members of services that are present.
-
-        They have neither left nor been replaced by a target of their host.
-        """
-        return [
-            target.member
-            for service in sorted(services)
-            for target in self._targets.get(service, {}).values()
-            if target.is_present
-        ]
-
-    def replaced_members(self, now: float, silent_s: float) -> list[Member]:
-        """Return the replaced members that were silent for a time."""
-        return [
-            target.member
-            for target in self._all()
-            if target.is_replaced
-            and target.member.state < MemberState.left
-            and target.silent_s(now) >= silent_s
-        ]
-
-    def departed_members(self) -> list[Member]:
-        """Return the members that have left or were replaced, latest first."""
-        departed = [
-            target.member for target in self._all() if not target.is_present
-        ]
-        return sorted(
-            departed, key=lambda member: member.incarnation, reverse=True
-        )
-
-    def tick(self, now: float) -> None:
-        """Update the failure detector; to be called at least every 0.2 s."""
-        if not self.failure_detector.is_due(now):
-            return
-        silences = []
-        for target in self._all():
-            if target.listed_at is None:
-                target.listed_at = now
-            if target.is_present:
-                silences.append(target.silent_s(now))
-        self.failure_detector.observe(now, silences)
-
-    def possible_holders(
-        self, now: float, services: Iterable[str]
-    ) -> list[Member]:
-        """Return the members of services that have not failed permanently."""
-        return [
-            member
-            for member in self.members(services)
-            if not self.has_failed(now, member)
-        ]
-
-    def failed_members(self, now: float, silent_s: float) -> list[Member]:
-        """Return the members whose agents failed and were silent for a time."""
-        return [
-            member
-            for member in self.members(self.services)
-            if self.has_failed(now, member)
-            and self._find(member).silent_s(now) >= silent_s
-        ]
-
-    def is_gone(self, now: float, member: Member) -> bool:
-        """Return whether a target is not present or its agent has failed."""
-        target = self._targets.get(member.service, {}).get(member.target)
-        if target is None or not target.is_present:
-            return True
-        return self.has_failed(now, member)
-
-    def has_failed(self, now: float, member: Member) -> bool:
-        """Return whether the agent of a member seems to have failed."""
-        target = self._find(member)
-        return self.failure_detector.has_failed(
-            now, target.silent_s(now), target.unanswered_s(now)
-        )
-
-    def unheard_members(self) -> list[Member]:
-        """Return the members whose agents have not reported yet."""
-        return [
-            member
-            for member in self.members(self.services)
-            if self._find(member).seen_at == -math.inf
-        ]
-
-    def heard_since(self, since: float) -> frozenset[TargetIdentity]:
-        """Return the present targets whose agents were heard since a time."""
-        return frozenset(
-            TargetIdentity(
-                target.member.service,
-                target.member.target,
-                target.member.incarnation,
+    def on_round_trip(self, now: float, accepted: ConnectionAccepted) -> None:
+        """Record when an agent told that a connection was accepted."""
+        member = self.member(accepted.service, accepted.target)
+        if self.domain_shares is not None and member is not None:
+            self.domain_shares.round_trips.on_accepted(
+                now, accepted.key, member.failure_domain
             )
-            for target in self._all()
-            if target.is_present and target.seen_at >= since
-        )
-
-    def reported_share(self) -> float:
-        """Return the share of targets that have reported; 1 without targets."""
-        members = self.members(self.services)
-        if not members:
-            return 1.0
-        return 1 - len(self.unheard_members()) / len(members)
-
-    def member(self, service: str, name: str) -> Member | None:
-        """Return a member of a service, None if it is unknown."""
-        target = self._targets.get(service, {}).get(name)
-        return target.member if target else None
 
     def placement(
         self,
@@ -245,8 +82,18 @@
     ) -> Placed:
         """Return the log entry of a selection that ``choose`` has counted."""
         target = self._find(member)
+        if self.domain_shares is not None:
+            self.domain_shares.round_trips.on_placed(
+                now, key, member.failure_domain
+            )
         return Placed(
-            key, member, target.busy_share(), now - target.seen_at, tried
+            key,
+            member,
+            target.busy_share(),
+            now - target.seen_at,
+            tried,
+            expected_wait_s(target),
+            target.load.service_time_s,
         )
 
     def choose(
@@ -264,7 +111,10 @@
         candidates = self._candidates(now, service, excluded)
         if not candidates:
             return None
-        chosen = select_cheapest(candidates, self._domain, rng)
+        if self.domain_shares is None:
+            chosen = select_cheapest(candidates, self._domain, rng)
+        else:
+            chosen = self.domain_shares.select(now, service, candidates, rng)
         chosen.placed += 1
         return chosen.member
 
@@ -278,27 +128,6 @@
             any(target.has_free_slot for target in candidates),
         )
 
-    def _candidates(
-        self, now: float, service: str, excluded: Collection[str] = ()
-    ) -> list[TargetState]:
-        """Return the targets that are usable, best without the silent."""
-        usable = [
-            target
-            for target in self._targets.get(service, {}).values()
-            if target.member.state is MemberState.alive
-            and target.is_present
-            and now >= target.refused_until
-            and target.member.target not in excluded
-            and target.member.failure_domain not in self.evacuated_domains
-        ]
-        heard = [
-            target
-            for target in usable
-            if not target.is_unresponsive
-            and now - target.seen_at < self._silent_limit_s(target)
-        ]
-        return heard or usable
-
     def is_evacuated(self, services: Iterable[str]) -> bool:
         """Return whether all domains with targets of services are evacuated.
 
@@ -312,18 +141,18 @@
         }
         return bool(domains) and domains <= self.evacuated_domains
 
-    def _silent_limit_s(self, target: TargetState) -> float:
-        """Return the time without reports after which an agent is silent."""
-        is_near = target.member.failure_domain == self._domain
-        far_report_s = self.failure_detector.report_s
-        report_s = (
-            far_report_s / FAR_INTERVAL_FACTOR if is_near else far_report_s
-        )
-        return max(SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_INTERVALS * report_s)
-
-    def _all(self) -> Iterator[TargetState]:
-        for known in self._targets.values():
-            yield from known.values()
-
-    def _find(self, member: Member) -> TargetState:
-        return self._targets[member.service][member.target]
+    def _candidates(
+        self, now: float, service: str, excluded: Collection[str] = ()
+    ) -> list[TargetState]:
+        """Return the targets that are usable, best without the silent."""
+        usable = [
+            target
+            for target in self._targets.get(service, {}).values()
+            if target.member.state is MemberState.alive
+            and not target.is_replaced
+            and now >= target.refused_until
+            and target.member.target not in excluded
+            and target.member.failure_domain not in self.evacuated_domains
+        ]
+        report_s = self.failure_detector.report_s
+        return heard_targets(now, usable, self._domain, report_s) or usable
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -256,6 +256,16 @@
         'Whether evacuations of failure domains are read from the platform.',
         default=defaults.EVACUATIONS,
     ),
+    Field(
+        'domain_crossing_cost_s',
+        FieldKind.number,
+        'Additional wait that is accepted to keep a request inside the '
+        'failure domain, in seconds. Without it, a fixed penalty applies. '
+        f'A usual value is {defaults.DOMAIN_CROSSING_COST_S}.',
+        optional=True,
+        minimum=0,
+        maximum=_MAX_TIME_S,
+    ),
 )
 
 SIDECAR_FIELDS: Final[FieldTable] = (
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -117,7 +117,9 @@
     may use, and ``processor_speed`` the speed of this core relative to a usual
     one. With ``evacuations``, the evacuated failure domains are read from the
     platform, and with ``state_offers`` the state is offered to balancers that
-    have restarted.
+    have restarted. ``domain_crossing_cost_s`` is the additional wait in
+    seconds that is accepted to keep a request inside the failure domain, None
+    where a fixed penalty applies.
     """
 
     name: str
@@ -135,6 +137,7 @@
     processor_speed: float = PROCESSOR_SPEED
     evacuations: bool = EVACUATIONS
     state_offers: bool = STATE_OFFERS
+    domain_crossing_cost_s: float | None = None
 
     @property
     def processor_cores(self) -> float:
