Read policies only where evacuations or refusals are enabled

Every configuration has priorities and objectives, so that all deployments would have exchanged them. The setting overload_refusals (default false) gives them to the router. Agents are told of warm-up only with evacuations.

--- a/packages/balancer/src/trefoilhaven/gateway/discovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/discovery.py
@@ -227,6 +227,8 @@
             return
         version = read.ok.version
         self._distribute(ROUTES_NAME, version, encode_routes(read.ok))
+        if not self._state.cfg.uses_policies:
+            return
         policies = self._adapter.read_policies(change.content)
         # Without any policies now and before, there is nothing to say.
         if policies[1:] != self._state.policies[1:] or any(policies[1:]):
--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -218,6 +218,8 @@
         if policies is None or policies.version <= self.policies.version:
             return
         self.policies = policies
+        if self.cfg.overload_refusals:
+            self.router.set_policies(policies)
         logger.info(
             'policies in force',
             extra={
--- a/packages/balancer/src/trefoilhaven/gateway/target_policies.py
+++ b/packages/balancer/src/trefoilhaven/gateway/target_policies.py
@@ -24,8 +24,7 @@
 class TargetPolicySender:
     """Sends policies along with hellos, and at once after a change.
 
-    Nothing is sent unless the settings ask for evacuations or the policies
-    have a service whose targets are cold after a start.
+    Nothing is sent unless the settings enable evacuations.
     """
 
     def __init__(self, state: GatewayState, endpoint: DatagramEndpoint) -> None:
@@ -88,9 +87,7 @@
         )
 
     def _is_due(self) -> bool:
-        current = self._current()
-        is_wanted = self._state.cfg.evacuations or current.has_warm_up
-        return is_wanted and current.is_known
+        return self._state.cfg.evacuations and self._current().is_known
 
     def _hellos_per_policy(self) -> int:
         return hellos_per_policy(len(self._state.targets()))
--- a/packages/core/src/trefoilhaven_core/connections/target_policies.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_policies.py
@@ -35,11 +35,6 @@
         """Whether there is anything that agents could apply."""
         return bool(self.policies.version) or self.evacuations.is_known
 
-    @property
-    def has_warm_up(self) -> bool:
-        """Whether targets of a service are cold after their start."""
-        return any(each.cold_s > 0 for each in self.policies.services)
-
     def policy_of(self, member: Member) -> TargetPolicy:
         """Return what the agent of a member is told."""
         service = self._service_policy(member.service)
--- a/packages/core/src/trefoilhaven_core/settings/defaults.py
+++ b/packages/core/src/trefoilhaven_core/settings/defaults.py
@@ -17,6 +17,7 @@
 PROCESSOR_SPEED: Final = 1.0
 EVACUATIONS: Final = False
 STATE_OFFERS: Final = False
+OVERLOAD_REFUSALS: Final = False
 
 # Additional wait in seconds that an operator accepts to keep a request, with
 # its bytes, inside the failure domain. Waits are means over a domain, and
--- a/packages/core/src/trefoilhaven_core/settings/tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/tables.py
@@ -256,6 +256,12 @@
         'Whether evacuations of failure domains are read from the platform.',
         default=defaults.EVACUATIONS,
     ),
+    Field(
+        'overload_refusals',
+        FieldKind.boolean,
+        'Whether new connections are refused when a service is short of room.',
+        default=defaults.OVERLOAD_REFUSALS,
+    ),
     Field(
         'domain_crossing_cost_s',
         FieldKind.number,
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -5,6 +5,7 @@
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.settings.defaults import (
     EVACUATIONS,
+    OVERLOAD_REFUSALS,
     PROCESSOR_SHARE,
     PROCESSOR_SPEED,
     STATE_OFFERS,
@@ -117,7 +118,8 @@
     may use, and ``processor_speed`` the speed of this core relative to a usual
     one. With ``evacuations``, the evacuated failure domains are read from the
     platform, and with ``state_offers`` the state is offered to balancers that
-    have restarted. ``domain_crossing_cost_s`` is the additional wait in
+    have restarted. With ``overload_refusals``, new connections are refused
+    when a service is short of room. ``domain_crossing_cost_s`` is the additional wait in
     seconds that is accepted to keep a request inside the failure domain, None
     where a fixed penalty applies.
     """
@@ -137,6 +139,7 @@
     processor_speed: float = PROCESSOR_SPEED
     evacuations: bool = EVACUATIONS
     state_offers: bool = STATE_OFFERS
+    overload_refusals: bool = OVERLOAD_REFUSALS
     domain_crossing_cost_s: float | None = None
 
     @property
@@ -144,6 +147,11 @@
         """Processor time of the process in usual cores."""
         return self.processor_share * self.processor_speed
 
+    @property
+    def uses_policies(self) -> bool:
+        """Whether policies of routes and services are read and exchanged."""
+        return self.evacuations or self.overload_refusals
+
 
 class WarmUpLimits(NamedTuple):
     """Bounds on the openings of a cold target.
