Mend what the review of routing and agents found

- An opening that four targets returned was dropped, and its copies went to the last of them; now the next copy is placed anew.
- A retransmitted opening that this gateway does not know may have been accepted through another one, and is not reset for an evacuation.
- The floor of a route in an overload also holds for its excess, and a free slot of any service of the route prevents a refusal.
- Targets that announce no slots, and policies with huge rates, raised errors.
- A returned opening no longer counts as placed; a policy renews the agent's copy of the state.

Messages and tables of settings that had grown are split.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/copies.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/copies.py
@@ -9,9 +9,8 @@
 from trefoilhaven_core.connections.evacuations import EVACUATIONS_NAME
 from trefoilhaven_core.connections.messages import (
     BalancerHello,
-    StateOffer,
-    TargetPolicy,
 )
+from trefoilhaven_core.connections.notices import StateOffer, TargetPolicy
 from trefoilhaven_core.connections.policies import POLICIES_NAME
 from trefoilhaven_core.membership.copies import StateCopy
 from trefoilhaven_core.membership.messages import (
--- a/packages/agent/src/trefoilhaven_agent/sidecar/policies.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/policies.py
@@ -3,9 +3,10 @@
 import logging
 from typing import Final
 
+from trefoilhaven_agent.sidecar.copies import CopyTask
 from trefoilhaven_agent.sidecar.targets import TargetTracker
 from trefoilhaven_core.connections.connection_tracker import ConnectionTracker
-from trefoilhaven_core.connections.messages import TargetPolicy
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.membership.messages import Address
 from trefoilhaven_core.settings.types import SidecarSettings
 from trefoilhaven_core.telemetry.logs import RateLimitedLog
@@ -27,9 +28,11 @@
         runtime: ProcessRuntime,
         connections: ConnectionTracker,
         target_tracker: TargetTracker,
+        copies: CopyTask,
         endpoint: DatagramEndpoint,
     ) -> None:
         """Register the handler of the control socket."""
+        self._copies = copies
         self._cfg = cfg
         self._warm_up = connections.warm_up
         self._target_tracker = target_tracker
@@ -59,6 +62,7 @@
                 balancer=sender.host,
             )
             return
+        self._copies.on_policy(policy)
         update = self._warm_up.on_policy(now, policy)
         if update.is_changed:
             logger.info(
--- a/packages/agent/src/trefoilhaven_agent/sidecar/process.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/process.py
@@ -86,6 +86,7 @@
             self._runtime,
             self._connections,
             self._target_tracker,
+            reporting.copies,
             endpoint,
         )
         segments.open()
--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -74,7 +74,7 @@
         self._client = adapter.make_client()
         self._backoff = Backoff(rng, LIST_BACKOFF_S, LIST_BACKOFF_LIMIT_S)
         self._balancers = KnownBalancers(cfg.failure_domain)
-        self._copies = CopyTask(
+        self.copies = CopyTask(
             cfg, runtime, self._balancers, endpoint, transfers
         )
         self._reports = ReportSender(
@@ -105,7 +105,7 @@
             self._list_balancers(),
             self._registration.run(),
             self._check_target(),
-            self._copies.run(),
+            self.copies.run(),
         )
 
     async def on_announcement(
@@ -204,7 +204,7 @@
         is_new = self._balancers.on_hello(now, hello, sender)
         if is_new:
             logger.info('balancer found', extra={'balancer': hello.name})
-        self._copies.on_hello(hello, sender)
+        self.copies.on_hello(hello, sender)
         if member is None:
             self._reports.send_left(sender)
         elif is_new:
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_copies.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_copies.py
@@ -13,7 +13,8 @@
     KNOWN,
     make_settings,
 )
-from trefoilhaven_core.connections.messages import BalancerHello, StateOffer
+from trefoilhaven_core.connections.messages import BalancerHello
+from trefoilhaven_core.connections.notices import StateOffer
 from trefoilhaven_core.membership.messages import (
     Address,
     BalancerRecord,
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_policies.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_policies.py
@@ -9,7 +9,7 @@
     StoreFixture,
     make_task,
 )
-from trefoilhaven_core.connections.messages import TargetPolicy
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.connections.tests.support import (
     BALANCER,
     key_of,
@@ -48,8 +48,10 @@
             runtime,
             self.connections,
             tracker,
+            task.copies,
             endpoint,
         )
+        self.copies = task.copies
 
     def receive(self, policy: TargetPolicy) -> None:
         """Pass on a policy of a balancer."""
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_unexpected_messages.py
@@ -13,6 +13,7 @@
     make_task,
 )
 from trefoilhaven_core.connections import messages as connections
+from trefoilhaven_core.connections import notices
 from trefoilhaven_core.connections import restorations
 from trefoilhaven_core.connections.tests.support import key_of, make_segment
 from trefoilhaven_core.membership.messages import MemberState
@@ -32,7 +33,7 @@
     connections.HolderQuery,
     connections.BalancerHello,
     restorations.RegistrationRequest,
-    connections.TargetPolicy,
+    notices.TargetPolicy,
 )
 
 
@@ -45,6 +46,7 @@
         make_runtime('s1'),
         task._connections,  # noqa: SLF001
         task._target_tracker,  # noqa: SLF001
+        task.copies,
         endpoint,
     )
 
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_warm_up_schedules.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_warm_up_schedules.py
@@ -21,8 +21,8 @@
     ConnectionKey,
     Segment,
     SegmentForward,
-    TargetPolicy,
 )
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.connections.tests.support import (
     BALANCER,
     accepting,
--- a/packages/balancer/src/trefoilhaven/gateway/recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/recovery.py
@@ -16,9 +16,9 @@
 from trefoilhaven.gateway.state import GatewayState
 from trefoilhaven_core.connections.messages import (
     BalancerHello,
-    StateOffer,
     TargetsReply,
 )
+from trefoilhaven_core.connections.notices import StateOffer
 from trefoilhaven_core.membership.messages import (
     Address,
     Digest,
--- a/packages/balancer/src/trefoilhaven/gateway/tests/evacuation_fixture.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/evacuation_fixture.py
@@ -21,9 +21,7 @@
     Evacuations,
     encode_evacuations,
 )
-from trefoilhaven_core.connections.messages import (
-    TargetPolicy,
-)
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.connections.policies import (
     Policies,
 )
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
@@ -17,10 +17,10 @@
 from trefoilhaven_core.connections.messages import (
     BalancerHello,
     ConnectionLoad,
-    StateOffer,
     TargetReport,
     TargetsReply,
 )
+from trefoilhaven_core.connections.notices import StateOffer
 from trefoilhaven_core.connections.route_codec import ROUTES_NAME, encode_routes
 from trefoilhaven_core.connections.routes import RouteConfiguration
 from trefoilhaven_core.membership.messages import (
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -4,7 +4,7 @@
 from enum import IntEnum
 from typing import Final, NamedTuple
 
-from trefoilhaven_core.membership.messages import Address, Member
+from trefoilhaven_core.membership.messages import Member
 
 # Sequence numbers have 32 bits.
 SEQUENCE_SPACE = 1 << 32
@@ -275,35 +275,6 @@
     interval_s: float
 
 
-class TargetPolicy(NamedTuple):
-    """Tells an agent what its target may take, from a balancer.
-
-    ``version`` is that of the policies from which ``cold_s`` (seconds) and
-    ``cold_openings_per_s`` come, and ``evacuations_version`` that of the
-    evacuations from which ``is_evacuated`` comes: whether the failure domain
-    of the target is evacuated. An agent applies the highest of each.
-    """
-
-    service: str
-    failure_domain: str
-    version: int
-    cold_s: float
-    cold_openings_per_s: float
-    evacuations_version: int
-    is_evacuated: bool
-
-
-class StateOffer(NamedTuple):
-    """Offers the state to a balancer that has restarted.
-
-    The balancer fetches it from ``address`` by ``StateRequest``. An agent
-    that offers names itself as ``sender`` too.
-    """
-
-    sender: str
-    address: Address
-
-
 def is_in_sequence_window(number: int, start: int, span: int) -> bool:
     """Return whether a sequence number is at most ``span`` past a start."""
     return (number - start) % SEQUENCE_SPACE <= span
--- a/packages/core/src/trefoilhaven_core/connections/opening_refusals.py
+++ b/packages/core/src/trefoilhaven_core/connections/opening_refusals.py
@@ -9,7 +9,7 @@
     ResetClient,
 )
 from trefoilhaven_core.connections.messages import Segment
-from trefoilhaven_core.connections.overload import OverloadControl
+from trefoilhaven_core.connections.overload import OverloadControl, ServiceRoom
 from trefoilhaven_core.connections.policies import Policies
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.target_selection import TargetSelector
@@ -41,8 +41,8 @@
         if not self._control.has_policy(address):
             return []
         rooms = {each: self._selector.room(now, each) for each in services}
-        usable = [service for service in services if rooms[service]]
-        service = usable[0] if usable else services[0]
+        # A free slot of any service of the address prevents a refusal.
+        service = max(services, key=lambda each: _preference(rooms[each]))
         refusal = self._control.decide(now, address, service, rooms[service])
         if refusal is None:
             return []
@@ -51,3 +51,8 @@
             OverloadRefused(service, refusal),
             ResetClient(segment.key, segment.acknowledged, cause),
         ]
+
+
+def _preference(room: ServiceRoom | None) -> int:
+    """Return 2 with a free slot, 1 with a usable target and 0 without one."""
+    return 0 if room is None else 1 + room.has_free_slot
--- a/packages/core/src/trefoilhaven_core/connections/overload.py
+++ b/packages/core/src/trefoilhaven_core/connections/overload.py
@@ -142,14 +142,14 @@
         self, now: float, wait_s: float, threshold_s: float
     ) -> float:
         """Return the share of the openings to accept at an expected wait."""
-        share = max(FLOOR_SHARE, self._usual.share(wait_s, threshold_s))
+        share = self._usual.share(wait_s, threshold_s)
         excess_s = THRESHOLD_RATIO * threshold_s
         below_excess = self._excess.share(wait_s, excess_s)
         ratio = self.rates.recent_ratio(now)
         if ratio > EXCESS_FACTOR:
             share = min(share, max(1 / ratio, below_excess))
         risen = self._share + RISE_PER_S * (now - self._at)
-        self._share = min(share, risen)
+        self._share = max(FLOOR_SHARE, min(share, risen))
         self._at = now
         return self._share
 
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -226,8 +226,8 @@
     ) -> list[Effect]:
         if known is None:
             # Another balancer may have placed a retransmitted one.
-            may_refuse = not segment.acknowledged
-            return self._place(now, segment, (), may_refuse=may_refuse)
+            is_unanswered = bool(segment.acknowledged)
+            return self._place(now, segment, (), is_unanswered=is_unanswered)
         is_retransmission = segment.acknowledged > len(known.tried)
         if is_retransmission and not known.is_accepted:
             tried = (*known.tried, known.target)
@@ -242,24 +242,25 @@
         segment: Segment,
         tried: tuple[str, ...],
         *,
-        is_unanswered: bool = False,
-        may_refuse: bool = False,
+        is_unanswered: bool,
     ) -> list[Effect]:
         """Choose a target for a new connection.
 
-        ``is_unanswered`` tells whether one of the targets that were tried may
-        have accepted it, and ``may_refuse`` that it may be refused if the
-        service is short of room.
+        ``is_unanswered`` tells whether a target may have accepted it before,
+        so that it must not be reset.
         """
         if len(tried) >= OPENING_TRIES:
+            # The client's next copy is placed anew.
+            self._cache.remove(segment.key)
             return [DropSegment(segment, DropCause.no_target)]
         address = segment.key[2:]
         services = self._routes.ordered_services(address, self._rng)
         if not services:
             return self._on_no_route(segment)
-        refused = may_refuse and self._overload.refuse(now, segment, services)
-        if refused:
-            return refused
+        if not tried and not is_unanswered:
+            refused = self._overload.refuse(now, segment, services)
+            if refused:
+                return refused
         chosen = (
             self._selector.choose(now, self._rng, service, tried)
             for service in services
--- a/packages/core/src/trefoilhaven_core/connections/target_costs.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_costs.py
@@ -103,7 +103,9 @@
     equal = [number for number, cost in enumerate(costs_s) if cost < limit_s]
     if len(equal) == 1:
         return targets[equal[0]]
-    rates = [targets[each].member.slots / services_s[each] for each in equal]
+    rates = [
+        (targets[each].member.slots or 1) / services_s[each] for each in equal
+    ]
     return targets[rng.choices(equal, rates)[0]]
 
 
--- a/packages/core/src/trefoilhaven_core/connections/target_policies.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_policies.py
@@ -9,7 +9,7 @@
     UNKNOWN_EVACUATIONS,
     Evacuations,
 )
-from trefoilhaven_core.connections.messages import TargetPolicy
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.connections.pacing import (
     MAX_PROMPT_POLICIES,
     PROMPT_INTERVAL_S,
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -60,9 +60,15 @@
             target.placed = max(0, target.placed - 1)
 
     def on_refused_opening(self, now: float, service: str, name: str) -> None:
-        """Record that an agent returned an opening, which matters if cold."""
+        """Record that an agent returned an opening.
+
+        A cold target gets no further ones for a while.
+        """
         target = self._targets.get(service, {}).get(name)
-        if target is not None and target.is_cold:
+        if target is None:
+            return
+        target.placed = max(0, target.placed - 1)
+        if target.is_cold:
             target.refused_until = now + REFUSAL_PAUSE_S
 
     def on_round_trip(self, now: float, accepted: ConnectionAccepted) -> None:
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_connection_tracker.py
@@ -20,9 +20,9 @@
     SegmentFlag,
     SegmentReturn,
     TargetIdentity,
-    TargetPolicy,
     Verdict,
 )
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.connections.probes import REFUSAL_TIMEOUT_S
 from trefoilhaven_core.connections.responsiveness import (
     OPENING_TIMEOUT_S,
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_target_policies.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_target_policies.py
@@ -1,7 +1,7 @@
 """Tests of what balancers tell agents about evacuations and warm-up."""
 
 from trefoilhaven_core.connections.evacuations import Evacuations
-from trefoilhaven_core.connections.messages import TargetPolicy
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.connections.pacing import (
     HELLO_BYTES,
     HELLO_BYTES_PER_S,
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_warm_up.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_warm_up.py
@@ -3,7 +3,7 @@
 import math
 
 import pytest
-from trefoilhaven_core.connections.messages import TargetPolicy
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.connections.tests.support import key_of, opening
 from trefoilhaven_core.connections.warm_up import (
     HEARTBEAT_DELAY_S,
--- a/packages/core/src/trefoilhaven_core/connections/warm_up.py
+++ b/packages/core/src/trefoilhaven_core/connections/warm_up.py
@@ -14,8 +14,8 @@
 from trefoilhaven_core.connections.messages import (
     ConnectionKey,
     Segment,
-    TargetPolicy,
 )
+from trefoilhaven_core.connections.notices import TargetPolicy
 from trefoilhaven_core.settings.types import WarmUpLimits
 
 # Length of the window in seconds. The limit applies to any second at the
@@ -30,6 +30,9 @@
 # may have been sent before the target became cold.
 HEARTBEAT_DELAY_S: Final = 1.0
 
+# Limit of the rates and times in a policy, far above any usual one.
+MAX_POLICY_VALUE: Final = 1e6
+
 
 class RefusalCause(Enum):
     """Why an agent returns the opening segment of a new connection."""
@@ -123,10 +126,10 @@
         """Apply a policy, unless it is older than those applied.
 
         The rates and the evacuation have separate versions. A policy with
-        negative or infinite values is ignored.
+        negative or excessive values is ignored.
         """
         values = (policy.cold_s, policy.cold_openings_per_s)
-        if not all(0 <= value < math.inf for value in values):
+        if not all(0 <= value <= MAX_POLICY_VALUE for value in values):
             return PolicyUpdate()
         is_changed = False
         if self._version is None or policy.version > self._version:
--- a/packages/core/src/trefoilhaven_core/settings/loader.py
+++ b/packages/core/src/trefoilhaven_core/settings/loader.py
@@ -12,12 +12,14 @@
 from trefoilhaven_core.settings.documents import Document, read_document
 from trefoilhaven_core.settings.findings import Finding, Findings
 from trefoilhaven_core.settings.readers import read_fields
+from trefoilhaven_core.settings.segment_tables import (
+    GATEWAY_FIELDS,
+    SIDECAR_FIELDS,
+)
 from trefoilhaven_core.settings.tables import (
     AGENT_FIELDS,
     BALANCER_FIELDS,
-    GATEWAY_FIELDS,
     SERVICE_FIELDS,
-    SIDECAR_FIELDS,
 )
 from trefoilhaven_core.settings.types import (
     AgentSettings,
--- a/packages/core/src/trefoilhaven_core/settings/schemas.py
+++ b/packages/core/src/trefoilhaven_core/settings/schemas.py
@@ -10,12 +10,14 @@
 
 from trefoilhaven_core.settings.fields import Field, FieldKind, FieldTable
 from trefoilhaven_core.settings.readers import ADDRESS_PATTERN, NAME_PATTERN
+from trefoilhaven_core.settings.segment_tables import (
+    GATEWAY_FIELDS,
+    SIDECAR_FIELDS,
+)
 from trefoilhaven_core.settings.tables import (
     AGENT_FIELDS,
     BALANCER_FIELDS,
-    GATEWAY_FIELDS,
     SERVICE_FIELDS,
-    SIDECAR_FIELDS,
 )
 
 SCHEMAS_DIRECTORY: Final = Path(__file__).parent / 'schemas'
--- a/packages/core/src/trefoilhaven_core/wire/kinds.py
+++ b/packages/core/src/trefoilhaven_core/wire/kinds.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from trefoilhaven_core.connections import messages as connections
+from trefoilhaven_core.connections import notices
 from trefoilhaven_core.connections import restorations
 from trefoilhaven_core.flows import messages as flows
 from trefoilhaven_core.membership import messages as membership
@@ -50,8 +51,8 @@
     38: connections.RouteReply,
     39: connections.TargetsQuery,
     40: connections.TargetsReply,
-    41: connections.TargetPolicy,
-    42: connections.StateOffer,
+    41: notices.TargetPolicy,
+    42: notices.StateOffer,
     43: restorations.RegistrationRequest,
     44: restorations.HeardQuery,
     45: restorations.HeardReply,
