Prefer a few targets for each connection, and search there first

Among targets of equal cost, a gateway now selects one of the four that rank highest for the connection's key, and a search queries these first, then the others. A reset still needs the answers of all targets.

--- a/packages/core/src/trefoilhaven_core/connections/domain_shares.py
+++ b/packages/core/src/trefoilhaven_core/connections/domain_shares.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from trefoilhaven_core.connections.domain_loads import domain_loads
 from trefoilhaven_core.connections.round_trips import RoundTrips
@@ -55,11 +55,12 @@
         service: str,
         targets: Sequence[TargetState],
         rng: random.Random,
+        preferred: Collection[TargetState] = (),
     ) -> TargetState:
         """Return the target of a new connection.
 
         ``targets`` are all that may get it, of any failure domain, and not
-        empty.
+        empty. Of equal targets, those in ``preferred`` are selected.
         """
         decided = self._services.get(service)
         if decided is None:
@@ -72,10 +73,11 @@
             domain = _draw(decided.shares, domain, rng)
         own = _of_domain(targets, self._domain)
         if domain == self._domain:
-            return select_quickest(own or targets, rng)
+            return select_quickest(own or targets, rng, None, preferred)
         penalty_s = self._cost_s + self.round_trips.time_s(now, domain)
         both = own + _of_domain(targets, domain)
-        return select_quickest(both or targets, rng, {domain: penalty_s})
+        penalties_s = {domain: penalty_s}
+        return select_quickest(both or targets, rng, penalties_s, preferred)
 
 
 def _draw(
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -84,13 +84,16 @@
         fallback_members: Iterable[Member],
         is_membership_complete: bool,
         members_revision: int = 0,
+        likely_members: Collection[Member] = (),
     ) -> None:
         """Start with the first segment.
 
         ``members`` are queried first, and ``fallback_members`` if none of
         them holds the connection. The latter belong to services that the
         route does not name: open connections stay at their targets when a
-        route changes.
+        route changes. Of ``members``, only ``likely_members`` are queried at
+        once, if there are any; the others when those deny the connection, or
+        when one does not answer in time.
 
         ``is_membership_complete`` means that both lists are complete.
         ``members_revision`` is that of the members when they were read, and
@@ -102,7 +105,11 @@
         self.started_at = now
         self.has_queried_failed = False
         self.is_repeated = False
-        self._members = QueriedMembers(members)
+        self._other_members = {target_key(member): member for member in members}
+        first = tuple(likely_members) or tuple(self._other_members.values())
+        for member in first:
+            self._other_members.pop(target_key(member), None)
+        self._members = QueriedMembers(first)
         self._fallback_members = {
             target_key(member): member for member in fallback_members
         }
@@ -143,7 +150,8 @@
         The agents are queried at once if there are fewer than
         ``MIN_AGENTS_PER_PEER`` of them for each other balancer.
         """
-        if not peers or MIN_AGENTS_PER_PEER * len(peers) > len(self._members):
+        agents = len(self._members) + len(self._other_members)
+        if not peers or MIN_AGENTS_PER_PEER * len(peers) > agents:
             return self.query()
         self._peers = set(peers)
         return [QueryPeer(peer, self.key) for peer in peers]
@@ -201,6 +209,7 @@
         """Query members that became known or have restarted meanwhile."""
         for member in members:
             self._fallback_members.pop(target_key(member), None)
+            self._other_members.pop(target_key(member), None)
             self._members.add(member)
         for member in fallback_members:
             key = target_key(member)
@@ -210,6 +219,21 @@
                 self._fallback_members[key] = member
         return self._query_again(now)
 
+    def query_other_members(self, now: float) -> list[Effect]:
+        """Query the members that are unlikely to hold the connection.
+
+        Returns nothing before the likely ones have denied it, or the queries
+        have been repeated.
+        """
+        if not self._other_members or not (
+            self.is_repeated or self.is_absent()
+        ):
+            return []
+        for member in self._other_members.values():
+            self._members.add(member)
+        self._other_members = {}
+        return self._query_again(now)
+
     def query_fallback_members(self, now: float) -> list[Effect]:
         """Query the fallback members if no other member is the holder."""
         if not self._fallback_members or not self.is_absent():
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -262,7 +262,7 @@
             if refused:
                 return refused
         chosen = (
-            self._selector.choose(now, self._rng, service, tried)
+            self._selector.choose(now, self._rng, service, tried, segment.key)
             for service in services
         )
         member = next(filter(None, chosen), None)
--- a/packages/core/src/trefoilhaven_core/connections/searches.py
+++ b/packages/core/src/trefoilhaven_core/connections/searches.py
@@ -22,6 +22,7 @@
     SegmentReturn,
     Verdict,
 )
+from trefoilhaven_core.connections.preferences import likely_holders
 from trefoilhaven_core.connections.queried_members import TargetKey
 from trefoilhaven_core.connections.routes import AddressRoutes
 from trefoilhaven_core.connections.target_selection import TargetSelector
@@ -79,6 +80,9 @@
         )
         if not members:
             return [DropSegment(segment, DropCause.no_target)]
+        likely = likely_holders(
+            segment.key, members, self._selector.failure_domain
+        )
         search = Search(
             now,
             segment,
@@ -86,6 +90,7 @@
             fallback,
             self.is_membership_complete,
             self._selector.revision,
+            likely,
         )
         self._searches[segment.key] = search
         return search.start(peers)
@@ -135,6 +140,7 @@
             if queries and search.is_repeated:
                 search.excuse(self._record_queries(now, queries))
                 queries += self._query_added(now, search)
+                queries += search.query_other_members(now)
             effects.extend(queries)
             effects.extend(self._conclude(now, search))
         return effects
@@ -239,6 +245,7 @@
     def _query_more(self, now: float, search: Search) -> list[Effect]:
         """Query the members that a search has not considered yet."""
         added = self._query_added(now, search)
+        added += search.query_other_members(now)
         if added:
             return added
         effects = search.query_fallback_members(now)
--- a/packages/core/src/trefoilhaven_core/connections/target_costs.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_costs.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import Final
 
 from trefoilhaven_core.connections.response_outliers import ODD_MARGIN
@@ -75,6 +75,7 @@
     targets: Sequence[TargetState],
     rng: random.Random,
     penalties_s: Mapping[str, float] | None = None,
+    preferred: Collection[TargetState] = (),
 ) -> TargetState:
     """Return one of the targets with the shortest expected waits.
 
@@ -82,7 +83,8 @@
     the usual service time. A target is selected in proportion to its rate,
     so that a slow one gets fewer of the long-lived connections. ``targets``
     is not empty. ``penalties_s`` are times in seconds that count as further
-    waits at the targets of some failure domains.
+    waits at the targets of some failure domains. Of equal targets, those in
+    ``preferred`` are selected.
     """
     usual_s = usual_service_time_s(targets)
     services_s = [bounded_service_time_s(each, usual_s) for each in targets]
@@ -101,6 +103,7 @@
             costs_s[number] += penalties_s.get(domain, 0.0)
     limit_s = min(costs_s) + EQUAL_COST_MARGIN * usual_s
     equal = [number for number, cost in enumerate(costs_s) if cost < limit_s]
+    equal = [each for each in equal if targets[each] in preferred] or equal
     if len(equal) == 1:
         return targets[equal[0]]
     rates = [
@@ -127,11 +130,15 @@
 
 
 def select_cheapest(
-    targets: Sequence[TargetState], failure_domain: str, rng: random.Random
+    targets: Sequence[TargetState],
+    failure_domain: str,
+    rng: random.Random,
+    preferred: Collection[TargetState] = (),
 ) -> TargetState:
     """Return one of the targets of the lowest cost, chosen at random.
 
     ``targets`` is not empty, and ``failure_domain`` is that of the balancer.
+    Of targets of equal cost, those in ``preferred`` are selected.
     """
     costs = [
         target.busy_share()
@@ -142,13 +149,12 @@
     for number, excess in odd_excesses(targets).items():
         costs[number] += ODD_PENALTY_FACTOR * excess
     limit = min(costs) + EQUAL_COST_MARGIN
-    return rng.choice(
-        [
-            target
-            for cost, target in zip(costs, targets, strict=True)
-            if cost < limit
-        ]
-    )
+    equal = [
+        target
+        for cost, target in zip(costs, targets, strict=True)
+        if cost < limit
+    ]
+    return rng.choice([each for each in equal if each in preferred] or equal)
 
 
 def _median(values: Sequence[float]) -> float:
--- a/packages/core/src/trefoilhaven_core/connections/target_registry.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_registry.py
@@ -16,11 +16,12 @@
 class TargetRegistry:
     """Targets with what was heard of them; times are monotonic, in seconds."""
 
-    def __init__(self) -> None:
-        """Start without targets.
+    def __init__(self, failure_domain: str = '') -> None:
+        """Start without targets; ``failure_domain`` is the balancer's own.
 
         ``revision`` increases with each change of the members.
         """
+        self.failure_domain = failure_domain
         self.failure_detector = AgentFailureDetector()
         self.revision = 0
         self._hosts = HostTable()
--- a/packages/core/src/trefoilhaven_core/connections/target_selection.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_selection.py
@@ -1,7 +1,7 @@
 """Selection of the target of a new connection, from agents' reports."""
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from trefoilhaven_core.connections.domain_shares import DomainShares
@@ -12,6 +12,10 @@
     ConnectionLoad,
 )
 from trefoilhaven_core.connections.overload import ServiceRoom
+from trefoilhaven_core.connections.preferences import (
+    MIN_TARGETS,
+    preferred_positions,
+)
 from trefoilhaven_core.connections.silences import heard_targets
 from trefoilhaven_core.connections.target_costs import (
     expected_wait_s,
@@ -42,12 +46,11 @@
         and ``domain_shares`` is None. Targets in ``evacuated_domains`` get no
         new connections.
         """
-        super().__init__()
+        super().__init__(failure_domain)
         self.domain_shares: DomainShares | None = None
         if crossing_cost_s is not None:
             self.domain_shares = DomainShares(failure_domain, crossing_cost_s)
         self.evacuated_domains: frozenset[str] = frozenset()
-        self._domain = failure_domain
 
     def on_accepted(
         self, now: float, service: str, name: str, load: ConnectionLoad
@@ -108,19 +111,26 @@
         rng: random.Random,
         service: str,
         excluded: Collection[str] = (),
+        key: ConnectionKey | None = None,
     ) -> Member | None:
         """Select the target of a new connection and count it there.
 
+        Of targets of equal cost, those preferred for ``key`` are selected.
         Unresponsive targets and those with a silent agent are selected only
         if there are no others. The result is None without a usable target.
         """
         candidates = self._candidates(now, service, excluded)
         if not candidates:
             return None
+        preferred = self._preferred(key, candidates)
         if self.domain_shares is None:
-            chosen = select_cheapest(candidates, self._domain, rng)
+            chosen = select_cheapest(
+                candidates, self.failure_domain, rng, preferred
+            )
         else:
-            chosen = self.domain_shares.select(now, service, candidates, rng)
+            chosen = self.domain_shares.select(
+                now, service, candidates, rng, preferred
+            )
         chosen.placed += 1
         return chosen.member
 
@@ -147,6 +157,22 @@
         }
         return bool(domains) and domains <= self.evacuated_domains
 
+    def _preferred(
+        self, key: ConnectionKey | None, candidates: Sequence[TargetState]
+    ) -> frozenset[TargetState]:
+        """Return the targets of the own domain that are preferred for a key."""
+        if key is None or len(candidates) < MIN_TARGETS:
+            return frozenset()
+        near = [
+            target
+            for target in candidates
+            if target.member.failure_domain == self.failure_domain
+        ]
+        hashes = [target.name_hash for target in near]
+        return frozenset(
+            near[position] for position in preferred_positions(key, hashes)
+        )
+
     def _candidates(
         self, now: float, service: str, excluded: Collection[str] = ()
     ) -> list[TargetState]:
@@ -161,4 +187,6 @@
             and target.member.failure_domain not in self.evacuated_domains
         ]
         report_s = self.failure_detector.report_s
-        return heard_targets(now, usable, self._domain, report_s) or usable
+        return (
+            heard_targets(now, usable, self.failure_domain, report_s) or usable
+        )
--- a/packages/core/src/trefoilhaven_core/connections/target_states.py
+++ b/packages/core/src/trefoilhaven_core/connections/target_states.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from trefoilhaven_core.connections.messages import ConnectionLoad
+from trefoilhaven_core.connections.preferences import hash_name
 from trefoilhaven_core.membership.messages import Member, MemberState
 
 # Share of the slots by which a target that has just started counts as busier.
@@ -46,6 +47,7 @@
         'listed_at',
         'load',
         'member',
+        'name_hash',
         'pending',
         'placed',
         'refused_until',
@@ -61,6 +63,7 @@
         self.listed_at: float | None = None
         self.load = ConnectionLoad()
         self.member = member
+        self.name_hash = hash_name(member.target)
         self.pending = 0.0
         self.placed = 0
         self.refused_until = -math.inf
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_search_volume.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_search_volume.py
@@ -86,6 +86,21 @@
         assert network.counts['probes'] <= 0.1 * once
         assert not network.resets
 
+    @pytest.mark.parametrize('seed', range(3))
+    def test_likely_holders(self, seed: int) -> None:
+        """Guards against probes of all targets for each connection.
+
+        Most connections are at a target that is preferred for their key, and
+        balancers whose caches are lost ask there first.
+        """
+        network = kill_all(seed)
+        network.add_balancer('10.0.1.0')
+        network.run(network.now + 0.7)
+        all_targets = CLIENTS * TARGETS
+        assert network.counts['questions'] <= 0.5 * all_targets
+        assert network.counts['probes'] <= 0.5 * all_targets
+        assert not network.resets
+
     @pytest.mark.parametrize('seed', range(3))
     def test_late_refusals(self, seed: int) -> None:
         """Guards against searches that start again, as targets refuse late.
