--- a/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/reporting.py
@@ -1,11 +1,11 @@
 """Heartbeats and liveness checks of the target, and its balancers."""
 
 import asyncio
-import contextlib
 import logging
 import random
 from typing import Final
 
+from trefoilhaven_agent.sidecar.balancer_lists import BalancerLister
 from trefoilhaven_agent.sidecar.balancers import KnownBalancers
 from trefoilhaven_agent.sidecar.checks import CheckSchedule
 from trefoilhaven_agent.sidecar.copies import CopyTask
@@ -24,17 +24,11 @@
     Address,
     MemberState,
 )
-from trefoilhaven_core.membership.objects import (
-    BALANCERS_PREFIX,
-    read_balancer,
-)
 from trefoilhaven_core.platform.adapters import (
     PlatformAdapter,
     TargetAnnouncement,
     TargetDeparture,
 )
-from trefoilhaven_core.platform.backoffs import Backoff
-from trefoilhaven_core.platform.errors import describe_error
 from trefoilhaven_core.settings.types import SidecarSettings
 from trefoilhaven_core.telemetry.runtimes import ProcessRuntime
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -47,9 +41,6 @@
 # seconds.
 CHECK_INTERVAL_S: Final = 0.1
 
-LIST_BACKOFF_S: Final = 0.6
-LIST_BACKOFF_LIMIT_S: Final = 1.2
-
 
 class ReportingTask:
     """Processes heartbeats and keeps the balancers informed."""
@@ -72,7 +63,6 @@
         self._target_tracker = target_tracker
         self._segments = segments
         self._client = adapter.make_client()
-        self._backoff = Backoff(rng, LIST_BACKOFF_S, LIST_BACKOFF_LIMIT_S)
         self._balancers = KnownBalancers(cfg.failure_domain)
         self.copies = CopyTask(
             cfg, runtime, self._balancers, endpoint, transfers
@@ -80,13 +70,14 @@
         self._reports = ReportSender(
             connections, target_tracker, self._balancers, endpoint
         )
-        # Set while the balancers are to be listed after a registration.
-        self._registered = asyncio.Event()
+        self._lister = BalancerLister(
+            self._client, self._balancers, rng, self._report
+        )
         self._registration = TargetRegistration(
             self._client,
             cfg.name,
             rng,
-            self._registered.set,
+            self._lister.registered.set,
             self._reports.report_predecessor,
         )
         self._departing = False
@@ -102,7 +93,7 @@
         """Report, register and check the target until cancelled."""
         await asyncio.gather(
             self._reports.run(),
-            self._list_balancers(),
+            self._lister.run(),
             self._registration.run(),
             self._check_target(),
             self.copies.run(),
@@ -218,50 +209,9 @@
         if member is not None:
             self._reports.send_all(member)
 
-    async def _list_balancers(self) -> None:
-        """List the balancers in the store after a registration.
-
-        A balancer registers itself before it lists the targets. Either it
-        finds the target's object, or this list has the balancer. Agents may
-        also start before all balancers, and list them while none sends a
-        hello. A balancer that knows this agent announces it to the others.
-        """
-        while True:
-            is_registered = self._registered.is_set()
-            if is_registered or self._balancers.is_hello_overdue(monotonic()):
-                # A stale list may miss a balancer that has just joined.
-                is_listed = await self._list_once(allow_stale=not is_registered)
-                if is_registered and is_listed:
-                    self._registered.clear()
-            if is_registered:
-                await asyncio.sleep(self._backoff.next_s())
-                continue
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._backoff.next_s()):
-                    await self._registered.wait()
-
-    async def _list_once(self, *, allow_stale: bool) -> bool:
-        """List the balancers and report to them; return whether it worked."""
-        listed = await self._client.list(
-            BALANCERS_PREFIX, allow_stale=allow_stale
-        )
-        if listed.is_error():
-            logger.warning(
-                'could not list the balancers',
-                extra={'reason': describe_error(listed.error)},
-            )
-            return False
-        read = [read_balancer(each.content) for each in listed.ok.objects]
-        for each in read:
-            if each.is_error():
-                logger.warning(
-                    'malformed object', extra={'reason': each.error.reason}
-                )
-        records = [each.ok for each in read if each.is_ok()]
-        self._balancers.on_listed(monotonic(), records)
+    def _report(self) -> None:
         if self._target_tracker.member is not None:
             self._reports.send_all(self._target_tracker.member)
-        return True
 
     async def _check_target(self) -> None:
         """Check whether the target still runs when it may have ended.
--- a/packages/core/src/trefoilhaven_core/connections/domain_loads.py
+++ b/packages/core/src/trefoilhaven_core/connections/domain_loads.py
@@ -18,9 +18,9 @@
     """Load and room of the targets of one service in one failure domain.
 
     ``wait_s`` is the time in seconds in which they would work off the requests
-    for which they have no slot, ``free_share`` the share of their rate that is free, and
-    ``rate_per_s`` the requests per second that they can work on. Targets
-    whose responses look like failures have no part in it.
+    for which they have no slot, ``free_share`` the share of their rate that
+    is free, and ``rate_per_s`` the requests per second that they can work on.
+    Targets whose responses look like failures have no part in it.
     """
 
     wait_s: float
--- a/packages/core/src/trefoilhaven_core/connections/holder_search.py
+++ b/packages/core/src/trefoilhaven_core/connections/holder_search.py
@@ -9,7 +9,6 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Collection, Iterable
 from typing import Final
 
@@ -34,9 +33,7 @@
     TargetKey,
     target_key,
 )
-from trefoilhaven_core.connections.tracked_connections import (
-    is_acknowledged_near,
-)
+from trefoilhaven_core.connections.segment_queues import SegmentQueue
 from trefoilhaven_core.membership.messages import Address, Member
 
 # Agents that have not answered are queried again after this time, in seconds,
@@ -62,9 +59,6 @@
 # within this time, in seconds, the target is taken to have ended.
 FAILED_AGENT_TIMEOUT_S: Final = 0.1
 
-# Segments queued for one search; a client has up to 16 in flight.
-MAX_QUEUED_SEGMENTS: Final = 16
-
 # Other balancers are queried first only if there are at least this many
 # agents for each of them.
 MIN_AGENTS_PER_PEER: Final = 2
@@ -113,9 +107,7 @@
         self._fallback_members = {
             target_key(member): member for member in fallback_members
         }
-        self._segments: deque[Segment] = deque(
-            [segment], maxlen=MAX_QUEUED_SEGMENTS
-        )
+        self.queue = SegmentQueue(segment)
         self._failed_due = math.inf
         self._query_due = now + QUERY_INTERVAL_S
         self._query_interval_s = QUERY_INTERVAL_S
@@ -123,27 +115,6 @@
         self._peers: set[Address] = set()
         self._named: set[TargetKey] = set()
 
-    @property
-    def segments(self) -> tuple[Segment, ...]:
-        """Segments queued until the holder is known."""
-        return tuple(self._segments)
-
-    def add(self, segment: Segment) -> list[Effect]:
-        """Queue a segment; drop it if the queue is full."""
-        if len(self._segments) == MAX_QUEUED_SEGMENTS:
-            return [DropSegment(segment, DropCause.queue_full)]
-        self._segments.append(segment)
-        return []
-
-    def is_same_connection(self, segment: Segment) -> bool:
-        """Return whether a segment continues the connection searched for.
-
-        The client may have opened another one on the same port, whose
-        acknowledgement numbers are elsewhere.
-        """
-        first = self._segments[0]
-        return is_acknowledged_near(segment.acknowledged, first.acknowledged)
-
     def start(self, peers: Collection[Address]) -> list[Effect]:
         """Query the other balancers first, or the agents.
 
@@ -169,7 +140,7 @@
 
     def query(self) -> list[Effect]:
         """Return queries to the members that have not answered."""
-        question = Question(self.key, self._segments[0].acknowledged)
+        question = Question(self.key, self.queue.first.acknowledged)
         return [
             QueryMember(member, question)
             for member in self._members.unanswered()
@@ -284,12 +255,12 @@
         )
         return [
             DropSegment(segment, DropCause.not_found, detail)
-            for segment in self._segments
+            for segment in self.queue.segments
         ]
 
     def reset(self) -> ResetClient:
         """Return the reset of the client, as no target holds the connection."""
-        latest = self._segments[-1]
+        latest = self.queue.latest
         return ResetClient(
             self.key,
             latest.acknowledged,
@@ -317,5 +288,5 @@
             if now - probed_at < PROBE_INTERVAL_S:
                 continue
             self._probed_at[member] = now
-            effects.append(probe_member(member, self._segments[0]))
+            effects.append(probe_member(member, self.queue.first))
         return effects
--- a/packages/core/src/trefoilhaven_core/connections/messages.py
+++ b/packages/core/src/trefoilhaven_core/connections/messages.py
@@ -109,7 +109,8 @@
 
     ``waiting`` counts the connections with a request that has no response
     yet; ``service_time_s`` is the expected time that the target works on one
-    request, without waiting, 0 if unknown. ``odd_share`` is the share of the latest responses that look like failures.
+    request, without waiting, 0 if unknown. ``odd_share`` is the share of the
+    latest responses that look like failures.
     """
 
     connections: int = 0
--- a/packages/core/src/trefoilhaven_core/connections/notices.py
+++ b/packages/core/src/trefoilhaven_core/connections/notices.py
@@ -6,7 +6,7 @@
 
 
 class TargetPolicy(NamedTuple):
-    """Tells an agent what its target may take, from a balancer.
+    """Tells an agent the limits of its target, from a balancer.
 
     ``version`` is that of the policies from which ``cold_s`` (seconds) and
     ``cold_openings_per_s`` come, and ``evacuations_version`` that of the
--- a/packages/core/src/trefoilhaven_core/connections/policies.py
+++ b/packages/core/src/trefoilhaven_core/connections/policies.py
@@ -32,10 +32,10 @@
 
 
 class ServicePolicy(NamedTuple):
-    """What the targets of a service bear after a start.
+    """Warm-up limits of the targets of a service.
 
-    A target is cold for ``cold_s`` seconds, and then bears
-    ``cold_openings_per_s`` new connections a second.
+    A target is cold for ``cold_s`` seconds after its start. It can then
+    handle ``cold_openings_per_s`` new connections a second.
     """
 
     service: str
--- a/packages/core/src/trefoilhaven_core/connections/routers.py
+++ b/packages/core/src/trefoilhaven_core/connections/routers.py
@@ -110,8 +110,8 @@
                 self._cache.remove(segment.key)
             return [self._forward(known, segment)]
         search = self.searches.get(segment.key)
-        if search is not None and search.is_same_connection(segment):
-            return search.add(segment)
+        if search is not None and search.queue.is_same_connection(segment):
+            return search.queue.add(segment)
         dropped = self.searches.cancel(segment.key)
         return [*dropped, *self.searches.start(now, segment, self.peers)]
 
@@ -206,11 +206,14 @@
             search.key,
             holder,
             now - search.started_at,
-            len(search.segments),
+            len(search.queue.segments),
         )
         return [
             found,
-            *(self._forward(route, segment) for segment in search.segments),
+            *(
+                self._forward(route, segment)
+                for segment in search.queue.segments
+            ),
         ]
 
     def _on_no_route(self, segment: Segment) -> list[Effect]:
--- a/packages/core/src/trefoilhaven_core/connections/service_times.py
+++ b/packages/core/src/trefoilhaven_core/connections/service_times.py
@@ -15,7 +15,7 @@
 from typing import Final, NamedTuple
 
 # The estimate is learned from this number of latest responses. With 3% of
-# long ones, more than a quarter of them is long in one of 100 million cases.
+# long ones, more than a quarter of them is long in one of 3 million cases.
 WINDOW_RESPONSES: Final = 32
 
 # Responses that are older, in seconds, are not used if enough later ones are
@@ -101,15 +101,15 @@
                 return None
             if len(self._started) < self.slots:
                 return requested_at
-            started_at = max(requested_at, self._take_start(now))
+            started_at = max(requested_at, self._reassign_slot(now))
         elif self._queue:
             following = next(iter(self._queue))
             del self._queue[following]
             self._started[following] = now
         return started_at
 
-    def _take_start(self, now: float) -> float:
-        """Return the start of the latest request that was taken to be begun.
+    def _reassign_slot(self, now: float) -> float:
+        """Return the start of the request that has most likely not started.
 
         The target does not work in the order of the requests. The slot of
         that request was used for the one that has ended, and is taken to be
--- a/packages/core/src/trefoilhaven_core/settings/types.py
+++ b/packages/core/src/trefoilhaven_core/settings/types.py
@@ -119,9 +119,9 @@
     one. With ``evacuations``, the evacuated failure domains are read from the
     platform, and with ``state_offers`` the state is offered to balancers that
     have restarted. With ``overload_refusals``, new connections are refused
-    when a service is short of room. ``domain_crossing_cost_s`` is the additional wait in
-    seconds that is accepted to keep a request inside the failure domain, None
-    where a fixed penalty applies.
+    when a service is short of room. ``domain_crossing_cost_s``
+    is the additional wait in seconds that is accepted to keep a request inside
+    the failure domain, None where a fixed penalty applies.
     """
 
     name: str
