--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_warm_up_schedules.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_warm_up_schedules.py
@@ -301,7 +301,7 @@
 
     @pytest.mark.parametrize('chunk', range(CHUNKS))
     def test_limit(self, chunk: int) -> None:
-        """Guards against a cold target that gets more than it bears."""
+        """Guards against a cold target that gets more than it can handle."""
         size = SCHEDULES // CHUNKS
         at_limit = 0
         restarts = 0
--- a/packages/bench/src/trefoilhaven_bench/models/tests/test_overload_models.py
+++ b/packages/bench/src/trefoilhaven_bench/models/tests/test_overload_models.py
@@ -84,7 +84,7 @@
     """Bursts of one route, and targets that are away."""
 
     def test_small_burst(self, seed: int) -> None:
-        """Guards against refusals for a burst that the service bears."""
+        """Guards against refusals for a burst that the service can handle."""
         today, refusing = _play(_burst(seed, 1.6))
         assert _in_time(refusing) >= _in_time(today) - 0.03
 
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_warm_up.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_warm_up.py
@@ -54,7 +54,7 @@
     """Openings of a cold target."""
 
     def test_window(self) -> None:
-        """Guards against more openings than a cold target bears."""
+        """Guards against more openings than a cold target can handle."""
         warm_up = make_warm_up()
         warm_up.on_heartbeat(0, 4)
         assert admitted(warm_up, 1, 0) == LIMIT
--- a/packages/core/src/trefoilhaven_core/connections/warm_up.py
+++ b/packages/core/src/trefoilhaven_core/connections/warm_up.py
@@ -2,7 +2,7 @@
 
 An agent counts the opening segments that it delivers in a sliding window.
 While the target is cold, the window holds at most the openings that the
-service bears in a second; while the target's failure domain is evacuated,
+service can handle in a second; while the target's failure domain is evacuated,
 no new connection is admitted. See ``docs/design/warm-up.md``.
 """
 
--- a/packages/core/src/trefoilhaven_core/platform/clients.py
+++ b/packages/core/src/trefoilhaven_core/platform/clients.py
@@ -52,7 +52,7 @@
     """Changes under a prefix; the next watch starts after ``revision``.
 
     Changes of a later era than that of the watched revision are not
-    complete: revisions were given out again.
+    complete: revisions were reused.
     """
 
     revision: int
--- a/packages/core/src/trefoilhaven_core/platform/registrar.py
+++ b/packages/core/src/trefoilhaven_core/platform/registrar.py
@@ -78,7 +78,7 @@
     def write_again(self) -> None:
         """Write or delete the object again, in case the platform lost that.
 
-        The version known so far may have been given out again, so that it is
+        The version known so far may have been reused, so that it is
         read first. Nothing is done before the first ``set_desired``.
         """
         if not self._has_desired:
--- a/packages/core/src/trefoilhaven_core/platform/tests/test_points.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_points.py
@@ -12,7 +12,7 @@
     """Order of points."""
 
     def test_order(self) -> None:
-        """Guards against a revision given out again that seems later."""
+        """Guards against a reused revision that seems later."""
         assert StorePoint(1, 900) < StorePoint(2, 3) < StorePoint(2, 4)
 
 
--- a/packages/core/src/trefoilhaven_core/settings/segment_tables.py
+++ b/packages/core/src/trefoilhaven_core/settings/segment_tables.py
@@ -102,7 +102,7 @@
             Field(
                 'overage',
                 FieldKind.number,
-                'Factor on the rate that the service bears while cold.',
+                'Factor on the rate that the service can handle while cold.',
                 minimum=0,
                 maximum=1000,
             ),
