Hold evacuations that are not settled, and bound their versions

- A gateway that received a peer's unsettled set of a new era before its own first listing skipped the hold and distributed the listing as settled.
A partly corrected copy so ended the evacuations that its peers kept.
It now holds, also after a start, while the set in force is of the listed era and not settled.
- Evacuations were decoded without bounds, and the version in the content of a notice was not compared with that of the notice.
An era of 2^40 raised OverflowError in the loop of the hellos, which ends the process; a lower excess hid the store's set.
Era and revision are now bounded, and routes, policies and evacuations whose content has another version than the notice are logged and ignored.
- A gateway that had no peer's set yet applied the first listing of a new era at once.
It now keeps what it applied, with the changes of the new era, until the hold ends.

A rejected notice still occupies its version in the exchanged records, so that the set in force stays until a higher version arrives.

--- a/packages/balancer/src/trefoilhaven/gateway/state.py
+++ b/packages/balancer/src/trefoilhaven/gateway/state.py
@@ -3,7 +3,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
-from typing import Final, TypeVar
+from typing import Final, Protocol, TypeVar
 
 from trefoilhaven_core.connections.evacuations import (
     EVACUATIONS_NAME,
@@ -48,7 +48,16 @@
 # Peers that know the evacuations send them with their state or next digest.
 MAX_EVACUATIONS_WAIT_S: Final = 5.0
 
-_Value = TypeVar('_Value')
+
+class _Versioned(Protocol):
+    """A configuration that names its version."""
+
+    @property
+    def version(self) -> int:
+        """Number that orders configurations of one kind."""
+
+
+_Value = TypeVar('_Value', bound=_Versioned)
 
 
 class GatewayState:
@@ -194,28 +203,30 @@
         version: int,
         decode: Callable[[bytes], _Value],
     ) -> _Value | None:
-        """Return a configuration above a version, None without one."""
+        """Return a configuration above a version, None without one.
+
+        The version in the content has to be that of the notice: otherwise
+        one notice could put a version in force that hides all later ones.
+        """
         stored = self.store.configuration(name)
         if stored.version <= version:
             return None
         try:
-            return decode(stored.content)
+            decoded = decode(stored.content)
         except DECODE_ERRORS as exc:
-            logger.exception(
-                'configuration rejected',
-                extra={
-                    'kind': name,
-                    'version': stored.version,
-                    'reason': str(exc),
-                },
-            )
+            _log_rejected(name, stored.version, str(exc))
             return None
+        if decoded.version != stored.version:
+            reason = f'the content has the version {decoded.version}'
+            _log_rejected(name, stored.version, reason)
+            return None
+        return decoded
 
     def _apply_policies(self) -> None:
         policies = self._read_stored(
             POLICIES_NAME, self.policies.version, decode_policies
         )
-        if policies is None or policies.version <= self.policies.version:
+        if policies is None:
             return
         self.policies = policies
         if self.cfg.overload_refusals:
@@ -234,7 +245,7 @@
         evacuations = self._read_stored(
             EVACUATIONS_NAME, before.version, decode_evacuations
         )
-        if evacuations is None or evacuations.version <= before.version:
+        if evacuations is None:
             return
         self.evacuations = evacuations
         self.use_evacuated_domains(evacuations.domains)
@@ -270,3 +281,10 @@
                     'routes': len(self.routes),
                 },
             )
+
+
+def _log_rejected(name: str, version: int, reason: str) -> None:
+    logger.error(
+        'configuration rejected',
+        extra={'kind': name, 'version': version, 'reason': reason},
+    )
--- a/packages/balancer/src/trefoilhaven/gateway/tests/evacuation_fixture.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/evacuation_fixture.py
@@ -45,18 +45,6 @@
 PREFIX = 'evacuations/'
 
 
-class ListingOfEra(Listing):
-    """A listing with an era."""
-
-    era = 0
-
-
-class ChangesOfEra(Changes):
-    """An answer of a watch with an era."""
-
-    era = 0
-
-
 class _Copy(NamedTuple):
     """Content of a store at a revision."""
 
@@ -117,9 +105,7 @@
             PlatformObject(path, 1, content)
             for path, content in self._contents.items()
         )
-        listing = ListingOfEra(self.revision, found)
-        listing.era = self.era
-        return Ok(listing)
+        return Ok(Listing(self.revision, found, self.era))
 
     async def watch(
         self, prefix: str, after: int, timeout_s: float
@@ -129,9 +115,7 @@
         if self.refuses or after > self.revision:
             return Error(Unavailable(False, 'refused'))
         events = tuple(each for each in self._events if each.revision > after)
-        changes = ChangesOfEra(self.revision, events)
-        changes.era = self.era
-        return Ok(changes)
+        return Ok(Changes(self.revision, events, self.era))
 
     async def get(self, path: str) -> Result[PlatformObject, PlatformError]:
         """Fail; evacuations are listed and watched."""
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_evacuation_schedules.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_evacuation_schedules.py
@@ -189,3 +189,41 @@
                 assert evacuated == [{'new'}] * len(evacuated)
         eras = {each.state.evacuations.era for each in fleet.gateways}
         assert eras == {fleet.store.era}
+
+    @pytest.mark.parametrize('seed', range(40))
+    async def test_partly_corrected(self, seed: int) -> None:
+        """Guards against gateways that settle on a partly corrected copy.
+
+        The copy lacks the evacuations of two domains, and the operator
+        writes a third one and then these, one after the other and within
+        2.5 s of the restart. A gateway may list the store for the first time
+        in this era after a peer has distributed a part of that.
+        """
+        fleet = Fleet(seed)
+        fleet.store.copy()
+        fleet.store.write('a')
+        fleet.store.write('b')
+        with mock.patch(
+            'trefoilhaven.gateway.evacuations.monotonic',
+            side_effect=lambda: fleet.now,
+        ):
+            await fleet.settle()
+            fleet.store.restore()
+            restored = fleet.now
+            times = sorted(fleet.rng.uniform(0, 2.5) for _ in 'cab')
+            corrections = list(zip(times, 'cab', strict=True))
+            while fleet.now < restored + 3 * ERA_HOLD_S:
+                if corrections and fleet.now >= restored + corrections[0][0]:
+                    fleet.store.write(corrections.pop(0)[1])
+                number = fleet.rng.randrange(len(fleet.gateways))
+                if fleet.rng.random() < 0.05:
+                    fleet.restart(number)
+                await fleet.poll(number)
+                fleet.gateways[number].task.evacuations.tick(fleet.now)
+                fleet.deliver(0.7)
+                fleet.now += fleet.rng.uniform(0, 0.2)
+                for gateway in fleet.gateways:
+                    assert {'a', 'b'} <= gateway.evacuated <= {'a', 'b', 'c'}
+            await fleet.settle()
+        evacuated = [each.evacuated for each in fleet.gateways]
+        assert evacuated == [{'a', 'b', 'c'}] * len(evacuated)
--- a/packages/core/src/trefoilhaven_core/connections/evacuations.py
+++ b/packages/core/src/trefoilhaven_core/connections/evacuations.py
@@ -7,20 +7,28 @@
 
 import math
 from collections.abc import Iterable
-from typing import Final, NamedTuple
+from typing import Annotated, Final, NamedTuple
 
 import msgspec
 
+from trefoilhaven_core.platform.points import MAX_ERA
+
 # Name under which evacuations are exchanged along with the configurations of
 # services.
 EVACUATIONS_NAME: Final = '@evacuations'
 
 # Bits of a version below those of the era; the lowest one tells settled
 # evacuations from others at the same revision. A store that makes 10,000
-# changes a second uses the bits up after 27 years, and 262,143 eras fit into
+# changes a second uses the bits up after 27 years, and ``MAX_ERA`` fits into
 # the other bits of a version number.
 _ERA_SHIFT: Final = 44
 
+# Highest revision that fits below the era in a version.
+_MAX_REVISION: Final = (1 << (_ERA_SHIFT - 1)) - 1
+
+_Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=_MAX_REVISION)]
+
 # Time in seconds after the first listing of a new era for which the set in
 # force is kept. The restored copy of the store is some seconds old: it may
 # lack an evacuation, or show one that was withdrawn, until the operator has
@@ -34,11 +42,12 @@
     ``era`` rises each time the store returns from an older copy, after which
     revisions are given out again. Evacuations that are not settled combine
     the set that was in force before a new era with the changes seen since;
-    settled ones are the content of the store.
+    settled ones are the content of the store. The limits are checked when
+    evacuations are decoded: a version beyond them can't be encoded.
     """
 
-    era: int = 0
-    revision: int = 0
+    era: _Era = 0
+    revision: _Revision = 0
     domains: frozenset[str] = frozenset()
     is_settled: bool = True
 
@@ -79,7 +88,8 @@
 def decode_evacuations(content: bytes) -> Evacuations:
     """Return evacuations from MessagePack.
 
-    Raises ``msgspec.MsgspecError``.
+    Raises ``msgspec.MsgspecError``, also for an era or a revision out of
+    bounds.
     """
     return _decoder.decode(content)
 
@@ -104,6 +114,9 @@
         self._seen: Evacuations | None = None
         self._seen_at = -math.inf
         self._held_until = -math.inf
+        # The domains that this gateway applied before the era, if it knew no
+        # evacuations in force, or those of the first listing.
+        self._kept: frozenset[str] = frozenset()
         self._changes: dict[str, bool] = {}
 
     def on_listing(
@@ -121,9 +134,13 @@
         elif listed.era < in_force.era or (seen and listed.era < seen.era):
             return False
         else:
+            if seen is None:
+                self._kept = listed.domains
+            else:
+                self._kept = _changed(self._kept, self._changes)
             self._changes = {}
-            is_new_era = listed.era > in_force.era
-            self._held_until = now + ERA_HOLD_S if is_new_era else now
+            is_held = listed.era > in_force.era or _is_unsettled(in_force)
+            self._held_until = now + ERA_HOLD_S if is_held else now
         self._seen = listed
         self._seen_at = now
         return True
@@ -192,10 +209,14 @@
     def to_apply(self, in_force: Evacuations) -> Evacuations:
         """Return the evacuations that this gateway applies.
 
-        They are those in force, or what it sees in the store as long as none
-        are.
+        They are those in force. As long as none are, they are those of the
+        first listing with the changes seen since: a later era that lacks one
+        of them is held as it is against the set in force.
         """
-        return in_force if in_force.is_known else self._seen or in_force
+        if in_force.is_known or self._seen is None:
+            return in_force
+        domains = _changed(self._kept, self._changes)
+        return self._seen._replace(domains=domains)
 
     def _is_held(self, now: float, in_force: Evacuations) -> bool:
         """Return whether the set in force is kept against the store's."""
@@ -207,6 +228,11 @@
         return not (is_current and in_force.is_settled)
 
 
+def _is_unsettled(evacuations: Evacuations) -> bool:
+    """Return whether a peer still keeps these against a new era."""
+    return evacuations.is_known and not evacuations.is_settled
+
+
 def _changed(
     domains: frozenset[str], changes: dict[str, bool]
 ) -> frozenset[str]:
--- a/packages/core/src/trefoilhaven_core/connections/tests/test_evacuations.py
+++ b/packages/core/src/trefoilhaven_core/connections/tests/test_evacuations.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+import pytest
 from trefoilhaven_core.connections.evacuations import (
     ERA_HOLD_S,
     UNKNOWN_EVACUATIONS,
@@ -63,6 +65,29 @@
         second = Evacuations(1, 1, domains('c', 'b', 'a'))
         assert encode_evacuations(first) == encode_evacuations(second)
 
+    @pytest.mark.parametrize(
+        'evacuations',
+        [
+            Evacuations(262_144, 1),
+            Evacuations(-1, 1),
+            Evacuations(1, 1 << 43),
+            Evacuations(1, -1),
+        ],
+    )
+    def test_out_of_bounds(self, evacuations: Evacuations) -> None:
+        """Guards against a version that can't be encoded or ordered.
+
+        Such an era or revision would also hide the store's for ever.
+        """
+        content = encode_evacuations(evacuations)
+        with pytest.raises(msgspec.MsgspecError):
+            decode_evacuations(content)
+
+    def test_highest(self) -> None:
+        """Guards against bounds that reject what a store may reach."""
+        highest = Evacuations(262_143, (1 << 43) - 1)
+        assert decode_evacuations(encode_evacuations(highest)) == highest
+
 
 class TestListing:
     """Listings and watches within one era."""
@@ -227,6 +252,55 @@
         store.on_changes(late, 2, 300, ())
         assert store.to_distribute(late, UNKNOWN_EVACUATIONS) == listed
 
+    def test_unsettled_before_first_listing(self) -> None:
+        """Guards against a partly corrected copy that is taken for settled.
+
+        The operator has written c, and a peer has distributed it with the
+        evacuations that it keeps, before this gateway lists the new era.
+        """
+        store = StoreEvacuations()
+        store.on_listing(9, self.before, self.before)
+        unsettled = Evacuations(2, 310, domains('a', 'c'), is_settled=False)
+        store.on_listing(10, unsettled, Evacuations(2, 310, domains('c')))
+        assert store.to_distribute(10, unsettled) is None
+        assert store.answer_due_s(10, unsettled) == ERA_HOLD_S
+        late = 10 + ERA_HOLD_S
+        store.on_changes(late, 2, 320, [DomainChange('a', True)])
+        settled = Evacuations(2, 320, domains('a', 'c'))
+        assert store.to_distribute(late, unsettled) == settled
+
+    def test_start_with_unsettled(self) -> None:
+        """Guards against a restarted gateway that ends its peers' hold."""
+        store = StoreEvacuations()
+        unsettled = Evacuations(2, 310, domains('a', 'c'), is_settled=False)
+        store.on_listing(10, unsettled, Evacuations(2, 310, domains('c')))
+        assert store.to_distribute(10, unsettled) is None
+        late = 10 + ERA_HOLD_S
+        store.on_changes(late, 2, 320, ())
+        settled = Evacuations(2, 320, domains('c'))
+        assert store.to_distribute(late, unsettled) == settled
+
+    def test_new_era_soon_after_start(self) -> None:
+        """Guards against a starting gateway that follows a copy at once.
+
+        It has no peer's set, and the evacuation that it applies is not in
+        the restored copy yet. A change in the new era applies at once.
+        """
+        store = StoreEvacuations()
+        store.on_listing(10, UNKNOWN_EVACUATIONS, Evacuations(1, 500))
+        store.on_changes(10.5, 1, 510, [DomainChange('a', True)])
+        store.on_listing(11, UNKNOWN_EVACUATIONS, Evacuations(2, 300))
+        assert store.to_apply(UNKNOWN_EVACUATIONS).domains == {'a'}
+        store.on_changes(11.1, 2, 310, [DomainChange('b', True)])
+        assert store.to_apply(UNKNOWN_EVACUATIONS).domains == {'a', 'b'}
+        assert store.to_distribute(11.1, UNKNOWN_EVACUATIONS) is None
+        store.on_listing(12, UNKNOWN_EVACUATIONS, Evacuations(3, 200))
+        assert store.to_apply(UNKNOWN_EVACUATIONS).domains == {'a', 'b'}
+        late = 12 + ERA_HOLD_S
+        store.on_changes(late, 3, 210, ())
+        settled = Evacuations(3, 210)
+        assert store.to_distribute(late, UNKNOWN_EVACUATIONS) == settled
+
     def test_earlier_era(self) -> None:
         """Guards against a late answer of the store before its outage."""
         store = StoreEvacuations()
--- a/packages/core/src/trefoilhaven_core/wire/tests/message_strategies.py
+++ b/packages/core/src/trefoilhaven_core/wire/tests/message_strategies.py
@@ -61,6 +61,8 @@
         return st.one_of(*map(values_of, arguments))
     if origin is tuple and arguments[-1] is Ellipsis:
         return st.lists(values_of(arguments[0]), max_size=3).map(tuple)
+    if origin is frozenset:
+        return st.frozensets(values_of(arguments[0]), max_size=3)
     if origin is tuple:
         return st.tuples(*map(values_of, arguments))
     if issubclass(kind, enum.Enum):
