Fix waits for probes, state offers and lost gateway addresses

Cause: a call that waited for a probe of the store kept the lock when the store became available during its wait. A watch then held it for its full wait of up to 24 s, and queued calls waited as long. The wait did not end with a success or with end_waits() either. Change: a success and end_waits() wake all waiters, which check again. Only a probe holds the lock (now _probe_lock) during its call.

Cause: a probe answered with status 500 or from an older era left the time of the next probe in the past, so that probes followed without a delay. Change: any probe without success counts as failed for the backoff.

Cause: any sequence number above 1 of a gateway's record meant that its list of targets is complete. A refutation of a suspicion also raises the number, which ended the offers to a restarted gateway without state. A restart whose first seen record is a suspicion lost its offers in the same way. Change: a complete list raises the number by 2**32, which refutations can't reach, and a new incarnation counts as a restart in any state but left. The message format is unchanged. The announcement of an older gateway, which raises the number by 1, does not end the offers of newer ones: these end with its TargetsReply or after 12 offers.

Cause: an agent kept the lost addresses of the last expiry only, perhaps of a single dead host. Change: it keeps the latest 64, the last ones first.

test_announced expected the end of the offers at sequence number 2, which is the fault; it now expects it at the announced number, and test_refuted covers number 2. test_unexpected_messages.py includes StateOffer, also at the start.

--- a/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/balancers.py
@@ -23,6 +23,9 @@
 # object of the host as failed. They wait twice as long.
 ISOLATION_THRESHOLD_S: Final = 60.0
 
+# Addresses of silent balancers that are kept. Reports go to them in turn each
+# 0.25 s while no balancer is known, so that all are tried within 16 s.
+MAX_LOST: Final = 64
 
 # Incarnation of a balancer that has not sent a hello.
 NO_HELLO: Final = 0
@@ -111,15 +114,18 @@
     def expire(self, now: float) -> None:
         """Remove balancers that have not been heard in time.
 
-        The addresses of the last ones are kept for ``next_lost``.
+        The ``MAX_LOST`` latest addresses are kept for ``next_lost``, the last
+        ones first: older ones are more likely to be gone for good.
         """
         live = {
             address: balancer
             for address, balancer in self._known.items()
             if balancer.expires_at >= now
         }
-        if self._known and not live:
-            self._lost = deque(self._known)
+        expired = [each for each in self._known if each not in live]
+        if expired:
+            older = [each for each in self._lost if each not in self._known]
+            self._lost = deque([*expired, *older][:MAX_LOST])
         self._known = live
 
     def next_lost(self) -> list[Address]:
--- a/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
+++ b/packages/agent/src/trefoilhaven_agent/sidecar/tests/test_balancers.py
@@ -5,6 +5,7 @@
     BALANCER_TIMEOUT_S,
     HELLO_TIMEOUT_S,
     ISOLATION_THRESHOLD_S,
+    MAX_LOST,
     KnownBalancers,
 )
 from trefoilhaven_core.connections.messages import BalancerHello
@@ -115,6 +116,35 @@
         known.on_hello(BALANCER_TIMEOUT_S + 2, hello(), NEAR)
         assert not known.next_lost()
 
+    def test_silent_one_by_one(self) -> None:
+        """Guards against an agent that tries a single host without power.
+
+        Its other balancers have timed out before, and restarted since.
+        """
+        known = KnownBalancers('a')
+        known.on_hello(0, hello(), NEAR)
+        known.on_hello(5, hello('b'), FAR)
+        known.expire(BALANCER_TIMEOUT_S + 1)
+        assert known.addresses() == [FAR]
+        known.expire(BALANCER_TIMEOUT_S + 6)
+        tried = [known.next_lost() for _ in range(4)]
+        assert tried == [[FAR], [NEAR], [FAR], [NEAR]]
+
+    def test_many_lost(self) -> None:
+        """Guards against addresses that are kept without a limit.
+
+        Those lost last are kept, each once.
+        """
+        known = KnownBalancers('a')
+        lost = [Address('10.0.0.9', port) for port in range(MAX_LOST + 2)]
+        for now, address in enumerate([lost[-1], *lost]):
+            start = now * (BALANCER_TIMEOUT_S + 1)
+            known.on_hello(start, hello(), address)
+            known.expire(start + BALANCER_TIMEOUT_S + 0.5)
+        tried = [known.next_lost()[0] for _ in range(MAX_LOST)]
+        assert tried == lost[:1:-1]
+        assert known.next_lost() == [lost[-1]]
+
     def test_informed(self) -> None:
         """Guards against a restarted balancer that is named as a source."""
         known = KnownBalancers('a')
--- a/packages/balancer/src/trefoilhaven/balancer/gossip.py
+++ b/packages/balancer/src/trefoilhaven/balancer/gossip.py
@@ -105,9 +105,12 @@
                 self.detector.on_probe_sent(monotonic(), effect.peer)
             self._endpoint.send(message, address)
 
-    def announce(self, state: MemberState) -> None:
-        """Disseminate a new state of this balancer."""
-        self.apply(self.disseminator.announce(monotonic(), state))
+    def announce(self, state: MemberState, step: int = 1) -> None:
+        """Disseminate a state of this balancer.
+
+        ``step`` is added to the sequence number of its record.
+        """
+        self.apply(self.disseminator.announce(monotonic(), state, step))
 
     def disseminate_changes(self, changes: Changes) -> None:
         """Merge and disseminate records, detected, read or received."""
--- a/packages/balancer/src/trefoilhaven/gateway/recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/recovery.py
@@ -26,7 +26,10 @@
     State,
     StateRequest,
 )
-from trefoilhaven_core.membership.offers import OfferSchedule
+from trefoilhaven_core.membership.offers import (
+    COMPLETE_SEQUENCE_STEP,
+    OfferSchedule,
+)
 from trefoilhaven_core.membership.sources import (
     Source,
     StateSources,
@@ -116,7 +119,7 @@
         self.sources.on_complete()
         self._offered.set()
         if not self._state.is_stopping:
-            self._gossip.announce(MemberState.alive)
+            self._gossip.announce(MemberState.alive, COMPLETE_SEQUENCE_STEP)
 
     def on_complete_peer(self, peer: str) -> None:
         """Stop offering to a peer whose list of targets is complete."""
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_recovery.py
@@ -1,6 +1,7 @@
 """Tests of a gateway that starts without the store, and of its peers."""
 
 import asyncio
+import random
 from typing import Any
 from unittest import mock
 
@@ -31,6 +32,7 @@
     MemberState,
     State,
 )
+from trefoilhaven_core.membership.offers import OfferSchedule
 from trefoilhaven_core.membership.sources import Source, agent_sender
 from trefoilhaven_core.timeline.monotonic import monotonic
 from trefoilhaven_core.wire.transfers import TransferError
@@ -198,6 +200,18 @@
         assert isinstance(message, StateOffer)
         assert address == PEER
 
+    def test_announced(self, empty: GatewayFixture) -> None:
+        """Guards against an announcement that peers don't take for one."""
+        disseminator = empty.task.gossip.disseminator
+        own = disseminator.own
+        schedule = OfferSchedule('g2', random.Random(1))
+        schedule.observe(0, [own._replace(incarnation=own.incarnation - 1)])
+        schedule.observe(1, [own])
+        assert schedule.pending == {own.name}
+        recovery(empty).on_complete()
+        schedule.observe(2, [disseminator.own])
+        assert not schedule.pending
+
     async def test_restarted_peer(self, informed: GatewayFixture) -> None:
         """Guards against a restart that is seen and leads to no offer."""
         store = informed.state.store
--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from trefoilhaven.gateway.tests.test_membership import GatewayFixture
 from trefoilhaven_core.connections import messages as connections
-from trefoilhaven_core.connections import restorations
+from trefoilhaven_core.connections import notices, restorations
 from trefoilhaven_core.connections.tests.support import key_of, make_segment
 from trefoilhaven_core.membership import messages as membership
 from trefoilhaven_core.timeline.monotonic import monotonic
@@ -35,6 +35,7 @@
     connections.TargetsReply,
     restorations.HeardQuery,
     restorations.HeardReply,
+    notices.StateOffer,
 )
 
 
@@ -51,6 +52,25 @@
         """
         asyncio.run(self.receive(raws))
 
+    @SEQUENCE_SETTINGS
+    @given(raws=sequences([notices.StateOffer]))
+    def test_offers_at_start(self, raws: list[bytes]) -> None:
+        """Guards against an offer that ends the fetch of the state."""
+        asyncio.run(self.receive_at_start(raws))
+
+    async def receive_at_start(self, raws: list[bytes]) -> None:
+        """Let offers arrive at a gateway that knows nobody."""
+        gateway = GatewayFixture(is_complete=False)
+        recovery = gateway.task.membership._recovery  # noqa: SLF001
+        for raw in raws:
+            gateway.endpoint.datagram_received(raw, SENDER)
+        now = monotonic()
+        for step in range(len(raws) + 1):
+            source = recovery.sources.next_source(now + step, ())
+            if source is not None:
+                assert recovery.sources.timeout_s(source) > 0
+                recovery.sources.on_failure(now + step, source)
+
     async def receive(self, raws: list[bytes]) -> None:
         """Let datagrams arrive, and run a turn of each task."""
         gateway = GatewayFixture()
--- a/packages/core/src/trefoilhaven_core/membership/dissemination.py
+++ b/packages/core/src/trefoilhaven_core/membership/dissemination.py
@@ -111,11 +111,12 @@
             ]
         return self._peers
 
-    def announce(self, now: float, state: MemberState) -> list[Effect]:
-        """Set the state of this balancer and gossip it."""
-        self.own = self.own._replace(
-            state=state, sequence=self.own.sequence + 1
-        )
+    def announce(
+        self, now: float, state: MemberState, step: int = 1
+    ) -> list[Effect]:
+        """Gossip a state with a sequence number that is higher by a step."""
+        sequence = self.own.sequence + step
+        self.own = self.own._replace(state=state, sequence=sequence)
         return self.on_changes(now, Changes(self.own.name, (), (self.own,), ()))
 
     def on_changes(self, now: float, changes: Changes) -> list[Effect]:
--- a/packages/core/src/trefoilhaven_core/membership/offers.py
+++ b/packages/core/src/trefoilhaven_core/membership/offers.py
@@ -46,9 +46,10 @@
 # Offers after one restart. A balancer that needs more does not process them.
 MAX_OFFERS: Final = 12
 
-# A balancer starts with this sequence number. It raises the number when its
-# list of targets is complete, so that all peers learn of it by gossip.
-_FIRST_SEQUENCE: Final = 1
+# A balancer raises its sequence number by this when its list of targets is
+# complete, so that all peers learn of it by gossip. Refutations raise the
+# number by 1 each and can't reach it.
+COMPLETE_SEQUENCE_STEP: Final = 1 << 32
 
 # A balancer that knows nobody has a digest of its own record only.
 MAX_EMPTY_GROUPS: Final = 1
@@ -116,9 +117,10 @@
     def observe(self, now: float, balancers: Iterable[BalancerRecord]) -> None:
         """Compare the records of the peers with those seen before.
 
-        A higher incarnation shows a restart, and a higher sequence number
-        that the peer's list of targets is complete since. A peer that is suspect or dead
-        may have restarted, or may be lost.
+        A higher incarnation shows a restart, and a sequence number above
+        ``COMPLETE_SEQUENCE_STEP`` that the peer's list of targets is complete
+        since. A peer that is suspect or dead may have restarted, or may be
+        lost.
         """
         known: dict[str, _Version] = {}
         for record in balancers:
@@ -191,15 +193,17 @@
     ) -> None:
         name = record.name
         before = self._versions.get(name, version)
+        is_complete = record.sequence > COMPLETE_SEQUENCE_STEP
+        is_restart = before[0] < record.incarnation and not is_complete
         self._versions[name] = version
         if record.state is MemberState.left:
             self._pending.pop(name, None)
+        elif is_restart:
+            self.on_restarted(now, name)
         elif record.state >= MemberState.suspect:
             self._on_silent(now, name)
-        elif record.sequence > _FIRST_SEQUENCE:
+        elif is_complete:
             self._on_announced(name, version)
-        elif before[0] < record.incarnation:
-            self.on_restarted(now, name)
         else:
             self._on_heard(name)
 
--- a/packages/core/src/trefoilhaven_core/membership/tests/recovery_runs.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/recovery_runs.py
@@ -16,7 +16,10 @@
     MemberState,
     State,
 )
-from trefoilhaven_core.membership.offers import OfferSchedule
+from trefoilhaven_core.membership.offers import (
+    COMPLETE_SEQUENCE_STEP,
+    OfferSchedule,
+)
 from trefoilhaven_core.membership.sources import (
     Source,
     StateSources,
@@ -86,7 +89,9 @@
         if is_whole(state) and self.complete_at is None:
             self.complete_at = now
             self.sources.on_complete()
-            effects += self.disseminator.announce(now, MemberState.alive)
+            effects += self.disseminator.announce(
+                now, MemberState.alive, COMPLETE_SEQUENCE_STEP
+            )
         return [each for each in effects if isinstance(each, Send)]
 
 
--- a/packages/core/src/trefoilhaven_core/membership/tests/test_offers.py
+++ b/packages/core/src/trefoilhaven_core/membership/tests/test_offers.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from trefoilhaven_core.membership.detectors import refute_balancer
 from trefoilhaven_core.membership.messages import (
     Address,
     BalancerRecord,
@@ -10,6 +11,7 @@
     MemberState,
 )
 from trefoilhaven_core.membership.offers import (
+    COMPLETE_SEQUENCE_STEP,
     FIRST_OFFERERS,
     GROUP_DELAY_S,
     MAX_OFFERS,
@@ -127,7 +129,32 @@
         schedule = make_schedule('g1', make_balancers(2))
         schedule.observe(0, make_balancers(2, incarnation=2))
         assert schedule.pending == {PEER}
-        schedule.observe(1, make_balancers(2, incarnation=2, sequence=2))
+        sequence = 1 + COMPLETE_SEQUENCE_STEP
+        after = make_balancers(2, incarnation=2, sequence=sequence)
+        schedule.observe(1, after)
+        assert not schedule.pending
+
+    @pytest.mark.parametrize('is_restart_seen', [True, False])
+    def test_refuted(self, is_restart_seen: bool) -> None:
+        """Guards against a peer without state that gets no more offers.
+
+        It is suspected in its new incarnation, and refutes that. The first
+        record that is seen may be its restart or the suspicion.
+        """
+        schedule = make_schedule('g1', make_balancers(2))
+        restarted = make_balancers(2, incarnation=2)
+        if is_restart_seen:
+            schedule.observe(0, restarted)
+        suspected = make_balancers(2, incarnation=2, state=MemberState.suspect)
+        schedule.observe(1, suspected)
+        refuted = refute_balancer(restarted[0], suspected[0])
+        assert refuted is not None
+        schedule.observe(2, [refuted, restarted[1]])
+        assert schedule.pending == {PEER}
+        complete = refuted._replace(
+            sequence=refuted.sequence + COMPLETE_SEQUENCE_STEP
+        )
+        schedule.observe(3, [complete, restarted[1]])
         assert not schedule.pending
 
     def test_complete_and_silent(self) -> None:
--- a/packages/core/src/trefoilhaven_core/platform/availability.py
+++ b/packages/core/src/trefoilhaven_core/platform/availability.py
@@ -73,7 +73,8 @@
         self._sleep = sleep
         self._limit_s = PROBE_RANGE_LIMIT_S
         self._backoff = self._make_backoff()
-        self._turn = asyncio.Lock()
+        self._probe_lock = asyncio.Lock()
+        self._waits: set[asyncio.Timeout] = set()
         self._is_waiting_allowed = True
         self._succeeded_at = now()
         self._failed_at = 0.0
@@ -91,25 +92,24 @@
         return self.counts[outcome]
 
     def end_waits(self) -> None:
-        """Admit all later calls at once."""
+        """Admit all waiting and later calls at once."""
         self._is_waiting_allowed = False
+        self._wake_waiters()
 
     @contextlib.asynccontextmanager
     async def admission(self) -> AsyncIterator[Admission]:
         """Wait until a call may be made, and make it in the context.
 
         There is no limit to the wait while the store is unavailable; callers
-        that need one set a timeout.
+        that need one set a timeout. Only a probe holds the lock during its
+        call, as other calls may take long.
         """
-        if self._is_admitting:
-            yield Admission(False, self._now())
-            return
-        async with self._turn:
-            if not self._is_admitting:
-                await self._sleep(max(0.0, self._probe_at - self._now()))
-                yield Admission(not self.is_available, self._now())
-                return
-        yield Admission(False, self._now())
+        is_probe = await self._acquire_probe()
+        try:
+            yield Admission(is_probe, self._now())
+        finally:
+            if is_probe:
+                self._probe_lock.release()
 
     def record(
         self,
@@ -122,23 +122,55 @@
 
         The failure of a call that was made before the latest success, or of
         one beside the probe, changes nothing: many calls that fail together
-        would otherwise delay the first probe.
+        would otherwise delay the first probe. A probe without success is a
+        failed one, whatever its answer, so that the next one is delayed.
         """
         self.counts[outcome] += 1
         if outcome in _AVAILABLE:
             self._on_success()
-        elif outcome in _UNAVAILABLE:
-            is_first = (
-                self.is_available
-                and admission.admitted_at >= self._succeeded_at
-            )
-            if is_first or (admission.is_probe and not self.is_available):
+        elif not self.is_available:
+            if admission.is_probe:
                 self._on_failure(reason, retry_after_s)
+        elif (
+            outcome in _UNAVAILABLE
+            and admission.admitted_at >= self._succeeded_at
+        ):
+            self._on_failure(reason, retry_after_s)
 
     @property
     def _is_admitting(self) -> bool:
         return self.is_available or not self._is_waiting_allowed
 
+    async def _acquire_probe(self) -> bool:
+        """Wait; return whether the caller has to probe, with the lock held."""
+        while not self._is_admitting:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(None) as wait:
+                    self._waits.add(wait)
+                    try:
+                        await self._wait_for_probe()
+                    finally:
+                        self._waits.discard(wait)
+                if not self._is_admitting:
+                    return True
+                self._probe_lock.release()
+        return False
+
+    async def _wait_for_probe(self) -> None:
+        """Acquire the lock, and sleep until the probe is due."""
+        await self._probe_lock.acquire()
+        try:
+            await self._sleep(max(0.0, self._probe_at - self._now()))
+        except BaseException:
+            self._probe_lock.release()
+            raise
+
+    def _wake_waiters(self) -> None:
+        """End the waits for the lock and for the time of the probe."""
+        for wait in self._waits:
+            wait.reschedule(0)
+        self._waits.clear()
+
     def _make_backoff(self) -> Backoff:
         first_s = min(FIRST_PROBE_RANGE_S, self._limit_s)
         return Backoff(self._rng, first_s, self._limit_s)
@@ -150,6 +182,7 @@
             return
         self.is_available = True
         self._backoff.reset()
+        self._wake_waiters()
         logger.info(
             'store available again',
             extra={'unavailable_s': round(now - self._failed_at, 2)},
--- a/packages/core/src/trefoilhaven_core/platform/tests/test_availability.py
+++ b/packages/core/src/trefoilhaven_core/platform/tests/test_availability.py
@@ -146,3 +146,147 @@
         await fixture.call(CallOutcome.outdated)
         assert fixture.availability.is_available
         assert fixture.availability.count(CallOutcome.outdated) == 1
+
+
+class TestWaiters:
+    """Calls that wait for a probe while another call succeeds."""
+
+    @pytest.fixture(name='waiting')
+    def waiting_fixture(self) -> Fixture:
+        """Return an unavailable store whose first probe never gets due."""
+        waiting = Fixture()
+
+        async def sleep(wait_s: float) -> None:
+            waiting.clock.slept.append(wait_s)
+            await asyncio.Event().wait()
+
+        waiting.availability = StoreAvailability(
+            Random(2), waiting.clock.now, sleep
+        )
+        return waiting
+
+    async def test_success_ends_waits(self, waiting: Fixture) -> None:
+        """Guards against calls that wait while the store is available.
+
+        A call from before the outage succeeds during the wait.
+        """
+        old = await waiting.call(DOWN)
+        done = CallOutcome.succeeded
+        calls = [asyncio.create_task(waiting.call(done)) for _ in range(3)]
+        await asyncio.sleep(0)
+        assert waiting.clock.slept
+        waiting.availability.record(old, done, 'reason')
+        async with asyncio.timeout(1):
+            admissions = await asyncio.gather(*calls)
+        assert not any(each.is_probe for each in admissions)
+
+    async def test_long_call(self, waiting: Fixture) -> None:
+        """Guards against a long watch that holds up all other calls.
+
+        It waited for a probe and was admitted by the success of another call.
+        """
+        old = await waiting.call(DOWN)
+        is_watching = asyncio.Event()
+
+        async def watch() -> None:
+            async with waiting.availability.admission() as admission:
+                assert not admission.is_probe
+                is_watching.set()
+                await asyncio.Event().wait()
+
+        watching = asyncio.create_task(watch())
+        await asyncio.sleep(0)
+        call = asyncio.create_task(waiting.call(CallOutcome.succeeded))
+        await asyncio.sleep(0)
+        waiting.availability.record(old, CallOutcome.succeeded, 'reason')
+        try:
+            async with asyncio.timeout(1):
+                await is_watching.wait()
+                assert not (await call).is_probe
+        finally:
+            watching.cancel()
+            await asyncio.wait([watching])
+
+    async def test_success_during_probe(self, fixture: Fixture) -> None:
+        """Guards against calls that wait for the end of a slow probe."""
+        old = await fixture.call(DOWN)
+        async with fixture.availability.admission() as probe:
+            assert probe.is_probe
+            call = asyncio.create_task(fixture.call(CallOutcome.succeeded))
+            await asyncio.sleep(0)
+            fixture.availability.record(old, CallOutcome.succeeded, 'reason')
+            async with asyncio.timeout(1):
+                assert not (await call).is_probe
+
+    async def test_success_at_end_of_sleep(self, fixture: Fixture) -> None:
+        """Guards against a call that holds the lock without probing.
+
+        Another call succeeds at the moment at which the sleep ends.
+        """
+        old = await fixture.call(DOWN)
+        availability = fixture.availability
+
+        async def sleep(_: float) -> None:
+            availability.record(old, CallOutcome.succeeded, 'reason')
+
+        availability._sleep = sleep  # noqa: SLF001
+        async with availability.admission() as admission:
+            assert not admission.is_probe
+            assert not availability._probe_lock.locked()  # noqa: SLF001
+
+    async def test_new_outage(self, waiting: Fixture) -> None:
+        """Guards against waiting calls that are all sent in a new outage.
+
+        The store fails again before the woken calls run.
+        """
+        old = await waiting.call(DOWN)
+        calls = [asyncio.create_task(waiting.call(DOWN)) for _ in range(3)]
+        await asyncio.sleep(0)
+        waiting.availability.record(old, CallOutcome.succeeded, 'reason')
+        waiting.availability.record(old, DOWN, 'reason')
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert not any(each.done() for each in calls)
+        for each in calls:
+            each.cancel()
+        await asyncio.wait(calls)
+
+    async def test_end_of_waits(self, waiting: Fixture) -> None:
+        """Guards against a process that stops while its last write waits."""
+        await waiting.call(DOWN)
+        calls = [asyncio.create_task(waiting.call(DOWN)) for _ in range(2)]
+        await asyncio.sleep(0)
+        waiting.availability.end_waits()
+        async with asyncio.timeout(1):
+            await asyncio.gather(*calls)
+
+    async def test_cancelled(self, waiting: Fixture) -> None:
+        """Guards against a wait that is given up and keeps the lock."""
+        await waiting.call(DOWN)
+        call = asyncio.create_task(waiting.call(DOWN))
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.wait([call])
+        assert call.cancelled()
+        assert not waiting.availability._probe_lock.locked()  # noqa: SLF001
+
+
+class TestOtherAnswers:
+    """Probes whose answers show neither an outage nor its end."""
+
+    @pytest.mark.parametrize(
+        'outcome', [CallOutcome.failed, CallOutcome.outdated]
+    )
+    async def test_backoff(
+        self, fixture: Fixture, outcome: CallOutcome
+    ) -> None:
+        """Guards against probes without a delay between them.
+
+        The store answers them with status 500, or from an older era.
+        """
+        await fixture.call(DOWN)
+        for _ in range(5):
+            await fixture.call(outcome)
+        assert not fixture.availability.is_available
+        assert len(fixture.probes) == 5
+        assert all(1 <= gap <= 2 for gap in fixture.clock.slept[2:])
