--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from trefoilhaven.gateway.tests.test_membership import GatewayFixture
 from trefoilhaven_core.connections import messages as connections
-from trefoilhaven_core.connections import restorations
+from trefoilhaven_core.connections import notices, restorations
 from trefoilhaven_core.connections.evacuations import (
     EVACUATIONS_NAME,
     UNKNOWN_EVACUATIONS,
@@ -52,6 +52,7 @@
     connections.TargetsReply,
     restorations.HeardQuery,
     restorations.HeardReply,
+    notices.StateOffer,
 )
 
 
@@ -127,6 +128,25 @@
         assert gateway.state.policies == Policies()
         assert caplog.text.count('configuration rejected') == 1
 
+    @SEQUENCE_SETTINGS
+    @given(raws=sequences([notices.StateOffer]))
+    def test_offers_at_start(self, raws: list[bytes]) -> None:
+        """Guards against an offer that ends the fetch of the state."""
+        asyncio.run(self.receive_at_start(raws))
+
+    async def receive_at_start(self, raws: list[bytes]) -> None:
+        """Let offers arrive at a gateway that knows nobody."""
+        gateway = GatewayFixture(is_complete=False)
+        recovery = gateway.task.membership._recovery  # noqa: SLF001
+        for raw in raws:
+            gateway.endpoint.datagram_received(raw, SENDER)
+        now = monotonic()
+        for step in range(len(raws) + 1):
+            source = recovery.sources.next_source(now + step, ())
+            if source is not None:
+                assert recovery.sources.timeout_s(source) > 0
+                recovery.sources.on_failure(now + step, source)
+
     async def receive(self, raws: list[bytes]) -> GatewayFixture:
         """Let datagrams arrive, and run a turn of each task."""
         gateway = GatewayFixture()
