--- a/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
+++ b/packages/balancer/src/trefoilhaven/gateway/tests/test_unexpected_messages.py
@@ -56,7 +56,7 @@
 )
 
 
-def notices(
+def notices_of_contents(
     name: str, kind: type[Evacuations] | type[Policies]
 ) -> st.SearchStrategy[bytes]:
     """Return a strategy of notices whose content has the type of a set.
@@ -80,8 +80,8 @@
 
 
 CONTENTS = st.one_of(
-    notices(EVACUATIONS_NAME, Evacuations),
-    notices(POLICIES_NAME, Policies),
+    notices_of_contents(EVACUATIONS_NAME, Evacuations),
+    notices_of_contents(POLICIES_NAME, Policies),
     datagrams(RECEIVED),
 )
 
