--- a/review/10/case.py
+++ b/review/10/case.py
@@ -17,7 +17,7 @@
 MAX_IDLE_S = 12.0
 DEADLINE_S = 2.0
 
-ROUTE = Address('198.18.0.1', 443)
+ROUTE = Address('127.200.0.1', 443)
 CONFIG = configuration(1, {ROUTE: 'desk'})
 GATEWAYS = ['a', 'a', 'a', 'b', 'b', 'c', 'c']
 TARGETS = [('desk', zone) for zone in 'aaabbcc'] + [
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,7 @@
 MIN_OTHER_PACKETS = 3
 DEADLINE_S = 2.0
 
-ROUTE = Address('198.18.0.1', 443)
+ROUTE = Address('127.200.0.1', 443)
 GATEWAYS = ['a', 'a', 'a', 'b', 'b', 'c', 'c']
 TARGETS = [('desk', zone) for zone in 'aaabbcc'] + [
     ('press', zone) for zone in 'abc'
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -34,10 +34,10 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
+    """Return ports that are free on a loopback address now."""
     socks = [socket.socket() for _ in range(count)]
     for sock in socks:
-        sock.bind(('0.0.0.0', 0))
+        sock.bind(('127.0.0.1', 0))
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
